--- /dev/null
+++ b/src/snipebend/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/src/snipebend/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Log replication: a pure core, its files, its members and leases."""
--- /dev/null
+++ b/src/snipebend/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin mains of the long-running processes."""
--- /dev/null
+++ b/src/snipebend/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""One request's life: claim, attempt, seal, resume, cancel, outcome."""
--- /dev/null
+++ b/src/snipebend/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert load estimate, placement, cost, switch protocol (pure)."""
--- /dev/null
+++ b/src/snipebend/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The declarative fleet file: model, parsing, checks, differences."""
--- /dev/null
+++ b/src/snipebend/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services, mailboxes, supervised tasks, a clock."""
--- /dev/null
+++ b/src/snipebend/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, heartbeats, failure suspicion and leaving (pure)."""
--- /dev/null
+++ b/src/snipebend/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Fenced orders to engines."""
--- /dev/null
+++ b/src/snipebend/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Candidates, scores, admission, fairness, limits, retries (pure)."""
--- /dev/null
+++ b/src/snipebend/settings/__init__.py
@@ -0,0 +1,1 @@
+"""A process's own TOML settings, checked all at once."""
--- /dev/null
+++ b/src/snipebend/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: fleet, claims, fences, expert maps."""
--- /dev/null
+++ b/src/snipebend/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and state dumps."""
--- /dev/null
+++ b/src/snipebend/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Shells around sockets: gRPC, HTTP server and client."""
