Add the stand-in engine and plain service

The demo, the tests and the benches need upstreams that behave as the platform's engines do: continuous batching by priority, a prefix cache in limited memory, late load reports, cache events with gaps, orders with or without a fencing check. Decisions (batcher, cache, reports, orders) are free of clocks and sockets; the engine's loop and the HTTP resources are thin around them.

--- /dev/null
+++ b/src/snipebend/standin/generation.py
@@ -0,0 +1,174 @@
+"""The two completion routes, whole and streamed, and their cancelling."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING
+
+import falcon
+from msgspec import json
+
+from snipebend.standin.batcher import Submission, Token, count_tokens
+from snipebend.standin.completions import (
+    Answer,
+    Chunk,
+    CompletionBody,
+    Usage,
+)
+from snipebend.standin.http import read_body, send_json, wait_disconnect
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import falcon.asgi
+
+    from snipebend.standin.completions import Route
+    from snipebend.standin.engine import Engine, Stream
+
+CANCELLED_STATUS = '499 Cancelled'
+CANCELLED_LINE = b'event: error\ndata: {"error":"cancelled"}\n\n'
+DONE_LINE = b'data: [DONE]\n\n'
+
+
+class Generation:
+    """``POST`` on a completion route.
+
+    A stream that was cancelled ends with an ``error`` event and without
+    ``[DONE]``; a whole answer that was cancelled has the status 499.
+    """
+
+    def __init__(self, engine: Engine, route: Route) -> None:
+        """Serve one of the routes from the engine."""
+        self._engine = engine
+        self._route = route
+        self._own_ids = count(1)
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Generate from the body; headers name the request and the resume."""
+        body, _ = await read_body(req, CompletionBody)
+        submission = self._read_submission(req, body)
+        key = req.get_header('idempotency-key') or ''
+        stream = self._engine.submit(submission, key)
+        watcher = asyncio.create_task(self._cancel_on_disconnect(req, stream))
+        if body.stream:
+            resp.content_type = 'text/event-stream'
+            resp.stream = self._stream_lines(stream, watcher)
+            return
+        try:
+            await self._answer_whole(resp, stream)
+        finally:
+            watcher.cancel()
+
+    def _read_submission(
+        self,
+        req: falcon.asgi.Request,
+        body: CompletionBody,
+    ) -> Submission:
+        if body.model != self._engine.cfg.model:
+            raise falcon.HTTPNotFound(title='unknown model')
+        resume_from = req.get_header_as_int('x-resume-from') or 0
+        if not 0 <= resume_from < body.max_tokens:
+            raise falcon.HTTPBadRequest(title='no token left to generate')
+        own_id = f'local-{next(self._own_ids)}'
+        return Submission(
+            request_id=req.get_header('x-request-id') or own_id,
+            prompt=body.full_prompt,
+            max_tokens=body.max_tokens,
+            priority=body.priority,
+            resume_from=resume_from,
+        )
+
+    async def _answer_whole(
+        self,
+        resp: falcon.asgi.Response,
+        stream: Stream,
+    ) -> None:
+        tokens = [token async for token in _iterate(stream)]
+        if not (tokens and tokens[-1].last):
+            resp.status = CANCELLED_STATUS
+            send_json(resp, {'error': 'cancelled'})
+            return
+        submission = stream.sequence.submission
+        text = ''.join(token.text for token in tokens)
+        prompt_tokens = count_tokens(submission.prompt)
+        answer = Answer(
+            submission.request_id,
+            self._route.answer_object,
+            self._engine.cfg.model,
+            (self._route.answer_choice(text),),
+            Usage(
+                prompt_tokens,
+                len(tokens),
+                prompt_tokens + len(tokens),
+                stream.sequence.cached_tokens,
+            ),
+        )
+        send_json(resp, answer)
+
+    async def _stream_lines(
+        self,
+        stream: Stream,
+        watcher: asyncio.Task[None],
+    ) -> AsyncIterator[bytes]:
+        try:
+            async for token in _iterate(stream):
+                yield self._chunk_line(stream, token)
+                if token.last:
+                    yield DONE_LINE
+                    return
+            yield CANCELLED_LINE
+        finally:
+            watcher.cancel()
+            self._engine.cancel_stream(stream)
+
+    def _chunk_line(self, stream: Stream, token: Token) -> bytes:
+        chunk = Chunk(
+            stream.sequence.submission.request_id,
+            self._route.chunk_object,
+            self._engine.cfg.model,
+            token.seq,
+            (self._route.chunk_choice(token.text, last=token.last),),
+        )
+        return b'data: %b\n\n' % json.encode(chunk)
+
+    async def _cancel_on_disconnect(
+        self,
+        req: falcon.asgi.Request,
+        stream: Stream,
+    ) -> None:
+        await wait_disconnect(req)
+        self._engine.cancel_stream(stream)
+
+
+class RequestById:
+    """``DELETE /v1/requests/{request_id}``: cancel all its attempts."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Cancel in the given engine."""
+        self._engine = engine
+
+    async def on_delete(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        request_id: str,
+    ) -> None:
+        """Answer with the number of attempts that this call cancelled."""
+        send_json(resp, {'cancelled': self._engine.cancel(request_id)})
+
+
+async def _iterate(stream: Stream) -> AsyncIterator[Token]:
+    """Yield tokens up to the last one, or up to the cancelling."""
+    while True:
+        match await stream.tokens.get():
+            case Token() as token:
+                yield token
+                if token.last:
+                    return
+            case _:
+                return
--- /dev/null
+++ b/src/snipebend/standin/orders.py
@@ -0,0 +1,98 @@
+"""Orders to the stand-in engine, with or without a check of the fence."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+from msgspec import Raw, Struct
+from result import Err, Ok, Result
+
+from snipebend.errors.hierarchy import ConflictError
+
+STEP_NAME = 'order'
+
+OrderKind = Literal[
+    'load', 'unload', 'adapter', 'version', 'role', 'expert-map'
+]
+MapAction = Literal['prepare', 'activate']
+
+
+class Order(Struct, frozen=True, rename={'map_action': 'action'}):
+    """An order; the fields of the expert map matter to that kind alone."""
+
+    kind: OrderKind
+    group: str
+    fence: int
+    map_action: MapAction = 'prepare'
+    map_version: int = 0
+    incarnation: int = 0
+    at_step: int = 0
+
+
+class RankState(Struct, frozen=True):
+    """The expert map in force on the rank at a step."""
+
+    map_version: int = 0
+    incarnation: int = 0
+    step: int = 0
+
+
+class _MapId(NamedTuple):
+    map_version: int
+    incarnation: int
+
+
+class OrderDesk:
+    """Executes orders in memory and remembers them as they were sent."""
+
+    def __init__(self, *, check_fence: bool) -> None:
+        """Start with the empty expert map and no fence seen."""
+        self._check_fence = check_fence
+        self._fences: dict[str, int] = {}
+        self._prepared: set[_MapId] = set()
+        self._pending: list[Order] = []
+        self._in_force = _MapId(0, 0)
+        self.executed: list[Raw] = []
+
+    def execute(
+        self,
+        order: Order,
+        body: Raw,
+        step: int,
+    ) -> Result[RankState, ConflictError]:
+        """Execute an order at a step; a refused one changes nothing.
+
+        Refused are a fence below the highest seen of its group (if fences are
+        checked) and the activation of a map that was never prepared.
+        """
+        highest = self._fences.get(order.group, 0)
+        if self._check_fence and order.fence < highest:
+            text = f'stale fence {order.fence}, highest seen {highest}'
+            return Err(ConflictError(text, step=STEP_NAME))
+        map_id = _MapId(order.map_version, order.incarnation)
+        if _activates(order) and map_id not in self._prepared:
+            text = f'map {order.map_version} was never prepared'
+            return Err(ConflictError(text, step=STEP_NAME))
+        self._fences[order.group] = max(highest, order.fence)
+        self.executed.append(body)
+        if _activates(order):
+            self._pending.append(order)
+        elif order.kind == 'expert-map':
+            self._prepared.add(map_id)
+        return Ok(self.rank_state(step))
+
+    def rank_state(self, step: int) -> RankState:
+        """Return the rank's state once all due activations are done."""
+        due = [order for order in self._pending if order.at_step <= step]
+        for order in sorted(due, key=_activation_step):
+            self._pending.remove(order)
+            self._in_force = _MapId(order.map_version, order.incarnation)
+        return RankState(*self._in_force, step)
+
+
+def _activates(order: Order) -> bool:
+    return order.kind == 'expert-map' and order.map_action == 'activate'
+
+
+def _activation_step(order: Order) -> int:
+    return order.at_step
--- /dev/null
+++ b/src/snipebend/standin/reading.py
@@ -0,0 +1,129 @@
+"""The engine's resources for load, cache, orders, experts and counts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import falcon
+from msgspec import Raw
+from result import Err, Ok
+
+from snipebend.standin.http import read_body, send_json
+from snipebend.standin.orders import Order
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+    from snipebend.standin.engine import Engine
+
+
+class Load:
+    """``GET /load``: the load, late."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Read from the given engine."""
+        self._engine = engine
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with a ``LoadReport``."""
+        send_json(resp, self._engine.load())
+
+
+class CacheState:
+    """``GET /cache-events?after=SEQ`` and ``GET /cache-snapshot``."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Read from the given engine."""
+        self._engine = engine
+
+    async def on_get_events(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with a list of ``CacheEvent``."""
+        after = req.get_param_as_int('after', default=0)
+        send_json(resp, self._engine.cache_events(after))
+
+    async def on_get_snapshot(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with a ``CacheSnapshot``."""
+        send_json(resp, self._engine.cache_snapshot())
+
+
+class Orders:
+    """``/orders``: execute one, or list the executed ones."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Give orders to the given engine."""
+        self._engine = engine
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with the executed orders as they were sent."""
+        send_json(resp, self._engine.orders.executed)
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Execute an order; answer with the rank's state, or 409."""
+        order, raw = await read_body(req, Order)
+        desk = self._engine.orders
+        match desk.execute(order, Raw(raw), self._engine.step):
+            case Ok(rank):
+                send_json(resp, rank)
+            case Err(error):
+                raise falcon.HTTPConflict(description=error.message)
+
+
+class Experts:
+    """``GET /expert-load`` and ``GET /ranks``."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Read from the given engine."""
+        self._engine = engine
+
+    async def on_get_load(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with the ``ExpertLoad`` since the last call."""
+        send_json(resp, self._engine.experts.take(self._engine.step))
+
+    async def on_get_ranks(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with the ``RankState``."""
+        state = self._engine.orders.rank_state(self._engine.step)
+        send_json(resp, state)
+
+
+class Executions:
+    """``GET /executions`` of the engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Read from the given engine."""
+        self._engine = engine
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with the ``ExecutionCounts``."""
+        send_json(resp, self._engine.ledger.counts(self._engine.running))
--- /dev/null
+++ b/src/snipebend/standin/reports.py
@@ -0,0 +1,99 @@
+"""What the stand-in engine tells of itself: late, and with gaps."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Literal, NamedTuple
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from snipebend.standin.prefix_cache import CacheChange
+
+EVENT_HISTORY = 4096
+
+
+class LoadReport(Struct, frozen=True):
+    """The engine's load as it was at ``taken_at`` (seconds of its clock)."""
+
+    running: int
+    queued: int
+    kv_used_blocks: int
+    kv_blocks: int
+    step: int
+    taken_at: float
+
+
+class CacheEvent(Struct, frozen=True):
+    """A published cache change; missing numbers are changes lost for good."""
+
+    seq: int
+    kind: Literal['stored', 'evicted']
+    prefix: str
+
+
+class CacheSnapshot(Struct, frozen=True):
+    """All prefixes in the cache after the change numbered ``seq``."""
+
+    seq: int
+    prefixes: tuple[str, ...]
+
+
+class LoadHistory:
+    """Load reports held back for a fixed lag."""
+
+    def __init__(self, first: LoadReport, lag_s: float) -> None:
+        """Start with the report that holds until another is old enough."""
+        self._lag_s = lag_s
+        self._reports = deque([first])
+
+    def add(self, report: LoadReport) -> None:
+        """Take the newest report in."""
+        self._reports.append(report)
+        self._forget(report.taken_at)
+
+    def visible(self, now: float) -> LoadReport:
+        """Return the state as it was one lag ago."""
+        self._forget(now)
+        return self._reports[0]
+
+    def _forget(self, now: float) -> None:
+        while len(self._reports) > 1:
+            if self._reports[1].taken_at > now - self._lag_s:
+                break
+            self._reports.popleft()
+
+
+class _HeldEvent(NamedTuple):
+    visible_at: float
+    event: CacheEvent
+
+
+class CacheFeed:
+    """Cache events that appear late; a seeded share of them never does."""
+
+    def __init__(self, rng: Random, *, lag_s: float, gap_rate: float) -> None:
+        """Start with no event; the first change gets number 1."""
+        self._rng = rng
+        self._lag_s = lag_s
+        self._gap_rate = gap_rate
+        self._held: deque[_HeldEvent] = deque(maxlen=EVENT_HISTORY)
+        self.seq = 0
+
+    def add(self, change: CacheChange, now: float) -> None:
+        """Number a change and publish it after the lag, or never."""
+        self.seq += 1
+        if self._rng.random() < self._gap_rate:
+            return
+        event = CacheEvent(self.seq, change.kind, change.prefix)
+        self._held.append(_HeldEvent(now + self._lag_s, event))
+
+    def after(self, seq: int, now: float) -> list[CacheEvent]:
+        """Return the events beyond ``seq`` that are visible by now."""
+        return [
+            held.event
+            for held in self._held
+            if held.event.seq > seq and held.visible_at <= now
+        ]
--- /dev/null
+++ b/src/snipebend/standin/service.py
@@ -0,0 +1,115 @@
+"""A stand-in plain service: seat holds, confirmations and fares."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+from zlib import crc32
+
+from msgspec import Raw, Struct
+
+from snipebend.standin.executions import ExecutionLedger
+from snipebend.standin.http import (
+    Healthz,
+    ReceivingApp,
+    read_body,
+    send_json,
+)
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+MS_PER_S = 1000
+FARE_RANGE = 500
+
+
+class Booking(Struct, frozen=True):
+    """The answer to a booking call; ``number`` counts its executions."""
+
+    kind: str
+    number: int
+    body: Raw
+
+
+class Fare(Struct, frozen=True):
+    """A fare in whole units of the currency, fixed for each id."""
+
+    id: str
+    price: int
+
+
+class Bookings:
+    """A ``POST`` that must not be repeated: each call is an execution."""
+
+    def __init__(
+        self,
+        kind: str,
+        ledger: ExecutionLedger,
+        delay_s: float,
+    ) -> None:
+        """Count in the ledger; answer ``delay_s`` seconds after the start."""
+        self._kind = kind
+        self._ledger = ledger
+        self._delay_s = delay_s
+        self._number = 0
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Execute and answer with the number of the execution."""
+        body, raw = await read_body(req, Raw)
+        self._number += 1
+        booking = Booking(self._kind, self._number, body)
+        self._ledger.start(
+            req.get_header('x-request-id') or '',
+            key=req.get_header('idempotency-key') or '',
+            body=raw.decode(),
+        )
+        await asyncio.sleep(self._delay_s)
+        self._ledger.finished += 1
+        send_json(resp, booking)
+
+
+class Fares:
+    """``GET /fares/{fare_id}``: safe to repeat."""
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        fare_id: str,
+    ) -> None:
+        """Answer with the fare."""
+        send_json(resp, Fare(fare_id, crc32(fare_id.encode()) % FARE_RANGE))
+
+
+class ServiceExecutions:
+    """``GET /executions`` of the plain service."""
+
+    def __init__(self, ledger: ExecutionLedger) -> None:
+        """Read from the given ledger."""
+        self._ledger = ledger
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer with the ``ExecutionCounts``."""
+        running = self._ledger.started - self._ledger.finished
+        send_json(resp, self._ledger.counts(running))
+
+
+def build_service_app(delay_ms: float = 0) -> falcon.asgi.App[Any, Any]:
+    """Build the service; bookings answer after ``delay_ms``."""
+    ledger = ExecutionLedger()
+    app = ReceivingApp()
+    for kind in ('holds', 'confirmations'):
+        bookings = Bookings(kind, ledger, delay_ms / MS_PER_S)
+        app.add_route(f'/{kind}', bookings)
+    app.add_route('/fares/{fare_id}', Fares())
+    app.add_route('/executions', ServiceExecutions(ledger))
+    app.add_route('/healthz', Healthz())
+    return app
--- /dev/null
+++ b/src/snipebend/standin/settings.py
@@ -0,0 +1,29 @@
+"""Settings of the stand-in engine."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class EngineConfig(NamedTuple):
+    """How the engine behaves; each field is a flag of the program.
+
+    Spans are in milliseconds (``_ms``); a cache block holds 64 characters;
+    ``gap_rate`` is the share of cache events that are never published. A
+    prompt that contains ``crash_marker`` (if not empty) kills the engine.
+    """
+
+    model: str = 'standin'
+    step_ms: float = 5
+    batch_size: int = 8
+    cache_blocks: int = 1024
+    prefill_ms_per_block: float = 1
+    report_lag_ms: float = 200
+    gap_rate: float = 0.05
+    seed: int = 1
+    check_fence: bool = False
+    crash_marker: str = ''
+    layers: int = 4
+    experts: int = 16
+    experts_per_token: int = 2
+    drift_steps: int = 2000
