Split the stand-in engine's clock and reports from its loop

The ids now carry the route's name. A crash of an engine inside its caller's process ends the batching loop, so that no token follows it.

--- a/src/snipebend/standin/app.py
+++ b/src/snipebend/standin/app.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    import falcon.asgi
+    from falcon.asgi import App
 
     from snipebend.standin.engine import Engine
     from snipebend.standin.settings import EngineConfig
@@ -51,7 +51,7 @@
 def build_engine_app(
     cfg: EngineConfig,
     engine: Engine,
-) -> falcon.asgi.App[Any, Any]:
+) -> App[Any, Any]:
     """Build the engine's app; the engine starts on the first request."""
     app = ReceivingApp(middleware=[EngineLifespan(engine)])
     cache, experts = CacheState(engine), Experts(engine)
--- a/src/snipebend/standin/batcher.py
+++ b/src/snipebend/standin/batcher.py
@@ -126,7 +126,7 @@
         admitted: list[Sequence] = []
         changes: list[CacheChange] = []
         while self._waiting and len(self._running) < self._batch_size:
-            *_, sequence = heapq.heappop(self._waiting)
+            sequence = heapq.heappop(self._waiting)[-1]
             changes.extend(self._admit(sequence, now))
             admitted.append(sequence)
         tokens = tuple(
--- a/src/snipebend/standin/engine.py
+++ b/src/snipebend/standin/engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import suppress
-from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.standin.batcher import Batcher, Sequence, Submission, Token
@@ -12,20 +11,15 @@
 from snipebend.standin.expert_load import ExpertMeter
 from snipebend.standin.orders import OrderDesk
 from snipebend.standin.prefix_cache import PrefixCache
-from snipebend.standin.reports import (
-    CacheFeed,
-    CacheSnapshot,
-    LoadHistory,
-    LoadReport,
-)
+from snipebend.standin.reporter import Reporter
+from snipebend.standin.settings import MS_PER_S
+from snipebend.standin.step_clock import StepClock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from snipebend.standin.reports import CacheEvent
     from snipebend.standin.settings import EngineConfig
 
-MS_PER_S = 1000
 MIN_STEP_S = 0.0005
 
 
@@ -42,11 +36,7 @@
 
 
 class Engine:
-    """Owns the batch, the cache and the loop that steps them.
-
-    The step number is the time since the start in steps, so it grows while
-    the engine is idle, at no cost.
-    """
+    """Owns the batch, the cache and the loop that steps them."""
 
     def __init__(
         self,
@@ -55,42 +45,34 @@
         clock: Callable[[], float],
         on_crash: Callable[[], None],
     ) -> None:
-        """Prepare an engine; ``clock`` gives seconds, as the loop's time."""
+        """Prepare an engine; ``clock`` gives seconds, as the loop's time.
+
+        ``on_crash`` is called when a prompt with the crash marker enters the
+        batch; if it returns, the engine makes no further step.
+        """
         self.cfg = cfg
         self.ledger = ExecutionLedger()
         self.orders = OrderDesk(check_fence=cfg.check_fence)
         self.experts = ExpertMeter(cfg)
-        self._clock = clock
-        self._on_crash = on_crash
-        self._started_at = clock()
-        self._step_s = max(cfg.step_ms / MS_PER_S, MIN_STEP_S)
-        self._cache = PrefixCache(cfg.cache_blocks)
-        self._batcher = Batcher(
-            self._cache,
+        step_s = max(cfg.step_ms / MS_PER_S, MIN_STEP_S)
+        self.clock = StepClock(clock, step_s)
+        cache = PrefixCache(cfg.cache_blocks)
+        self.batcher = Batcher(
+            cache,
             batch_size=cfg.batch_size,
             prefill_s_per_block=cfg.prefill_ms_per_block / MS_PER_S,
         )
-        lag_s = cfg.report_lag_ms / MS_PER_S
-        self._loads = LoadHistory(self._measure(), lag_s)
-        self._feed = CacheFeed(
-            Random(cfg.seed),
-            lag_s=lag_s,
-            gap_rate=cfg.gap_rate,
+        self.reporter = Reporter(
+            cfg,
+            clock=self.clock,
+            batcher=self.batcher,
+            cache=cache,
         )
+        self._on_crash = on_crash
         self._streams: dict[int, Stream] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def step(self) -> int:
-        """Return the number of the present step."""
-        return int((self._clock() - self._started_at) / self._step_s)
-
-    @property
-    def running(self) -> int:
-        """Return the number of requests in the batch."""
-        return self._batcher.running
-
     def start(self) -> None:
         """Start the batching loop, if it doesn't run yet."""
         if self._task is None:
@@ -109,10 +91,10 @@
     def submit(self, submission: Submission, key: str = '') -> Stream:
         """Queue a request; ``key`` is its idempotency key, if it has one."""
         self.start()
-        sequence = self._batcher.submit(submission)
+        sequence = self.batcher.submit(submission)
         stream = Stream(sequence, key, asyncio.Queue())
         self._streams[sequence.ticket] = stream
-        self._loads.add(self._measure())
+        self.reporter.note_load()
         self._wake.set()
         return stream
 
@@ -132,45 +114,35 @@
         if stream.sequence.ticket in self._streams:
             self._cancel_ticket(stream.sequence.ticket)
 
-    def load(self) -> LoadReport:
-        """Return the load as it was one lag ago."""
-        return self._loads.visible(self._clock())
-
-    def cache_events(self, after: int) -> list[CacheEvent]:
-        """Return the visible cache events with numbers above ``after``."""
-        return self._feed.after(after, self._clock())
-
-    def cache_snapshot(self) -> CacheSnapshot:
-        """Return the whole cache as it is now."""
-        return CacheSnapshot(self._feed.seq, self._cache.prefixes)
-
     async def _run(self) -> None:
-        while True:
-            if self._batcher.idle:
+        crashed = False
+        while not crashed:
+            if self.batcher.idle:
                 self._wake.clear()
                 await self._wake.wait()
-            next_at = self._started_at + (self.step + 1) * self._step_s
-            await asyncio.sleep(max(next_at - self._clock(), 0))
-            self._step_once()
-
-    def _step_once(self) -> None:
-        now = self._clock()
-        outcome = self._batcher.step(now)
+            delay_s = self.clock.next_step_at - self.clock.now()
+            await asyncio.sleep(max(delay_s, 0))
+            crashed = self._make_step()
+        self._on_crash()
+
+    def _make_step(self) -> bool:
+        """Make one step; tell whether a request has crashed the engine."""
+        outcome = self.batcher.step(self.clock.now())
         for sequence in outcome.admitted:
-            self._note_start(sequence)
-        for change in outcome.changes:
-            self._feed.add(change, now)
+            stream = self._streams[sequence.ticket]
+            self.ledger.start(sequence.submission.request_id, key=stream.key)
+        if any(map(self._crashes, outcome.admitted)):
+            return True
         for token in outcome.tokens:
             self._deliver(token)
         self.experts.add_tokens(len(outcome.tokens))
-        self._loads.add(self._measure())
+        self.reporter.note_changes(outcome.changes)
+        self.reporter.note_load()
+        return False
 
-    def _note_start(self, sequence: Sequence) -> None:
-        stream = self._streams[sequence.ticket]
-        self.ledger.start(sequence.submission.request_id, key=stream.key)
+    def _crashes(self, sequence: Sequence) -> bool:
         marker = self.cfg.crash_marker
-        if marker and marker in sequence.submission.prompt:
-            self._on_crash()
+        return bool(marker) and marker in sequence.submission.prompt
 
     def _deliver(self, token: Token) -> None:
         stream = self._streams[token.ticket]
@@ -181,17 +153,7 @@
 
     def _cancel_ticket(self, ticket: int) -> None:
         stream = self._streams.pop(ticket)
-        self._batcher.cancel(ticket)
+        self.batcher.cancel(ticket)
         self.ledger.cancelled += 1
         stream.tokens.put_nowait(Cancelled())
-        self._loads.add(self._measure())
-
-    def _measure(self) -> LoadReport:
-        return LoadReport(
-            running=self._batcher.running,
-            queued=self._batcher.queued,
-            kv_used_blocks=len(self._cache),
-            kv_blocks=self._cache.capacity,
-            step=self.step,
-            taken_at=self._clock(),
-        )
+        self.reporter.note_load()
--- a/src/snipebend/standin/generation.py
+++ b/src/snipebend/standin/generation.py
@@ -6,7 +6,7 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-import falcon
+from falcon import HTTPBadRequest, HTTPNotFound
 from msgspec import json
 
 from snipebend.standin.batcher import Submission, Token, count_tokens
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import falcon.asgi
+    from falcon.asgi import Request, Response
 
     from snipebend.standin.completions import Route
     from snipebend.standin.engine import Engine, Stream
@@ -46,8 +46,8 @@
 
     async def on_post(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Generate from the body; headers name the request and the resume."""
         body, _ = await read_body(req, CompletionBody)
@@ -66,26 +66,28 @@
 
     def _read_submission(
         self,
-        req: falcon.asgi.Request,
+        req: Request,
         body: CompletionBody,
     ) -> Submission:
         if body.model != self._engine.cfg.model:
-            raise falcon.HTTPNotFound(title='unknown model')
+            raise HTTPNotFound(title='unknown model')
         resume_from = req.get_header_as_int('x-resume-from') or 0
         if not 0 <= resume_from < body.max_tokens:
-            raise falcon.HTTPBadRequest(title='no token left to generate')
-        own_id = f'local-{next(self._own_ids)}'
+            raise HTTPBadRequest(title='no token left to generate')
         return Submission(
-            request_id=req.get_header('x-request-id') or own_id,
+            request_id=req.get_header('x-request-id') or self._make_id(),
             prompt=body.full_prompt,
             max_tokens=body.max_tokens,
             priority=body.priority,
             resume_from=resume_from,
         )
 
+    def _make_id(self) -> str:
+        return f'{self._route.answer_object}-{next(self._own_ids)}'
+
     async def _answer_whole(
         self,
-        resp: falcon.asgi.Response,
+        resp: Response,
         stream: Stream,
     ) -> None:
         tokens = [token async for token in _iterate(stream)]
@@ -138,7 +140,7 @@
 
     async def _cancel_on_disconnect(
         self,
-        req: falcon.asgi.Request,
+        req: Request,
         stream: Stream,
     ) -> None:
         await wait_disconnect(req)
@@ -154,8 +156,8 @@
 
     async def on_delete(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
         request_id: str,
     ) -> None:
         """Answer with the number of attempts that this call cancelled."""
--- a/src/snipebend/standin/http.py
+++ b/src/snipebend/standin/http.py
@@ -4,19 +4,21 @@
 
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import falcon
-import falcon.asgi
+from falcon import MEDIA_JSON, HTTPBadRequest
+from falcon.asgi import App
 from msgspec import DecodeError, json
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from falcon.asgi import Request, Response
+
 RECEIVE_KEY = 'snipebend.receive'
 
 Body = TypeVar('Body')
 
 
-class ReceivingApp(falcon.asgi.App[Any, Any]):
+class ReceivingApp(App[Any, Any]):
     """A falcon app whose resources can wait for the caller's disconnect."""
 
     # The typed base is the WSGI app, whose call has another signature.
@@ -31,7 +33,7 @@
         await super().__call__(scope, receive, send)
 
 
-async def wait_disconnect(req: falcon.asgi.Request) -> None:
+async def wait_disconnect(req: Request) -> None:
     """Return once the caller is gone; its body must have been read."""
     receive = req.scope[RECEIVE_KEY]
     while True:
@@ -41,7 +43,7 @@
 
 
 async def read_body(
-    req: falcon.asgi.Request,
+    req: Request,
     kind: type[Body],
 ) -> tuple[Body, bytes]:
     """Read and check a JSON body; a bad one is answered with 400."""
@@ -49,12 +51,12 @@
     try:
         return json.decode(raw, type=kind), raw
     except DecodeError as exc:
-        raise falcon.HTTPBadRequest(title='bad body', description=str(exc))
+        raise HTTPBadRequest(title='bad body', description=str(exc))
 
 
-def send_json(resp: falcon.asgi.Response, content: object) -> None:
+def send_json(resp: Response, content: object) -> None:
     """Answer with a message as JSON."""
-    resp.content_type = falcon.MEDIA_JSON
+    resp.content_type = MEDIA_JSON
     resp.data = json.encode(content)
 
 
@@ -63,8 +65,8 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer 200."""
         send_json(resp, {'status': 'ok'})
--- a/src/snipebend/standin/main.py
+++ b/src/snipebend/standin/main.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import sys
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -21,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    import falcon.asgi
+    from falcon.asgi import App
 
 LOOPBACK = '127.0.0.1'
 CRASH_CODE = 70
@@ -89,7 +90,7 @@
         await server.serve(sockets=[listener])
 
 
-def _build_app(options: Namespace) -> falcon.asgi.App[Any, Any]:
+def _build_app(options: Namespace) -> App[Any, Any]:
     if options.service:
         return build_service_app(options.delay_ms)
     flags = {name: getattr(options, name) for name in EngineConfig._fields}
@@ -104,4 +105,4 @@
 
 
 if __name__ == '__main__':
-    raise SystemExit(main())
+    sys.exit(main())
--- a/src/snipebend/standin/reading.py
+++ b/src/snipebend/standin/reading.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import falcon
+from falcon import HTTPConflict
 from msgspec import Raw
 from result import Err, Ok
 
@@ -12,7 +12,7 @@
 from snipebend.standin.orders import Order
 
 if TYPE_CHECKING:
-    import falcon.asgi
+    from falcon.asgi import Request, Response
 
     from snipebend.standin.engine import Engine
 
@@ -26,11 +26,11 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with a ``LoadReport``."""
-        send_json(resp, self._engine.load())
+        send_json(resp, self._engine.reporter.load())
 
 
 class CacheState:
@@ -42,20 +42,20 @@
 
     async def on_get_events(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with a list of ``CacheEvent``."""
         after = req.get_param_as_int('after', default=0)
-        send_json(resp, self._engine.cache_events(after))
+        send_json(resp, self._engine.reporter.cache_events(after))
 
     async def on_get_snapshot(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with a ``CacheSnapshot``."""
-        send_json(resp, self._engine.cache_snapshot())
+        send_json(resp, self._engine.reporter.cache_snapshot())
 
 
 class Orders:
@@ -67,25 +67,25 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with the executed orders as they were sent."""
         send_json(resp, self._engine.orders.executed)
 
     async def on_post(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Execute an order; answer with the rank's state, or 409."""
         order, raw = await read_body(req, Order)
         desk = self._engine.orders
-        match desk.execute(order, Raw(raw), self._engine.step):
+        match desk.execute(order, Raw(raw), self._engine.clock.step):
             case Ok(rank):
                 send_json(resp, rank)
             case Err(error):
-                raise falcon.HTTPConflict(description=error.message)
+                raise HTTPConflict(description=error.message)
 
 
 class Experts:
@@ -97,19 +97,19 @@
 
     async def on_get_load(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with the ``ExpertLoad`` since the last call."""
-        send_json(resp, self._engine.experts.take(self._engine.step))
+        send_json(resp, self._engine.experts.take(self._engine.clock.step))
 
     async def on_get_ranks(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with the ``RankState``."""
-        state = self._engine.orders.rank_state(self._engine.step)
+        state = self._engine.orders.rank_state(self._engine.clock.step)
         send_json(resp, state)
 
 
@@ -122,8 +122,9 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with the ``ExecutionCounts``."""
-        send_json(resp, self._engine.ledger.counts(self._engine.running))
+        running = self._engine.batcher.running
+        send_json(resp, self._engine.ledger.counts(running))
--- a/src/snipebend/standin/service.py
+++ b/src/snipebend/standin/service.py
@@ -15,11 +15,11 @@
     read_body,
     send_json,
 )
+from snipebend.standin.settings import MS_PER_S
 
 if TYPE_CHECKING:
-    import falcon.asgi
+    from falcon.asgi import App, Request, Response
 
-MS_PER_S = 1000
 FARE_RANGE = 500
 
 
@@ -55,8 +55,8 @@
 
     async def on_post(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Execute and answer with the number of the execution."""
         body, raw = await read_body(req, Raw)
@@ -77,8 +77,8 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
         fare_id: str,
     ) -> None:
         """Answer with the fare."""
@@ -94,15 +94,15 @@
 
     async def on_get(
         self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
+        req: Request,
+        resp: Response,
     ) -> None:
         """Answer with the ``ExecutionCounts``."""
         running = self._ledger.started - self._ledger.finished
         send_json(resp, self._ledger.counts(running))
 
 
-def build_service_app(delay_ms: float = 0) -> falcon.asgi.App[Any, Any]:
+def build_service_app(delay_ms: float = 0) -> App[Any, Any]:
     """Build the service; bookings answer after ``delay_ms``."""
     ledger = ExecutionLedger()
     app = ReceivingApp()
--- a/src/snipebend/standin/settings.py
+++ b/src/snipebend/standin/settings.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+MS_PER_S = 1000
+
 
 class EngineConfig(NamedTuple):
     """How the engine behaves; each field is a flag of the program.
