Decide elections, replication, reads and members in a pure core

One step takes in events with the time and a random source and gives back actions. Promises (votes, acknowledgements) are held back in the core until the writes that they rest on are confirmed, so that the shell may send at once whatever it is given. Not yet searched under faults.

--- a/src/snipebend/consensus/config.py
+++ b/src/snipebend/consensus/config.py
@@ -21,7 +21,8 @@
     clock may run, as a fraction. ``max_batch`` counts entries a message,
     ``max_batch_bytes`` their payload, ``max_in_flight`` the messages to one
     follower without an answer, ``max_uncommitted`` the entries that a leader
-    takes on before it calls itself busy.
+    takes on before it calls itself busy. A snapshot that brought no answer
+    within ``snapshot_retry_s`` is sent again.
     """
 
     heartbeat_s: float = 0.1
@@ -31,6 +32,7 @@
     max_batch_bytes: int = MEBIBYTE
     max_in_flight: int = 8
     max_uncommitted: int = 4096
+    snapshot_retry_s: float = 5
 
 
 class Restored(NamedTuple):
--- /dev/null
+++ b/src/snipebend/consensus/log.py
@@ -0,0 +1,89 @@
+"""The log in memory: the entries after a dropped prefix."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from snipebend.consensus.records import LogEntry
+
+
+class ReplicatedLog:
+    """Entries from ``base_index + 1`` on; the base is the last one dropped."""
+
+    def __init__(
+        self,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: Iterable[LogEntry] = (),
+    ) -> None:
+        """Hold the entries, the first of which follows the base."""
+        self.base_index = base_index
+        self._base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the base."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, or of the base."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Give an entry's term; ``None`` if it is dropped or not there."""
+        if index == self.base_index:
+            return self._base_term
+        offset = index - self.base_index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """Give the entries from ``first`` to ``last``, both included."""
+        start = first - self.base_index - 1
+        return tuple(self._entries[start : last - self.base_index])
+
+    def batch(
+        self, first: int, max_entries: int, max_bytes: int
+    ) -> tuple[LogEntry, ...]:
+        """Give entries from ``first`` on within both limits, at least one."""
+        found = self.between(first, first + max_entries - 1)
+        size = 0
+        for count, entry in enumerate(found):
+            size += len(entry.payload)
+            if size > max_bytes and count:
+                return found[:count]
+        return found
+
+    def append(self, entries: Iterable[LogEntry]) -> None:
+        """Add entries that follow the last one."""
+        self._entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entries from ``index`` on."""
+        del self._entries[index - self.base_index - 1 :]  # noqa: WPS420
+
+    def drop_until(self, index: int, term: int) -> None:
+        """Drop the entries up to ``index``, which becomes the base."""
+        self._entries = self._entries[index - self.base_index :]
+        self.base_index = index
+        self._base_term = term
+
+    def last_not_after(self, index: int, term: int) -> int:
+        """Give the last index up to ``index`` whose term isn't above ``term``.
+
+        Two logs can't agree at an index where one has a higher term than the
+        other's last candidate: both sides skip whole terms by this.
+        """
+        probe = min(index, self.last_index)
+        while probe > self.base_index:
+            known = self.term_at(probe)
+            if known is not None and known <= term:
+                break
+            probe -= 1
+        return probe
--- /dev/null
+++ b/src/snipebend/consensus/node.py
@@ -0,0 +1,184 @@
+"""The state of one member and the steps that every role shares."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from snipebend.consensus.actions import (
+    Action,
+    Commit,
+    Role,
+    RoleChanged,
+    Send,
+)
+from snipebend.consensus.durability import Durability
+from snipebend.consensus.log import ReplicatedLog
+from snipebend.consensus.members import (
+    MembersHistory,
+    find_member,
+    voter_ids,
+)
+from snipebend.consensus.messages import Envelope
+from snipebend.consensus.records import HardState
+from snipebend.consensus.restoring import usable_entries
+from snipebend.errors.hierarchy import CorruptionError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from snipebend.consensus.config import CoreConfig, Restored
+    from snipebend.consensus.leadership import Leadership
+    from snipebend.consensus.messages import PeerMessage
+    from snipebend.consensus.records import LogEntry, Member, SnapshotMeta
+
+
+@dataclass(slots=True)
+class Node:
+    """One member's state between steps.
+
+    ``quiet_until`` is the deadline until which the member ignores candidates,
+    because it heard from a leader (or might have, before a restart).
+    ``promises`` are messages that must not precede the writes of their step.
+    """
+
+    cfg: CoreConfig
+    member_id: str
+    term: int
+    voted_for: str | None
+    log: ReplicatedLog
+    members: MembersHistory
+    durability: Durability
+    rng: random.Random
+    now: float
+    election_at: float
+    quiet_until: float
+    commit_index: int
+    handed_out: int
+    role: Role = Role.FOLLOWER
+    leader_id: str | None = None
+    leadership: Leadership | None = None
+    votes: set[str] = field(default_factory=set)
+    installing: SnapshotMeta | None = None
+    actions: list[Action] = field(default_factory=list)
+    promises: list[Envelope] = field(default_factory=list)
+    announced: RoleChanged | None = None
+
+    def emit(self, action: Action) -> None:
+        """Ask the shell for something."""
+        self.actions.append(action)
+
+    def send(self, target: str, message: PeerMessage) -> None:
+        """Send a message that promises nothing."""
+        self.emit(Send(Envelope(self.member_id, target, message)))
+
+    def promise(self, target: str, message: PeerMessage) -> None:
+        """Send a message once all that this step changes is synced."""
+        self.promises.append(Envelope(self.member_id, target, message))
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The identities that vote, as of the last entry."""
+        return voter_ids(self.members.latest)
+
+    @property
+    def leader(self) -> Member | None:
+        """The known leader, if it is a known member."""
+        return find_member(self.members.latest, self.leader_id)
+
+    def enter_term(self, term: int, voted_for: str | None) -> None:
+        """Enter a term or cast its vote."""
+        self.term = term
+        self.voted_for = voted_for
+        self.durability.note_hard_state()
+
+    def defer_election(self) -> None:
+        """Draw a new election deadline, spread so that few collide."""
+        span = self.cfg.election_timeout_s
+        self.election_at = self.now + self.rng.uniform(span, 2 * span)
+
+    def append(self, entries: Iterable[LogEntry]) -> None:
+        """Add entries that follow the log's end."""
+        added = tuple(entries)
+        if added:
+            self.log.append(added)
+            self.members.append(added)
+            self.durability.note_entries(added[0].index)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop entries that the leader's log doesn't have.
+
+        Raises ``CorruptionError`` for a committed entry.
+        """
+        if index <= self.commit_index:
+            raise CorruptionError(
+                f'entry {index} is committed and would be dropped',
+                step='append',
+                peer=self.leader_id or '',
+            )
+        self.log.truncate_from(index)
+        self.members.truncate_from(index)
+        self.durability.note_entries(index)
+
+    def hand_out(self) -> tuple[LogEntry, ...]:
+        """Commit what is committed and synced here, and give it back."""
+        last = min(self.commit_index, self.durability.persisted_index)
+        if last <= self.handed_out:
+            return ()
+        entries = self.log.between(self.handed_out + 1, last)
+        self.handed_out = last
+        self.emit(Commit(entries))
+        return entries
+
+    def write(self) -> None:
+        """Emit the writes of this step, then its promises or hold them."""
+        hard_state = HardState(self.term, self.voted_for)
+        action = self.durability.write(self.log, hard_state)
+        if action is not None:
+            self.emit(action)
+        for envelope in self.promises:
+            self.durability.withhold(envelope)
+        self.promises.clear()
+
+    def announce_role(self) -> None:
+        """Tell the shell when role, term or leader differ from before."""
+        current = RoleChanged(self.role, self.term, self.leader)
+        if current != self.announced:
+            self.announced = current
+            self.emit(current)
+
+
+def restore_node(
+    cfg: CoreConfig,
+    member_id: str,
+    restored: Restored,
+    now: float,
+    rng: random.Random,
+) -> Node:
+    """Build a follower from what its disk held."""
+    snapshot = restored.snapshot
+    start = snapshot.index if snapshot else 0
+    entries = usable_entries(snapshot, restored.entries)
+    members = snapshot.members if snapshot else restored.members
+    history = MembersHistory(start, members)
+    history.append(entries)
+    log = ReplicatedLog(start, snapshot.term if snapshot else 0, entries)
+    node = Node(
+        cfg=cfg,
+        member_id=member_id,
+        term=restored.hard_state.term,
+        voted_for=restored.hard_state.voted_for,
+        log=log,
+        members=history,
+        durability=Durability(log.last_index),
+        rng=rng,
+        now=now,
+        election_at=now,
+        # Before the restart it may have promised a leader to wait this long.
+        quiet_until=now + cfg.election_timeout_s,
+        commit_index=start,
+        handed_out=start,
+    )
+    node.defer_election()
+    return node
--- /dev/null
+++ b/src/snipebend/consensus/proposals.py
@@ -0,0 +1,117 @@
+"""Proposals of commands and of member changes, on the leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.consensus.actions import (
+    ProposalCommitted,
+    ProposalRejected,
+    RejectReason,
+)
+from snipebend.consensus.events import PromoteLearner
+from snipebend.consensus.members import apply_change
+from snipebend.consensus.progress import Mode
+from snipebend.consensus.records import EntryKind, LogEntry, encode_members
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from snipebend.consensus.events import MembersProposed, Proposed
+    from snipebend.consensus.leadership import Leadership
+    from snipebend.consensus.node import Node
+    from snipebend.consensus.records import Members
+
+
+def on_proposed(node: Node, event: Proposed) -> None:
+    """Append a command, or say why not."""
+    refused = _refusal(node)
+    if refused is not None:
+        _reject(node, event.proposal_id, refused)
+        return
+    _append(node, event.proposal_id, EntryKind.COMMAND, event.payload)
+
+
+def on_members_proposed(node: Node, event: MembersProposed) -> None:
+    """Append a change of the members, one at a time."""
+    refused = _refusal(node) or change_refusal(node, event)
+    if refused is not None:
+        _reject(node, event.proposal_id, refused)
+        return
+    changed = apply_change(node.members.latest, event.change)
+    if changed is None:
+        _reject(node, event.proposal_id, RejectReason.INVALID_CHANGE)
+        return
+    payload = encode_members(changed)
+    _append(node, event.proposal_id, EntryKind.MEMBERS, payload)
+
+
+def change_refusal(node: Node, event: MembersProposed) -> RejectReason | None:
+    """Say why a change of the members can't start now.
+
+    The last change must be committed, and an entry of the own term too: only
+    then is no older, unfinished change left that a majority could disagree on
+    (Ongaro, 2014, 4.1, and the correction to it of July 2015).
+    """
+    leadership = node.leadership
+    if leadership is None:
+        return RejectReason.NOT_LEADER
+    settled = max(node.members.latest_index, leadership.first_index)
+    if node.commit_index < settled:
+        return RejectReason.CHANGE_IN_PROGRESS
+    if isinstance(event.change, PromoteLearner):
+        return _promotion_refusal(node, leadership, event.change.member_id)
+    return None
+
+
+def answer_committed(
+    node: Node, leadership: Leadership, entries: Iterable[LogEntry]
+) -> None:
+    """Answer the proposals whose entries are handed out."""
+    for entry in entries:
+        proposal_id = leadership.proposals.pop(entry.index, None)
+        if proposal_id is not None:
+            node.emit(ProposalCommitted(proposal_id, entry.index))
+
+
+def _refusal(node: Node) -> RejectReason | None:
+    if node.leadership is None:
+        return RejectReason.NOT_LEADER
+    if node.leadership.successor is not None:
+        return RejectReason.HANDING_OVER
+    uncommitted = node.log.last_index - node.commit_index
+    if uncommitted >= node.cfg.max_uncommitted:
+        return RejectReason.BUSY
+    return None
+
+
+def _promotion_refusal(
+    node: Node, leadership: Leadership, member_id: str
+) -> RejectReason | None:
+    progress = leadership.progress.get(member_id)
+    if progress is None or _is_voter(node.members.latest, member_id):
+        return RejectReason.INVALID_CHANGE
+    silent_since = node.now - node.cfg.election_timeout_s
+    caught_up = (
+        progress.mode is Mode.REPLICATING
+        and progress.match_index >= node.commit_index
+        and progress.contact_at >= silent_since
+    )
+    return None if caught_up else RejectReason.NOT_CAUGHT_UP
+
+
+def _is_voter(members: Members, member_id: str) -> bool:
+    return any(voter.member_id == member_id for voter in members.voters)
+
+
+def _append(
+    node: Node, proposal_id: str, kind: EntryKind, payload: bytes
+) -> None:
+    index = node.log.last_index + 1
+    node.append([LogEntry(index, node.term, kind, payload)])
+    if node.leadership is not None:
+        node.leadership.proposals[index] = proposal_id
+
+
+def _reject(node: Node, proposal_id: str, reason: RejectReason) -> None:
+    node.emit(ProposalRejected(proposal_id, node.leader, reason))
