Search seeded schedules of the replication core

Virtual clocks that drift, disks that lose unsynced writes, a network that loses, delays, doubles and reorders, partitions, crashes, pauses, wiped disks and member changes; the checker compares all that members show.

--- /dev/null
+++ b/tests/consensus/faults.py
@@ -0,0 +1,112 @@
+"""Faults planted in the core, to see that the search finds them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from snipebend.consensus.durability import Durability
+from snipebend.consensus.node import Node
+
+if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
+    from snipebend.consensus.actions import Persist
+    from snipebend.consensus.config import CoreConfig
+    from snipebend.consensus.log import ReplicatedLog
+    from snipebend.consensus.messages import AppendRequest
+    from snipebend.consensus.records import HardState, LogEntry
+
+CORE = 'snipebend.consensus'
+_write = Durability.write
+
+
+def no_fsync_wait() -> AbstractContextManager[object]:
+    """Take each write as synced as soon as it is issued."""
+
+    def write(
+        self: Durability, log: ReplicatedLog, hard_state: HardState
+    ) -> Persist | None:
+        action = _write(self, log, hard_state)
+        if action is not None:
+            self.confirm(action.sequence)
+        return action
+
+    return mock.patch.object(Durability, 'write', write)
+
+
+def vote_forgotten() -> AbstractContextManager[object]:
+    """Never write term and vote, so that a restart allows another one."""
+
+    def write(
+        self: Durability, log: ReplicatedLog, hard_state: HardState
+    ) -> Persist | None:
+        action = _write(self, log, hard_state)
+        return action and replace(action, hard_state=None)
+
+    return mock.patch.object(Durability, 'write', write)
+
+
+def earlier_term_counted() -> AbstractContextManager[object]:
+    """Commit an entry of an earlier term by counting its copies."""
+    return mock.patch(f'{CORE}.counting.may_commit', lambda node, index: True)
+
+
+def lease_without_drift() -> AbstractContextManager[object]:
+    """Trust that all clocks run alike."""
+
+    def span(cfg: CoreConfig) -> float:
+        return cfg.election_timeout_s
+
+    return mock.patch(f'{CORE}.reads.lease_span', span)
+
+
+def candidates_heard() -> AbstractContextManager[object]:
+    """Vote although a leader is heard of, and perhaps holds a lease."""
+    return mock.patch(f'{CORE}.elections.hears_leader', lambda node: False)
+
+
+def vote_after_restart_at_once() -> AbstractContextManager[object]:
+    """Forget at a restart that a leader may count on the quiet time."""
+    original = Node.defer_election
+
+    def defer(self: Node) -> None:
+        original(self)
+        if not self.actions and self.leader_id is None:
+            self.quiet_until = self.now
+
+    return mock.patch.object(Node, 'defer_election', defer)
+
+
+def previous_entry_unchecked() -> AbstractContextManager[object]:
+    """Append after any entry, whatever its term."""
+
+    def follows(node: Node, request: AppendRequest) -> bool:
+        return node.log.term_at(request.prev_index) is not None
+
+    return mock.patch(f'{CORE}.following.follows_log', follows)
+
+
+def agreeing_entries_dropped() -> AbstractContextManager[object]:
+    """Let a late, short message cut off what was acknowledged since."""
+
+    def take(node: Node, entries: tuple[LogEntry, ...]) -> None:
+        if entries:
+            if entries[0].index <= node.log.last_index:
+                node.truncate_from(entries[0].index)
+            node.append(entries)
+
+    return mock.patch(f'{CORE}.following._take_entries', take)
+
+
+def two_changes_at_once() -> AbstractContextManager[object]:
+    """Start a change of the members before the last one is committed."""
+    return mock.patch(
+        f'{CORE}.proposals.change_refusal', lambda node, event: None
+    )
+
+
+def stale_reads() -> AbstractContextManager[object]:
+    """Serve reads without lease or round."""
+    return mock.patch(f'{CORE}.reads.lease_until', lambda *_: float('inf'))
--- /dev/null
+++ b/tests/consensus/world.py
@@ -0,0 +1,312 @@
+"""A group of cores on virtual time, with disks and a network that fail."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from snipebend.consensus import actions as act
+from snipebend.consensus import events as evt
+from snipebend.consensus.config import CoreConfig, Restored
+from snipebend.consensus.core import Core
+from snipebend.consensus.messages import Envelope
+from snipebend.consensus.records import (
+    HardState,
+    LogEntry,
+    Member,
+    Members,
+    SnapshotMeta,
+)
+from tests.consensus.checker import Checker, Violation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_decoder = msgspec.msgpack.Decoder(Envelope)
+TICK_S = 0.05
+KEPT_ENTRIES = 5
+MAX_STEPS = 100_000
+
+
+@dataclass
+class Disk:
+    """What is synced, and the writes that a crash may lose."""
+
+    founders: Members
+    hard_state: HardState = HardState()
+    snapshot: SnapshotMeta | None = None
+    payload: bytes = b''
+    entries: list[LogEntry] = field(default_factory=list)
+    unsynced: list[act.Persist | act.InstallSnapshot] = field(
+        default_factory=list
+    )
+
+    def sync(self, count: int) -> list[act.Persist | act.InstallSnapshot]:
+        """Make the oldest writes last."""
+        done, self.unsynced = self.unsynced[:count], self.unsynced[count:]
+        for action in done:
+            if isinstance(action, act.InstallSnapshot):
+                self.snapshot = SnapshotMeta(
+                    action.index, action.term, action.members
+                )
+                self.payload = action.payload
+                self.entries = []
+            else:
+                self._write(action)
+        return done
+
+    def _write(self, action: act.Persist) -> None:
+        self.hard_state = action.hard_state or self.hard_state
+        if action.truncate_from is not None:
+            first = action.truncate_from
+            self.entries = [one for one in self.entries if one.index < first]
+        if action.entries and self.entries:
+            follows = self.entries[-1].index + 1 == action.entries[0].index
+            assert follows, 'a gap in the log on disk'
+        self.entries += action.entries
+
+    def restored(self) -> Restored:
+        """Give what a start finds."""
+        return Restored(
+            self.hard_state, self.snapshot, tuple(self.entries), self.founders
+        )
+
+
+@dataclass
+class Host:
+    """A machine: its clock, its disk and the process that may run on it."""
+
+    name: str
+    rate: float
+    offset: float
+    member: Member
+    disk: Disk
+    core: Core | None = None
+    run: int = 0
+    applied: int = 0
+    paused_until: float = 0
+    synced_at: float = 0
+    reads: dict[str, int] = field(default_factory=dict)
+
+    def clock(self, now: float) -> float:
+        """Give the local time."""
+        return self.offset + now * self.rate
+
+
+class World:
+    """Hosts, network and virtual time; every step goes to the checker."""
+
+    def __init__(self, seed: int, cfg: CoreConfig, voters: int) -> None:
+        """Found a group of ``voters`` members."""
+        self.rng = random.Random(seed)
+        self.cfg = cfg
+        self.checker = Checker()
+        self.now = 0.0
+        self.steps = 0
+        self.sent = 0
+        self.bytes_sent = 0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay = (0.001, 0.005)
+        self.sync_delay = (0.001, 0.01)
+        self.cut: Callable[[str, str], bool] = lambda source, target: False
+        self.answers: dict[str, act.ProposalCommitted | act.RejectReason] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = iter(range(1 << 60))
+        self.hosts: list[Host] = []
+        names = [f'h{number}' for number in range(voters)]
+        members = [Member(f'{name}-0', name, '') for name in names]
+        for member in members:
+            self.add_host(member, Members(tuple(members)))
+
+    def add_host(self, member: Member, founders: Members) -> Host:
+        """Start a machine, with a clock as far off as the bound allows."""
+        drift = self.cfg.clock_drift
+        rate = 1 + drift * self.rng.choice([-1, 1, self.rng.uniform(-1, 1)])
+        offset = self.rng.uniform(0, 100)
+        host = Host(member.name, rate, offset, member, Disk(founders))
+        self.hosts.append(host)
+        self.start(host)
+        return host
+
+    def start(self, host: Host) -> None:
+        """Start the process from the disk."""
+        host.run += 1
+        restored = host.disk.restored()
+        host.applied = restored.snapshot.index if restored.snapshot else 0
+        host.reads = {}
+        host.core = Core(
+            self.cfg,
+            host.member.member_id,
+            restored,
+            host.clock(self.now),
+            self.rng,
+        )
+        self._tick(host, host.run)
+
+    def crash(self, host: Host) -> None:
+        """Kill the process; of its unsynced writes the first few may last."""
+        if host.core is not None:
+            host.core = None
+            host.disk.sync(self.rng.randint(0, len(host.disk.unsynced)))
+            host.disk.unsynced = []
+
+    def at(self, delay: float, call: Callable[[], None]) -> None:
+        """Call later."""
+        when = self.now + delay
+        heapq.heappush(self._queue, (when, next(self._numbers), call))
+
+    def run_until(self, deadline: float) -> None:
+        """Let everything happen that is due by then."""
+        while self._queue and self._queue[0][0] <= deadline:
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+        self.now = deadline
+
+    def feed(self, host: Host, *events: evt.Event) -> None:
+        """Give events to a process, when it isn't paused."""
+        if host.core is None:
+            return
+        if self.now < host.paused_until:
+            self._for_run(host, host.paused_until - self.now, *events)
+            return
+        self.steps += 1
+        if self.steps > MAX_STEPS:
+            raise Violation('the group is busy without end')
+        local = host.clock(self.now)
+        for action in host.core.step_all(events, local, self.rng):
+            self._do(host, action)
+
+    def read(self, host: Host) -> None:
+        """Start a read, which must see what is acknowledged by now."""
+        read_id = f'read-{next(self._numbers)}'
+        host.reads[read_id] = self.checker.acknowledged
+        self.feed(host, evt.ReadRequested(read_id))
+
+    def propose(self, host: Host) -> str:
+        """Propose a command that names itself."""
+        proposal_id = f'p{next(self._numbers)}'
+        self.feed(host, evt.Proposed(proposal_id, proposal_id.encode()))
+        return proposal_id
+
+    def leaders(self) -> list[Host]:
+        """Give the hosts that take themselves for the leader."""
+        return [
+            host
+            for host in self.hosts
+            if host.core and host.core.status().role is act.Role.LEADER
+        ]
+
+    def take_snapshot(self, host: Host) -> None:
+        """Save the applied state and drop all but a few of its entries."""
+        core = host.core
+        if core is None or host.disk.unsynced or not host.applied:
+            return
+        last = host.applied
+        if last <= core.status().base_index:
+            return
+        disk = host.disk
+        meta = SnapshotMeta(last, core.term_at(last), core.members_at(last))
+        disk.snapshot = meta
+        disk.payload = str(last).encode()
+        disk.entries = [one for one in disk.entries if one.index > last]
+        first = max(core.status().base_index, last - KEPT_ENTRIES)
+        term, members = core.term_at(first), core.members_at(first)
+        self.feed(host, evt.SnapshotTaken(first, term, members))
+
+    def _tick(self, host: Host, run: int) -> None:
+        if host.run == run and host.core is not None:
+            self.feed(host, evt.Tick())
+            self.at(TICK_S, lambda: self._tick(host, run))
+
+    def _for_run(
+        self, host: Host, delay: float, *events: evt.Event
+    ) -> None:
+        run = host.run
+
+        def deliver() -> None:
+            if host.run == run:
+                self.feed(host, *events)
+
+        self.at(delay, deliver)
+
+    def _do(self, host: Host, action: act.Action) -> None:
+        match action:
+            case act.Send(envelope):
+                self._send(host, envelope)
+            case act.Persist() | act.InstallSnapshot():
+                host.disk.unsynced.append(action)
+                self._sync_later(host)
+            case act.Commit(entries):
+                for entry in entries:
+                    self.checker.on_commit(host.applied, entry)
+                    host.applied = entry.index
+            case act.NeedSnapshot(target):
+                self._load_snapshot(host, target)
+            case act.ReadReady(read_id):
+                self.checker.on_read(action, host.reads.pop(read_id))
+            case act.RoleChanged(act.Role.LEADER, term):
+                member_id = host.member.member_id
+                self.checker.on_leader(term, member_id, host.core)
+            case _:
+                self._answer(action)
+
+    def _answer(self, action: act.Action) -> None:
+        match action:
+            case act.ProposalCommitted(proposal_id, index):
+                self.checker.on_acknowledged(index, proposal_id)
+                self.answers[proposal_id] = action
+            case act.ProposalRejected(proposal_id, _, reason):
+                self.checker.on_rejected(action)
+                self.answers[proposal_id] = reason
+
+    def _send(self, host: Host, envelope: Envelope) -> None:
+        wire = msgspec.msgpack.encode(envelope)
+        self.sent += 1
+        self.bytes_sent += len(wire)
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                delay = self.rng.uniform(*self.delay)
+                self.at(delay, lambda: self._arrive(host.name, wire))
+
+    def _arrive(self, source: str, wire: bytes) -> None:
+        envelope = _decoder.decode(wire)
+        # By address: a machine gets what is meant for its old identity, too.
+        name = envelope.target.split('-')[0]
+        for host in self.hosts:
+            if host.name == name and not self.cut(source, name):
+                self.feed(host, evt.Received(envelope))
+
+    def _sync_later(self, host: Host) -> None:
+        wait = self.rng.uniform(*self.sync_delay)
+        host.synced_at = max(host.synced_at, self.now + wait)
+        run = host.run
+        self.at(host.synced_at - self.now, lambda: self._sync(host, run))
+
+    def _sync(self, host: Host, run: int) -> None:
+        if host.run != run or host.core is None:
+            return
+        for action in host.disk.sync(1):
+            if isinstance(action, act.InstallSnapshot):
+                assert action.index >= host.applied, 'applied went back'
+                host.applied = action.index
+                self.feed(host, evt.SnapshotInstalled(action.index))
+            else:
+                self.feed(host, evt.Persisted(action.sequence))
+
+    def _load_snapshot(self, host: Host, target: str) -> None:
+        snapshot = host.disk.snapshot
+        if snapshot is not None:
+            loaded = evt.SnapshotLoaded(
+                target,
+                snapshot.index,
+                snapshot.term,
+                snapshot.members,
+                host.disk.payload,
+            )
+            self._for_run(host, 0.01, loaded)
