--- a/src/snipebend/consensus/actions.py
+++ b/src/snipebend/consensus/actions.py
@@ -69,7 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Apply these entries; each index comes once, in order, without gaps."""
+    """Apply these entries; each index comes once, in order, without gaps.
+
+    After a start the first one follows the restored snapshot.
+    """
 
     entries: tuple[LogEntry, ...]
 
--- a/src/snipebend/consensus/following.py
+++ b/src/snipebend/consensus/following.py
@@ -68,8 +68,8 @@
         )
         return
     node.installing = meta
-    node.emit(
-        InstallSnapshot(request.payload, meta.index, meta.term, meta.members)
+    node.to_install = InstallSnapshot(
+        request.payload, meta.index, meta.term, meta.members
     )
 
 
--- a/src/snipebend/consensus/messages.py
+++ b/src/snipebend/consensus/messages.py
@@ -81,7 +81,9 @@
     hint_term: int = 0
 
 
-class SnapshotRequest(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+class SnapshotRequest(
+    msgspec.Struct, frozen=True, tag=True, omit_defaults=True
+):
     """A whole snapshot for a follower that needs entries already dropped."""
 
     term: int
--- a/src/snipebend/consensus/node.py
+++ b/src/snipebend/consensus/node.py
@@ -8,6 +8,7 @@
 from snipebend.consensus.actions import (
     Action,
     Commit,
+    InstallSnapshot,
     Role,
     RoleChanged,
     Send,
@@ -61,6 +62,7 @@
     leadership: Leadership | None = None
     votes: set[str] = field(default_factory=set)
     installing: SnapshotMeta | None = None
+    to_install: InstallSnapshot | None = None
     actions: list[Action] = field(default_factory=list)
     promises: list[Envelope] = field(default_factory=list)
     announced: RoleChanged | None = None
@@ -124,7 +126,7 @@
     def hand_out(self) -> tuple[LogEntry, ...]:
         """Commit what is committed and synced here, and give it back."""
         last = min(self.commit_index, self.durability.persisted_index)
-        if last <= self.handed_out:
+        if last <= self.handed_out or self.installing is not None:
             return ()
         entries = self.log.between(self.handed_out + 1, last)
         self.handed_out = last
@@ -137,6 +139,10 @@
         action = self.durability.write(self.log, hard_state)
         if action is not None:
             self.emit(action)
+        if self.to_install is not None:
+            # Last: entries that were written before it belong to the old log.
+            self.emit(self.to_install)
+            self.to_install = None
         for envelope in self.promises:
             self.durability.withhold(envelope)
         self.promises.clear()
@@ -156,10 +162,19 @@
     now: float,
     rng: random.Random,
 ) -> Node:
-    """Build a follower from what its disk held."""
+    """Build a follower from what its disk held.
+
+    Raises ``CorruptionError`` when the entries don't follow the snapshot, or
+    without one the empty log.
+    """
     snapshot = restored.snapshot
     start = snapshot.index if snapshot else 0
     entries = usable_entries(snapshot, restored.entries)
+    if entries and entries[0].index != start + 1:
+        raise CorruptionError(
+            f'the log starts at {entries[0].index} instead of {start + 1}',
+            step='restore',
+        )
     members = snapshot.members if snapshot else restored.members
     history = MembersHistory(start, members)
     history.append(entries)
--- a/src/snipebend/consensus/restoring.py
+++ b/src/snipebend/consensus/restoring.py
@@ -17,14 +17,15 @@
 
     A crash between syncing an installed snapshot and resetting the log leaves
     an older log behind. If that one doesn't lead up to the snapshot, or
-    differs from it, none of it counts, and its file must be reset.
+    differs from it, none of it counts, and its file must be reset. Entries that
+    start later are given as they are, for the caller to see the gap.
     """
     if snapshot is None or not entries:
         return tuple(entries)
-    if entries[0].index == snapshot.index + 1:
-        return tuple(entries)
     covered = snapshot.index - entries[0].index
-    if not 0 <= covered < len(entries):
+    if covered < 0:
+        return tuple(entries)
+    if covered >= len(entries):
         return ()
     if entries[covered].term != snapshot.term:
         return ()
--- a/tests/consensus/world.py
+++ b/tests/consensus/world.py
@@ -45,6 +45,13 @@
         default_factory=list
     )
 
+    @property
+    def is_installing(self) -> bool:
+        """Tell whether a snapshot is about to replace the state."""
+        return any(
+            isinstance(one, act.InstallSnapshot) for one in self.unsynced
+        )
+
     def sync(self, count: int) -> list[act.Persist | act.InstallSnapshot]:
         """Make the oldest writes last."""
         done = self.unsynced[:count]
@@ -65,8 +72,10 @@
         if action.truncate_from is not None:
             first = action.truncate_from
             self.entries = [one for one in self.entries if one.index < first]
-        if action.entries and self.entries:
-            follows = self.entries[-1].index + 1 == action.entries[0].index
+        if action.entries:
+            start = self.snapshot.index if self.snapshot else 0
+            last = self.entries[-1].index if self.entries else start
+            follows = last + 1 == action.entries[0].index
             assert follows, 'a gap in the log on disk'
         self.entries += action.entries
 
@@ -92,6 +101,7 @@
     paused_until: float = 0
     synced_at: float = 0
     reads: dict[str, int] = field(default_factory=dict)
+    inbox: list[evt.Event] = field(default_factory=list)
 
     def clock(self, now: float) -> float:
         """Give the local time."""
@@ -112,6 +122,7 @@
         self.bytes_sent = 0
         self.loss = 0.0
         self.duplication = 0.0
+        self.gather_s = 0.0
         self.delay = (0.001, 0.005)
         self.sync_delay = (0.001, 0.01)
         self.cut: Callable[[str, str], bool] = lambda source, target: False
@@ -243,6 +254,7 @@
                 self._sync_later(host)
             case act.Commit(entries):
                 term = host.core.status().term
+                assert not host.disk.is_installing, 'applied to a lost state'
                 for entry in entries:
                     self.checker.on_commit(host.applied, entry, term)
                     host.applied = entry.index
@@ -284,7 +296,21 @@
         name = envelope.target.split('-')[0]
         for host in self.hosts:
             if host.name == name and not self.cut(source, name):
-                self.feed(host, evt.Received(envelope))
+                self._take_in(host, evt.Received(envelope))
+
+    def _take_in(self, host: Host, event: evt.Event) -> None:
+        """Feed several messages at once when they come within a while."""
+        if not self.gather_s:
+            self.feed(host, event)
+            return
+        host.inbox.append(event)
+        if len(host.inbox) == 1:
+            self.at(self.gather_s, lambda: self._empty_inbox(host))
+
+    def _empty_inbox(self, host: Host) -> None:
+        events = host.inbox
+        host.inbox = []
+        self.feed(host, *events)
 
     def _sync_later(self, host: Host) -> None:
         wait = self.rng.uniform(*self.sync_delay)
