Decide on all replicated state in one pure machine

Claims, fences, crash evidence and expert map decisions had messages only. One state machine now executes a command for each, with time taken from the command alone, so that every member that executes the same log answers alike. Control serves the calls already, not yet replicated.

--- a/src/snipebend/daemons/control.py
+++ b/src/snipebend/daemons/control.py
@@ -15,6 +15,8 @@
 from snipebend.transport.control_api import ConfigurationKeeper
 from snipebend.transport.directory_api import DirectoryKeeper
 from snipebend.transport.rpc import RpcServer
+from snipebend.transport.state_api import StateApi
+from snipebend.transport.state_store import StateStore
 
 
 def build_control(cfg: ControlSettings) -> Process:
@@ -22,8 +24,10 @@
     admin = build_admin(cfg.listen)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     services = [
+        StateStore('state'),
         ConfigurationKeeper('configuration', grpc),
         DirectoryKeeper('directory', grpc),
+        StateApi('state-api', grpc),
         grpc,
         admin,
         PortsFile(cfg.listen.ports_file, {'grpc': grpc, 'admin': admin}),
--- /dev/null
+++ b/src/snipebend/state/commands.py
@@ -0,0 +1,89 @@
+"""The commands of the replicated state machine, as they stand in the log.
+
+Each carries the leader's wall time ``at`` in seconds: the machine has no clock
+of its own, so that all members come to the same state.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from snipebend.state.claims import (
+    ClaimReply,
+    ClaimRequest,
+    SettleReply,
+    SettleRequest,
+)
+from snipebend.state.crashes import CrashReport, SuspectCleared, SuspectList
+from snipebend.state.expert_maps import DecideMapReply, MapDecision
+from snipebend.state.fences import FenceReply, FenceRequest
+from snipebend.state.messages import ApplyReply, ApplyRequest
+
+
+class ApplyFleet(Struct, frozen=True, tag=True):
+    """Put a fleet file in force."""
+
+    req: ApplyRequest
+    at: float
+
+
+class Claim(Struct, frozen=True, tag=True):
+    """Claim an idempotency key."""
+
+    req: ClaimRequest
+    at: float
+
+
+class Settle(Struct, frozen=True, tag=True):
+    """Settle the attempt that holds a key."""
+
+    req: SettleRequest
+    at: float
+
+
+class TakeFence(Struct, frozen=True, tag=True):
+    """Take or renew a group's fence."""
+
+    req: FenceRequest
+    at: float
+
+
+class ReportCrash(Struct, frozen=True, tag=True):
+    """Count an upstream's death."""
+
+    req: CrashReport
+    at: float
+
+
+class ClearSuspect(Struct, frozen=True, tag=True):
+    """Clear a request that ran to its end."""
+
+    req: SuspectCleared
+    at: float
+
+
+class DecideExpertMap(Struct, frozen=True, tag=True):
+    """Decide on a group's expert map."""
+
+    req: MapDecision
+    at: float
+
+
+Command = (
+    ApplyFleet
+    | Claim
+    | Settle
+    | TakeFence
+    | ReportCrash
+    | ClearSuspect
+    | DecideExpertMap
+)
+
+Reply = (
+    ApplyReply
+    | ClaimReply
+    | SettleReply
+    | FenceReply
+    | SuspectList
+    | DecideMapReply
+)
--- a/src/snipebend/state/crashes.py
+++ b/src/snipebend/state/crashes.py
@@ -27,8 +27,28 @@
     quarantined_until: float = 0
 
 
+class SuspectCleared(Struct, frozen=True):
+    """A suspect ran to its end; ``deaths`` is the number known at its start.
+
+    A death that was counted meanwhile keeps it a suspect.
+    """
+
+    fingerprint: str
+    deaths: int
+
+
+class SuspectQuery(Struct, frozen=True):
+    """Ask for the suspects; ``revision`` is the one that the asker has."""
+
+    process: str = ''
+    revision: int = -1
+
+
 class SuspectList(Struct, frozen=True):
-    """All suspects, with the revision of the list."""
+    """All suspects, with the revision of the list.
+
+    In answer to a query it is empty when the asker has that revision already.
+    """
 
     revision: int
     suspects: tuple[Suspect, ...] = ()
--- a/src/snipebend/state/fences.py
+++ b/src/snipebend/state/fences.py
@@ -9,11 +9,14 @@
     """Ask for a new fence, which makes all earlier ones of the group stale.
 
     ``lease_until`` is wall time in seconds until which the holder may order.
+    ``renews`` is the fence that the holder has and wants to keep; 0 asks for
+    a new one.
     """
 
     group: str
     holder: str
     lease_until: float
+    renews: int = 0
 
 
 class FenceReply(Struct, frozen=True):
--- a/src/snipebend/transport/control_api.py
+++ b/src/snipebend/transport/control_api.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator, Mapping
 
 from loguru import logger
 
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
+from snipebend.state.commands import ApplyFleet
 from snipebend.state.configuration import ConfigurationState
 from snipebend.state.messages import (
     ApplyReply,
@@ -20,6 +20,7 @@
 )
 from snipebend.transport.methods import APPLY, SHOW, WATCH
 from snipebend.transport.rpc import Endpoint, RpcServer
+from snipebend.transport.state_store import StateStore
 
 
 class ConfigurationKeeper(Service):
@@ -28,8 +29,6 @@
     def __init__(self, name: str, server: RpcServer) -> None:
         """Add the endpoints to the server."""
         super().__init__(name)
-        self._state = ConfigurationState()
-        self._changed = asyncio.Condition()
         self._confirmed: dict[str, int] = {}
         self._stopping = False
         server.add(
@@ -45,22 +44,24 @@
 
     async def apply(self, req: ApplyRequest) -> ApplyReply:
         """Decide on a change."""
-        reply = self._state.apply(req)
+        reply: ApplyReply = await self._store.execute(
+            ApplyFleet(req, self._store.wall()),
+        )
         logger.info(
             'event=apply change={} outcome={} revision={}',
             req.change_id,
             reply.outcome.value,
             reply.revision,
         )
-        async with self._changed:
-            self._changed.notify_all()
         return reply
 
     async def show(self, req: ShowRequest) -> ShowReply:
         """Return what is in force."""
+        machine = await self._store.read()
+        configuration = machine.state.configuration
         return ShowReply(
-            self._state.revision,
-            self._state.text,
+            configuration.revision,
+            configuration.text,
             dict(self._confirmed),
         )
 
@@ -80,8 +81,8 @@
     async def stop(self) -> None:
         """End the watchers' streams."""
         self._stopping = True
-        async with self._changed:
-            self._changed.notify_all()
+        async with self._store.changed:
+            self._store.changed.notify_all()
 
     def dump(self) -> Mapping[str, object]:
         """Return the revision and who has confirmed which."""
@@ -91,11 +92,15 @@
         }
 
     async def start(self, registry: Registry) -> None:
-        """Begin with nothing in force."""
-        self._stopping = False
+        """Find the state."""
+        self._store = registry.find('state', StateStore)
+
+    @property
+    def _state(self) -> ConfigurationState:
+        return self._store.machine.state.configuration
 
     async def _wait_for_newer(self, known: int) -> None:
-        async with self._changed:
-            await self._changed.wait_for(
+        async with self._store.changed:
+            await self._store.changed.wait_for(
                 lambda: self._stopping or self._state.revision > known,
             )
--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -8,6 +8,20 @@
     Directory,
     DirectoryRequest,
 )
+from snipebend.state.claims import (
+    ClaimReply,
+    ClaimRequest,
+    SettleReply,
+    SettleRequest,
+)
+from snipebend.state.crashes import (
+    CrashReport,
+    SuspectCleared,
+    SuspectList,
+    SuspectQuery,
+)
+from snipebend.state.expert_maps import DecideMapReply, MapDecision, MapQuery
+from snipebend.state.fences import FenceQuery, FenceReply, FenceRequest
 from snipebend.state.messages import (
     ApplyReply,
     ApplyRequest,
@@ -32,3 +46,24 @@
     DirectoryRequest,
     Directory,
 )
+CLAIM = Method('/snipebend.Control/Claim', ClaimRequest, ClaimReply)
+SETTLE = Method('/snipebend.Control/Settle', SettleRequest, SettleReply)
+TAKE_FENCE = Method('/snipebend.Control/TakeFence', FenceRequest, FenceReply)
+READ_FENCE = Method('/snipebend.Control/ReadFence', FenceQuery, FenceReply)
+REPORT_CRASH = Method(
+    '/snipebend.Control/ReportCrash',
+    CrashReport,
+    SuspectList,
+)
+CLEAR_SUSPECT = Method(
+    '/snipebend.Control/ClearSuspect',
+    SuspectCleared,
+    SuspectList,
+)
+SUSPECTS = Method('/snipebend.Control/Suspects', SuspectQuery, SuspectList)
+DECIDE_MAP = Method(
+    '/snipebend.Control/DecideMap',
+    MapDecision,
+    DecideMapReply,
+)
+READ_MAP = Method('/snipebend.Control/ReadMap', MapQuery, DecideMapReply)
