Describe a fleet, its canonical text, differences and deltas

Cause: the control group replicates fleets, operators read back what is in force, and processes receive changes instead of whole files. Entries are replaced whole by section and name; an explicit order travels only where replacing in place and appending doesn't give it. Ruled out: a textual patch, which can't be decoded into typed records.

--- /dev/null
+++ b/src/snipebend/fleet/delta.py
@@ -0,0 +1,143 @@
+"""The difference of two fleets as a message, and its application."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import msgspec
+from xxhash import xxh64_intdigest
+
+from snipebend.fleet.model import (
+    ENTRY_SECTIONS,
+    Fleet,
+    Group,
+    Priority,
+    RoutingPolicy,
+    Service,
+    StalePolicy,
+    UpstreamPolicy,
+    Weights,
+    Workspace,
+)
+from snipebend.fleet.rendering import render_fleet
+
+_HEAD_FIELDS = ('name', 'stale_policy', 'weights', 'routing')
+
+
+class EntryKey(NamedTuple):
+    """The identity of one entry of a fleet."""
+
+    section: str
+    name: str
+
+
+class SectionOrder(NamedTuple):
+    """All names of a section, in the order of the file."""
+
+    section: str
+    names: tuple[str, ...]
+
+
+class FleetDelta(msgspec.Struct, frozen=True, tag=True):
+    """What to put, to remove and to reorder.
+
+    A field of the head is ``None`` where it stays. A section's field holds
+    whole entries, each of which replaces the one of its name in place or goes
+    to the section's end. ``orders`` names a section only where that doesn't
+    yield the new order.
+    """
+
+    name: str | None = None
+    stale_policy: StalePolicy | None = None
+    weights: Weights | None = None
+    routing: RoutingPolicy | None = None
+    priorities: tuple[Priority, ...] = ()
+    upstreams: tuple[UpstreamPolicy, ...] = ()
+    groups: tuple[Group, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    services: tuple[Service, ...] = ()
+    removed: tuple[EntryKey, ...] = ()
+    orders: tuple[SectionOrder, ...] = ()
+
+
+def checksum(fleet: Fleet) -> int:
+    """Return the 64-bit xxHash of the fleet's canonical text.
+
+    It detects a missed delta; it is no defence against forgery.
+    """
+    return xxh64_intdigest(render_fleet(fleet).encode())
+
+
+def delta_between(old: Fleet, new: Fleet) -> FleetDelta:
+    """Return the delta that leads from the old fleet to the new one."""
+    changes: dict[str, Any] = {
+        field: getattr(new, field)
+        for field in _HEAD_FIELDS
+        if getattr(old, field) != getattr(new, field)
+    }
+    removed: list[EntryKey] = []
+    orders: list[SectionOrder] = []
+    for section in ENTRY_SECTIONS:
+        before = _by_name(getattr(old, section))
+        after = _by_name(getattr(new, section))
+        changes[section] = _replaced(before, after)
+        gone = [EntryKey(section, name) for name in before.keys() - after]
+        removed.extend(sorted(gone))
+        if _merged_order(before, after) != list(after):
+            orders.append(SectionOrder(section, tuple(after)))
+    return FleetDelta(**changes, removed=tuple(removed), orders=tuple(orders))
+
+
+def apply_delta(fleet: Fleet, delta: FleetDelta) -> Fleet:
+    """Return the fleet with a delta applied.
+
+    Against another fleet than the delta was made from, the outcome is some
+    fleet, which the checksum tells from the right one.
+    """
+    head: dict[str, Any] = {
+        field: getattr(delta, field)
+        for field in _HEAD_FIELDS
+        if getattr(delta, field) is not None
+    }
+    entries: dict[str, Any] = {
+        section: _apply_section(section, getattr(fleet, section), delta)
+        for section in ENTRY_SECTIONS
+    }
+    return fleet._replace(**head, **entries)
+
+
+def _by_name(entries: tuple[Any, ...]) -> dict[str, Any]:
+    return {entry.name: entry for entry in entries}
+
+
+def _replaced(before: dict[str, Any], after: dict[str, Any]) -> tuple[Any, ...]:
+    return tuple(
+        entry for name, entry in after.items() if before.get(name) != entry
+    )
+
+
+def _merged_order(before: dict[str, Any], after: dict[str, Any]) -> list[str]:
+    """Return the order that replacing in place and appending yields."""
+    kept = [name for name in before if name in after]
+    return kept + [name for name in after if name not in before]
+
+
+def _apply_section(
+    section: str, entries: tuple[Any, ...], delta: FleetDelta
+) -> tuple[Any, ...]:
+    merged = _by_name(entries) | _by_name(getattr(delta, section))
+    for removed in delta.removed:
+        if removed.section == section:
+            merged.pop(removed.name, None)
+    names = _ordered(section, list(merged), delta)
+    return tuple(merged[name] for name in names)
+
+
+def _ordered(section: str, names: list[str], delta: FleetDelta) -> list[str]:
+    ranks = {
+        name: rank
+        for order in delta.orders
+        if order.section == section
+        for rank, name in enumerate(order.names)
+    }
+    return sorted(names, key=lambda name: ranks.get(name, len(ranks)))
--- /dev/null
+++ b/tests/fleet/strategies.py
@@ -0,0 +1,116 @@
+"""Hypothesis strategies for fleets that pass every check."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+
+from snipebend.fleet.model import (
+    Fleet,
+    Group,
+    Priority,
+    RoutingPolicy,
+    Service,
+    ServiceCall,
+    UpstreamPolicy,
+    Weights,
+    Workspace,
+)
+
+_SPANS = st.floats(min_value=1e-9, max_value=1e6)
+_WEIGHTS = st.floats(min_value=0, max_value=1e9)
+_COUNTS = st.integers(min_value=1, max_value=2**31 - 1)
+_NAMES = st.sampled_from(('a', 'B.c', 'd_e', '0', 'f-g', 'true', '1.5'))
+_KEYS = st.text(
+    st.characters(min_codepoint=0x21, max_codepoint=0x7E),
+    min_size=1,
+    max_size=12,
+)
+
+
+def _names(least: int = 0) -> st.SearchStrategy[list[str]]:
+    return st.lists(_NAMES, unique=True, min_size=least, max_size=4)
+
+
+@st.composite
+def _upstreams(draw: st.DrawFn) -> tuple[UpstreamPolicy, ...]:
+    return tuple(
+        UpstreamPolicy(
+            name=name,
+            kind=kind,
+            model='org/model:1' if kind == 'engine' else '',
+            fencing=draw(st.sampled_from(('checked', 'ignored'))),
+            max_concurrency=draw(_COUNTS),
+            slow_start_s=draw(_WEIGHTS.map(lambda span: span / 1e3)),
+            ejection_failures=draw(_COUNTS),
+            ejection_s=draw(_SPANS),
+        )
+        for name in draw(_names())
+        for kind in (draw(st.sampled_from(('engine', 'service'))),)
+    )
+
+
+def _group(name: str, slots: int) -> Group:
+    return Group(name, 'org/model:1', (name,), 4, slots * 4, 2, slots, 9, 8, 0)
+
+
+@st.composite
+def _workspaces(
+    draw: st.DrawFn, priorities: tuple[Priority, ...], models: list[str]
+) -> tuple[Workspace, ...]:
+    names = draw(_names()) if priorities else []
+    keys = draw(
+        st.lists(_KEYS, unique=True, min_size=len(names), max_size=len(names))
+    )
+    return tuple(
+        Workspace(
+            name=name,
+            api_key=key,
+            priority=draw(st.sampled_from(priorities)).name,
+            rate_per_s=draw(_SPANS),
+            burst=draw(_COUNTS),
+            max_concurrency=draw(_COUNTS),
+            weight=draw(_COUNTS),
+            models=tuple(models[: draw(st.integers(0, 1))]),
+        )
+        for name, key in zip(names, keys, strict=True)
+    )
+
+
+@st.composite
+def fleets(draw: st.DrawFn) -> Fleet:
+    """Draw a valid fleet; few distinct names make two of them overlap."""
+    upstreams = draw(_upstreams())
+    engines = [entry for entry in upstreams if entry.kind == 'engine']
+    plain = [entry for entry in upstreams if entry.kind == 'service']
+    priorities = tuple(
+        Priority(name, draw(_COUNTS), draw(st.integers(0, 9)))
+        for name in draw(_names())
+    )
+    return Fleet(
+        name=draw(_NAMES),
+        stale_policy=draw(st.sampled_from(('refuse', 'serve'))),
+        weights=Weights(draw(_SPANS), draw(_WEIGHTS)),
+        routing=RoutingPolicy(
+            request_timeout_s=2e6,
+            attempt_timeout_s=draw(_SPANS),
+            retry_ratio=draw(st.floats(0, 1)),
+            crash_limit=draw(_COUNTS),
+        ),
+        priorities=priorities,
+        upstreams=upstreams,
+        groups=tuple(
+            _group(entry.name, draw(st.integers(1, 9))) for entry in engines
+        ),
+        workspaces=draw(
+            _workspaces(priorities, [entry.model for entry in engines])
+        ),
+        services=tuple(
+            Service(
+                entry.name,
+                f'/{entry.name}',
+                entry.name,
+                (ServiceCall('POST', f'/{entry.name}/{{id}}', True),),
+            )
+            for entry in plain
+        ),
+    )
