Index a fleet for the look-ups of each request

Cause: key, path and model are looked up on each request. Paths are compared by decoded segments with empty ones dropped, so that spelling can't evade a rule against repeating; with dot segments nothing is repeatable. Ruled out: order of the file among calls that match, since moving a line would change which calls repeat; the most specific one decides. No measurement yet.

--- /dev/null
+++ b/tests/fleet/test_lookup.py
@@ -0,0 +1,80 @@
+"""Look-ups over an example; doubtful calls are never repeatable."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.fleet.lookup import FleetIndex
+from snipebend.fleet.model import ServiceCall
+from snipebend.fleet.parsing import parse_fleet
+from tests.fleet.test_rendering import EXAMPLES
+
+
+class FleetIndexTest(unittest.TestCase):
+    """The index over Chanthavong's fleet."""
+
+    def setUp(self) -> None:
+        """Read the example."""
+        text = (EXAMPLES / 'chanthavong.toml').read_text()
+        self.fleet = parse_fleet(text, 'chanthavong.toml').unwrap()
+        self.index = FleetIndex(self.fleet)
+
+    def test_names(self) -> None:
+        """Keys, priorities and models lead to their entries."""
+        workspace = self.index.workspace_for_key('example-key-phone-line')
+        self.assertEqual(workspace, self.fleet.workspaces[1])
+        self.assertIsNone(self.index.workspace_for_key('phone-line'))
+        self.assertEqual(self.index.priority_of(workspace).name, 'seat-sale')
+        names = [
+            entry.name for entry in self.index.upstreams_for_model('fare-notes')
+        ]
+        self.assertEqual(names, ['ticket-desk'])
+        self.assertEqual(self.index.upstreams_for_model(''), ())
+
+    def test_paths(self) -> None:
+        """A prefix matches by whole segments of a path without dots."""
+        booking = self.fleet.services[0]
+        for path, service in (
+            ('/booking', booking),
+            ('/booking/holds?x=/', booking),
+            ('//booking//holds', booking),
+            ('/bookings', None),
+            ('/', None),
+            ('/booking/../v1/models', None),
+            ('/booking/%2e%2E/v1', None),
+        ):
+            with self.subTest(path=path):
+                self.assertEqual(self.index.service_for_path(path), service)
+
+    def test_repeatable(self) -> None:
+        """Listed calls decide, then the method; spelling can't evade."""
+        booking = self.fleet.services[0]
+        for method, path, repeatable in (
+            ('GET', '/booking/holds/7', True),
+            ('DELETE', '/booking/holds/7', True),
+            ('POST', '/booking/holds', False),
+            ('POST', '/booking/other', False),
+            ('POST', '/booking/seats/search', True),
+            ('PATCH', '/booking/holds/7', False),
+            ('PUT', '/booking/holds/7', True),
+            ('PUT', '/booking/holds/7/confirm', False),
+            ('put', '/booking//holds/7/%63onfirm/?again=1', False),
+            ('PUT', '/booking/x/../holds/7/confirm', False),
+        ):
+            with self.subTest(method=method, path=path):
+                self.assertEqual(
+                    self.index.is_repeatable(booking, method, path),
+                    repeatable,
+                )
+
+    def test_most_specific_call_decides(self) -> None:
+        """A literal segment goes before a parameter, whatever the order."""
+        service = self.fleet.services[0]._replace(
+            calls=(
+                ServiceCall('POST', '/booking/{any}', False),
+                ServiceCall('POST', '/booking/quote', True),
+            )
+        )
+        index = FleetIndex(self.fleet._replace(services=(service,)))
+        self.assertTrue(index.is_repeatable(service, 'POST', '/booking/quote'))
+        self.assertFalse(index.is_repeatable(service, 'POST', '/booking/buy'))
