--- a/src/snipebend/fleet/path_checks.py
+++ b/src/snipebend/fleet/path_checks.py
@@ -54,14 +54,19 @@
         """Take a prefix; the first of overlapping ones stays."""
         segments = normalise_pattern(prefix)
         self._whole.setdefault(segments, prefix)
-        for length in range(1, len(segments)):
-            self._above.setdefault(segments[:length], prefix)
+        for above in _paths_above(segments):
+            self._above.setdefault(above, prefix)
 
     def overlapping(self, prefix: str) -> str | None:
         """Return a taken prefix that lies above, at or below this one."""
         segments = normalise_pattern(prefix)
-        for length in range(1, len(segments) + 1):
-            above = self._whole.get(segments[:length])
-            if above is not None:
-                return above
+        for path in (*_paths_above(segments), segments):
+            taken = self._whole.get(path)
+            if taken is not None:
+                return taken
         return self._above.get(segments)
+
+
+def _paths_above(segments: tuple[str, ...]) -> Iterator[tuple[str, ...]]:
+    depth = len(segments)
+    return (segments[:length] for length in range(1, depth))
