--- a/src/snipebend/kernel/tasks.py
+++ b/src/snipebend/kernel/tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -61,10 +62,23 @@
     try:
         await factory()
     except Exception as exc:
-        logger.opt(exception=exc).error('event=task_failed task={}', name)
+        logger.error(
+            'event=task_failed task={} error={!r} at={}',
+            name,
+            exc,
+            _innermost_line(exc),
+        )
         return False
     return True
 
 
 async def _log_failure(name: str, factory: TaskFactory) -> None:
     await _run_once(name, factory)
+
+
+def _innermost_line(exc: BaseException) -> str:
+    """Return ``file:line`` of where the error arose, for a one-line log."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return '-'
+    return f'{frames[-1].filename}:{frames[-1].lineno}'
--- /dev/null
+++ b/tests/console/test_application.py
@@ -0,0 +1,75 @@
+"""Exit codes and messages of the command line."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from snipebend.console.application import main
+from snipebend.console.demo_fleet import FLEET
+
+_COMMANDS = ('check', 'apply', 'show', 'status', 'dump', 'demo')
+
+
+def _run(*arguments: str) -> tuple[int, str, str]:
+    out = io.StringIO()
+    err = io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            code = main(list(arguments))
+        except SystemExit as exc:
+            code = int(exc.code or 0)
+    return code, out.getvalue(), err.getvalue()
+
+
+def _closed_port() -> str:
+    """Return a loopback address on which nothing listens."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+class ApplicationTest(unittest.TestCase):
+    """Every command tells clearly what went wrong."""
+
+    def test_help_has_examples_and_exit_codes(self) -> None:
+        for command in _COMMANDS:
+            with self.subTest(command=command):
+                code, out, _ = _run(command, '--help')
+                self.assertEqual(code, 0)
+                self.assertIn('example', out)
+                self.assertIn('exit codes:', out)
+
+    def test_nothing_answers(self) -> None:
+        address = _closed_port()
+        for arguments in (
+            ('show', '--control', address),
+            ('status', '--control', address),
+            ('dump', address),
+        ):
+            with self.subTest(arguments=arguments):
+                code, _, err = _run(*arguments)
+                self.assertEqual(code, 4)
+                self.assertIn(f'peer={address}', err)
+
+    def test_check_counts_or_lists_problems(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'fleet.toml'
+            path.write_text(FLEET, encoding='utf-8')
+            self.assertEqual(_run('check', str(path))[0], 0)
+            path.write_text(f'{FLEET}\ncolour = 1\n', encoding='utf-8')
+            code, _, err = _run('check', str(path))
+            self.assertEqual(code, 2)
+            self.assertIn('colour', err)
+            path.write_bytes(b'#' * 10_000_000)
+            code, _, err = _run('check', str(path))
+            self.assertEqual(code, 2)
+            self.assertIn('larger than', err)
+
+    def test_check_of_a_missing_file(self) -> None:
+        code, _, err = _run('check', '/nonexistent/fleet.toml')
+        self.assertEqual(code, 2)
+        self.assertIn('No such file', err)
