--- a/tests/fleet/test_diff.py
+++ b/tests/fleet/test_diff.py
@@ -17,12 +17,7 @@
     delta_between,
     diff_fleets,
 )
-from snipebend.fleet.model import (
-    Fleet,
-    Priority,
-    RoutingPolicy,
-    Weights,
-)
+from snipebend.fleet.model import Fleet, Priority, RoutingPolicy, Weights
 from tests.fleet.strategies import fleets
 
 LOW = Priority('low', 1, 9)
--- a/tests/fleet/test_parsing.py
+++ b/tests/fleet/test_parsing.py
@@ -13,6 +13,8 @@
 GOOD = (EXAMPLES / 'chanthavong.toml').read_text()
 RANKS = 'ranks = 16\n'
 RANKS_LINE = GOOD[: GOOD.index(RANKS)].count('\n') + 1
+LIMITS = 'request_timeout_s = 90.0\nattempt_timeout_s = 45.0\n'
+SHORT_LIMIT = 'request_timeout_s = 5.0\n'
 SERVICE = '[[services]]\n'
 OTHER = 'upstream = "booking"\nname = "other"\npath_prefix = '
 INSIDE = f'{SERVICE}{OTHER}"/booking/x"\n{SERVICE}'
@@ -37,6 +39,7 @@
     ('"chanthavong"', '"a b"', 'name', 'characters or form'),
     ('"refuse"', '"go"', 'stale_policy', "'refuse' or 'serve'"),
     ('s = 45.0', 's = 91.0', 'routing.attempt_timeout_s', 'not exceed'),
+    (LIMITS, SHORT_LIMIT, 'routing.attempt_timeout_s', 'not exceed'),
     ('"ignored"', '"maybe"', 'upstreams[0].fencing', "'checked' or"),
     ('model = "fare-notes"\n', '', 'upstreams[0].model', 'needs a model'),
     ('k"]', 'k", "x"]', 'groups[0].upstreams[1]', "unknown upstream 'x'"),
