Hash a fleet's encoded records instead of its rendered text

Ruled out: an incremental sum of entries' hashes, which would have to carry the order of entries too. The property test (equal checksum exactly where fleets are equal) holds unchanged.

--- a/src/snipebend/fleet/delta.py
+++ b/src/snipebend/fleet/delta.py
@@ -19,7 +19,6 @@
     Weights,
     Workspace,
 )
-from snipebend.fleet.rendering import render_fleet
 
 _HEAD_FIELDS = ('name', 'stale_policy', 'weights', 'routing')
 
@@ -61,11 +60,12 @@
 
 
 def checksum(fleet: Fleet) -> int:
-    """Return the 64-bit xxHash of the fleet's canonical text.
+    """Return the 64-bit xxHash of the fleet's encoded records.
 
-    It detects a missed delta; it is no defence against forgery.
+    It detects a missed delta; it is no defence against forgery. The records
+    rather than the text, since each follower computes it at each change.
     """
-    return xxh64_intdigest(render_fleet(fleet).encode())
+    return xxh64_intdigest(msgspec.msgpack.encode(fleet))
 
 
 def delta_between(old: Fleet, new: Fleet) -> FleetDelta:
