--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,166 @@
+"""The data folder under torn writes, damage and a full disk."""
+
+from __future__ import annotations
+
+import errno
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from snipebend.consensus import log_file
+from snipebend.consensus.actions import Persist
+from snipebend.consensus.records import (
+    EntryKind,
+    HardState,
+    LogEntry,
+    Members,
+    SnapshotMeta,
+)
+from snipebend.consensus.snapshot_file import Snapshot
+from snipebend.consensus.storage import Opened, Storage
+from snipebend.errors.hierarchy import CorruptionError
+
+
+def entry(index: int, term: int = 1, size: int = 10) -> LogEntry:
+    return LogEntry(index, term, EntryKind.COMMAND, b'x' * size)
+
+
+def write(*entries: LogEntry, cut: int | None = None, term: int = 0) -> Persist:
+    hard_state = HardState(term, 'me') if term else None
+    return Persist(1, hard_state, cut, entries)
+
+
+def snapshot(index: int, term: int = 1) -> Snapshot:
+    return Snapshot(SnapshotMeta(index, term, Members()), b'state')
+
+
+class StorageTest(unittest.TestCase):
+    """Synced writes survive; damage is refused with file and offset."""
+
+    def setUp(self) -> None:
+        name = tempfile.TemporaryDirectory()
+        self.addCleanup(name.cleanup)
+        self.folder = Path(name.name)
+        self.storage = Storage(self.folder)
+        self.storage.open('me')
+
+    def wipe(self) -> None:
+        for path in self.folder.iterdir():
+            path.unlink()
+
+    def reopen(self) -> Opened:
+        self.storage = Storage(self.folder)
+        return self.storage.open('another')
+
+    def indexes(self) -> list[int]:
+        return [each.index for each in self.reopen().restored.entries]
+
+    def test_writes_survive(self) -> None:
+        self.storage.persist([write(entry(1), entry(2), term=3)])
+        self.storage.persist(
+            [write(entry(3)), write(entry(2, 4), cut=2, term=4)],
+        )
+        opened = self.reopen()
+        self.assertEqual(opened.member_id, 'me')
+        self.assertEqual(opened.restored.hard_state, HardState(4, 'me'))
+        terms = [(each.index, each.term) for each in opened.restored.entries]
+        self.assertEqual(terms, [(1, 1), (2, 4)])
+
+    def test_torn_tail_is_cut_at_every_length(self) -> None:
+        self.storage.persist([write(entry(1))])
+        path = self.folder / 'log-00000001.seg'
+        whole = path.read_bytes()
+        self.storage.persist([write(entry(2))])
+        torn = path.read_bytes()
+        cuts = range(len(whole), len(torn))
+        for size in cuts:
+            path.write_bytes(torn[:size])
+            self.assertEqual(self.indexes(), [1])
+            self.assertEqual(path.read_bytes(), whole)
+        self.storage.persist([write(entry(2))])
+        self.assertEqual(self.indexes(), [1, 2])
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(st.data())
+    def test_any_flipped_byte_before_the_tail_is_refused(
+        self, data: st.DataObject
+    ) -> None:
+        self.wipe()
+        storage = Storage(self.folder)
+        storage.open('me')
+        storage.persist([write(entry(1), term=1)])
+        path = self.folder / 'log-00000001.seg'
+        safe = path.stat().st_size
+        storage.persist([write(entry(2))])
+        raw = bytearray(path.read_bytes())
+        offset = data.draw(st.integers(0, safe - 1))
+        raw[offset] ^= data.draw(st.integers(1, 255))
+        path.write_bytes(raw)
+        with self.assertRaisesRegex(CorruptionError, 'offset'):
+            self.reopen()
+
+    def test_segments_go_once_a_snapshot_covers_them(self) -> None:
+        with mock.patch.object(log_file, 'SEGMENT_BYTES', 200):
+            for index in range(1, 31):
+                self.storage.persist([write(entry(index), term=index)])
+            before = len(list(self.folder.glob('log-*')))
+            self.storage.save_snapshot(snapshot(25), keep_from=21)
+        self.assertLess(len(list(self.folder.glob('log-*'))), before / 2)
+        opened = self.reopen()
+        self.assertEqual(opened.payload, b'state')
+        self.assertEqual(opened.restored.hard_state.term, 30)
+        self.assertEqual(opened.restored.entries[0].index, 26)
+        self.assertEqual(opened.restored.entries[-1].index, 30)
+        (self.folder / 'snapshot-00000000000000000025.bin').unlink()
+        with self.assertRaisesRegex(CorruptionError, 'no snapshot'):
+            self.reopen()
+
+    def test_install_interrupted_between_its_steps(self) -> None:
+        self.storage.persist([write(*map(entry, range(1, 9)), term=1)])
+        with (
+            mock.patch.object(
+                log_file.LogFile, 'restart', side_effect=OSError(errno.EIO, '')
+            ),
+            self.assertRaises(OSError),
+        ):
+            self.storage.install(snapshot(5, term=2))
+        self.assertEqual(self.indexes(), [])
+        self.storage.persist([write(entry(6, 2))])
+        self.assertEqual(self.indexes(), [6])
+
+    def test_install_restarts_the_log(self) -> None:
+        self.storage.persist([write(entry(1), entry(2), term=7)])
+        self.storage.install(snapshot(40, term=7))
+        self.storage.persist([write(entry(41, 7))])
+        opened = self.reopen()
+        self.assertEqual(opened.restored.hard_state.term, 7)
+        self.assertEqual(opened.restored.entries, (entry(41, 7),))
+
+    def test_full_disk_leaves_no_trace(self) -> None:
+        self.storage.persist([write(entry(1))])
+        real_write = os.write
+
+        def fill_up(descriptor: int, frame: memoryview) -> int:
+            if len(frame) < 40:
+                raise OSError(errno.ENOSPC, 'full')
+            return real_write(descriptor, frame[:-30])
+
+        with mock.patch.object(os, 'write', fill_up):
+            with self.assertRaises(OSError):
+                self.storage.persist([write(entry(2))])
+        self.assertEqual(self.indexes(), [1])
+        self.storage.persist([write(entry(2))])
+        self.assertEqual(self.indexes(), [1, 2])
+
+    def test_identity_comes_with_the_folder(self) -> None:
+        self.assertEqual(self.reopen().member_id, 'me')
+        (self.folder / 'identity').unlink()
+        with self.assertRaisesRegex(CorruptionError, 'no identity'):
+            self.reopen()
+        self.wipe()
+        self.assertEqual(self.reopen().member_id, 'another')
