--- a/src/snipebend/fleet/model.py
+++ b/src/snipebend/fleet/model.py
@@ -92,7 +92,7 @@
 
 
 class Workspace(NamedTuple):
-    """One tenant with its limits; empty ``models`` allows all models."""
+    """One workspace with its limits; empty ``models`` allows all models."""
 
     name: str
     api_key: str
