--- a/src/snipebend/state/claims.py
+++ b/src/snipebend/state/claims.py
@@ -27,7 +27,12 @@
 
 
 class Holder(Struct, frozen=True):
-    """The one attempt that may run, and where."""
+    """The one attempt that may run, and where.
+
+    An empty ``grpc_address`` means that the attempt is never sent: the key was
+    only looked up. After ``deadline_at`` (wall time in seconds, 0 if unknown)
+    no agent starts the attempt.
+    """
 
     request_id: str
     attempt: int
@@ -35,6 +40,7 @@
     upstream: str
     grpc_address: str
     incarnation: int
+    deadline_at: float = 0
 
 
 class StoredAnswer(Struct, frozen=True):
