--- a/src/snipebend/fleet/document.py
+++ b/src/snipebend/fleet/document.py
@@ -10,9 +10,20 @@
 
 _TOML_POSITION = re.compile(r'^(?P<why>.*) \(at (?P<where>line \d+), .*\)$')
 
+_MAX_KEY_DEPTH = 32
+# The parser takes quadratic time in the parts of one dotted key: a line of a
+# megabyte would hold it for minutes.
+_DEEP_KEY = re.compile(
+    r"""(?:(?:(?<![\w-])[\w-]++|"[^"\n]*+"|'[^'\n]*+')[ \t]*+\.[ \t]*+){%d}"""
+    % _MAX_KEY_DEPTH,
+    re.ASCII,
+)
+
 
 def read_document(text: str) -> dict[str, Any] | Fault:
     """Return the file's top table, or why there is none."""
+    if _DEEP_KEY.search(text) is not None:
+        return Fault('file', f'a key has over {_MAX_KEY_DEPTH} dotted parts')
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as exc:
