--- a/src/snipebend/transport/rpc.py
+++ b/src/snipebend/transport/rpc.py
@@ -6,7 +6,12 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
 
-from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.client import (
+    Channel,
+    StreamUnaryMethod,
+    UnaryStreamMethod,
+    UnaryUnaryMethod,
+)
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -43,17 +48,19 @@
     request_type: type[Request]
     reply_type: type[Reply]
     streams_replies: bool = False
+    streams_requests: bool = False
 
 
 UnaryHandler = Callable[[Any], Awaitable[Any]]
 StreamHandler = Callable[[Any], AsyncIterator[Any]]
+FeedHandler = Callable[[AsyncIterator[Any]], Awaitable[Any]]
 
 
 class Endpoint(NamedTuple):
     """A method together with the function that answers it."""
 
     method: Method[Any, Any]
-    handler: UnaryHandler | StreamHandler
+    handler: UnaryHandler | StreamHandler | FeedHandler
 
 
 class _Table:
@@ -78,6 +85,13 @@
             method.request_type,
             method.reply_type,
         )
+    if method.streams_requests:
+        return Handler(
+            _answer_feed(endpoint),
+            Cardinality.STREAM_UNARY,
+            method.request_type,
+            method.reply_type,
+        )
     return Handler(
         _answer_unary(endpoint),
         Cardinality.UNARY_UNARY,
@@ -95,6 +109,14 @@
     return answer
 
 
+def _answer_feed(endpoint: Endpoint) -> Callable[[Any], Awaitable[None]]:
+    async def answer(stream: Any) -> None:
+        handler: Any = endpoint.handler
+        await stream.send_message(await handler(stream))
+
+    return answer
+
+
 def _answer_stream(endpoint: Endpoint) -> Callable[[Any], Awaitable[None]]:
     async def answer(stream: Any) -> None:
         req = await stream.recv_message()
@@ -203,6 +225,36 @@
             self.retire(peer)
             raise _unavailable(exc, method.path, peer) from exc
 
+    async def feed(
+        self,
+        peer: str,
+        method: Method[Request, Reply],
+        requests: AsyncIterator[Request],
+    ) -> Reply:
+        """Send requests over one call as they come; return the reply.
+
+        A message on an open call costs a small part of a call of its own.
+
+        Raises:
+            UnavailableError: when the connection breaks.
+        """
+        method_at_peer: Any = StreamUnaryMethod(
+            self._channel(peer),
+            method.path,
+            method.request_type,
+            method.reply_type,
+        )
+        try:
+            async with method_at_peer.open() as stream:
+                async for req in requests:
+                    await stream.send_message(req)
+                await stream.end()
+                reply: Reply = await stream.recv_message()
+        except CALL_FAILURES as exc:
+            self.retire(peer)
+            raise _unavailable(exc, method.path, peer) from exc
+        return reply
+
     def retire(self, peer: str) -> None:
         """Drop the channel to a peer; the next call opens a new one."""
         channel = self._channels.pop(peer, None)
--- /dev/null
+++ b/tests/transport/test_rpc.py
@@ -0,0 +1,78 @@
+"""Calls between our processes: shapes of calls and their failures."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from snipebend.errors.hierarchy import UnavailableError
+from snipebend.kernel.clock import SystemClock
+from snipebend.kernel.registry import Registry
+from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.transport.rpc import Endpoint, Method, RpcClients, RpcServer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class _Number(Struct, frozen=True):
+    number: int
+
+
+_DOUBLE = Method('/test/Double', _Number, _Number)
+_COUNT = Method('/test/Count', _Number, _Number, streams_replies=True)
+_SUM = Method('/test/Sum', _Number, _Number, streams_requests=True)
+
+
+async def _double(req: _Number) -> _Number:
+    return _Number(req.number * 2)
+
+
+async def _count(req: _Number) -> AsyncIterator[_Number]:
+    for number in range(req.number):
+        yield _Number(number)
+
+
+async def _sum(requests: AsyncIterator[_Number]) -> _Number:
+    return _Number(sum([req.number async for req in requests]))
+
+
+class RpcTest(unittest.IsolatedAsyncioTestCase):
+    """One server with all shapes of calls."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = RpcServer('grpc', '127.0.0.1', 0)
+        self.server.add(
+            Endpoint(_DOUBLE, _double),
+            Endpoint(_COUNT, _count),
+            Endpoint(_SUM, _sum),
+        )
+        await self.server.start(Registry(SystemClock(), TaskSupervisor()))
+        self.clients = RpcClients()
+
+    async def asyncTearDown(self) -> None:
+        self.clients.close()
+        await self.server.stop()
+
+    async def test_every_shape_of_call(self) -> None:
+        peer = self.server.address
+        doubled = await self.clients.call(peer, _DOUBLE, _Number(4), timeout=10)
+        self.assertEqual(doubled.unwrap().number, 8)
+        counted = [
+            reply.number
+            async for reply in self.clients.stream(peer, _COUNT, _Number(3))
+        ]
+        self.assertEqual(counted, [0, 1, 2])
+        summed = await self.clients.feed(peer, _SUM, _count(_Number(5)))
+        self.assertEqual(summed.number, 10)
+
+    async def test_a_lost_peer_is_an_error_with_step_and_peer(self) -> None:
+        await self.server.stop()
+        peer = self.server.address
+        answer = await self.clients.call(peer, _DOUBLE, _Number(1), timeout=10)
+        exc = answer.unwrap_err()
+        self.assertEqual((exc.step, exc.peer), ('/test/Double', peer))
+        with self.assertRaises(UnavailableError):
+            await self.clients.feed(peer, _SUM, _count(_Number(1)))
