--- a/src/snipebend/consensus/log_file.py
+++ b/src/snipebend/consensus/log_file.py
@@ -76,6 +76,10 @@
         self._hard_state = HardState()
         self._entries: list[LogEntry] = []
 
+    def exists(self) -> bool:
+        """Tell whether the folder holds any segment."""
+        return any(self._folder.glob(_PATTERN))
+
     def load(self) -> LogContent:
         """Read all segments and cut off a torn last frame.
 
--- a/src/snipebend/consensus/storage.py
+++ b/src/snipebend/consensus/storage.py
@@ -52,6 +52,11 @@
         identity = open_identity(self._folder, fresh_id)
         founding = read_founding(self._folder)
         snapshot = self._snapshots.load()
+        if (founding.voters or snapshot) and not self._log.exists():
+            raise CorruptionError(
+                f'{self._folder}: the log is missing',
+                step='read data folder',
+            )
         content = self._log.load()
         meta = snapshot.meta if snapshot else None
         restored = Restored(
--- a/src/snipebend/daemons/control.py
+++ b/src/snipebend/daemons/control.py
@@ -14,9 +14,10 @@
 from snipebend.settings.model import ControlSettings
 from snipebend.transport.control_api import ConfigurationKeeper
 from snipebend.transport.directory_api import DirectoryKeeper
+from snipebend.transport.group_api import GroupApi
 from snipebend.transport.rpc import RpcServer
 from snipebend.transport.state_api import StateApi
-from snipebend.transport.state_store import StateStore
+from snipebend.transport.replicated_state import ReplicatedState
 
 
 def build_control(cfg: ControlSettings) -> Process:
@@ -24,10 +25,11 @@
     admin = build_admin(cfg.listen)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     services = [
-        StateStore('state'),
+        ReplicatedState('state', cfg),
         ConfigurationKeeper('configuration', grpc),
         DirectoryKeeper('directory', grpc),
         StateApi('state-api', grpc),
+        GroupApi('group-api', grpc),
         grpc,
         admin,
         PortsFile(cfg.listen.ports_file, {'grpc': grpc, 'admin': admin}),
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -4,7 +4,13 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    model_validator,
+)
 
 MAX_PORT = 65535
 MAX_SPAN_S = 3600.0
@@ -128,3 +134,14 @@
     election: ElectionSection = ElectionSection()
     #: The first members, the same list on each; empty: a group of one.
     members: list[MemberSection] = []
+
+    @model_validator(mode='after')
+    def check_members(self) -> ControlSettings:
+        """Refuse a list that repeats a member or lacks this one."""
+        names = [member.name for member in self.members]
+        addresses = {member.address for member in self.members}
+        if len(set(names)) < len(names) or len(addresses) < len(names):
+            raise ValueError('members must have distinct names and addresses')
+        if names and self.process.name not in names:
+            raise ValueError(f'members must include {self.process.name!r}')
+        return self
--- a/src/snipebend/state/commands.py
+++ b/src/snipebend/state/commands.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from types import MappingProxyType
+from typing import Any
+
+from msgspec import Struct, msgpack
 
 from snipebend.state.claims import (
     ClaimReply,
@@ -87,3 +90,34 @@
     | SuspectList
     | DecideMapReply
 )
+
+#: What each command is answered with, to decode a reply from the leader.
+REPLY_TYPES: MappingProxyType[type, Any] = MappingProxyType(
+    {
+        ApplyFleet: ApplyReply,
+        Claim: ClaimReply,
+        Settle: SettleReply,
+        TakeFence: FenceReply,
+        ReportCrash: SuspectList,
+        ClearSuspect: SuspectList,
+        DecideExpertMap: DecideMapReply,
+    }
+)
+
+_decoder: msgpack.Decoder[Command] = msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the log or for the leader."""
+    return msgpack.encode(command)
+
+
+def decode_command(payload: bytes) -> Command:
+    """Decode a command; raises ``msgspec.DecodeError`` on damage."""
+    return _decoder.decode(payload)
+
+
+def decode_reply(command: Command, payload: bytes) -> Reply:
+    """Decode the reply to a command."""
+    reply: Reply = msgpack.decode(payload, type=REPLY_TYPES[type(command)])
+    return reply
--- a/src/snipebend/state/configuration.py
+++ b/src/snipebend/state/configuration.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, structs
 from xxhash import xxh64_intdigest
 
+from snipebend.fleet.model import RoutingPolicy
 from snipebend.fleet.parsing import parse_fleet
 from snipebend.fleet.rendering import render_fleet
 from snipebend.state.messages import ApplyOutcome, ApplyReply, ApplyRequest
@@ -37,6 +38,7 @@
 
     revision: int = 0
     text: str = ''
+    routing: RoutingPolicy = RoutingPolicy()
     answers: dict[str, FirstAnswer] = {}
     history: dict[int, str] = {}
 
@@ -80,8 +82,10 @@
             return ApplyReply(ApplyOutcome.INVALID, self.revision, message)
         if req.expected_revision != self.revision:
             return self._conflict(req)
+        fleet = parsed.unwrap()
         self.revision += 1
-        self.text = render_fleet(parsed.unwrap())
+        self.text = render_fleet(fleet)
+        self.routing = fleet.routing
         self._keep_text()
         return ApplyReply(ApplyOutcome.ACCEPTED, self.revision)
 
--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -8,8 +8,6 @@
 
 from msgspec import Struct, field, msgpack
 
-from snipebend.fleet.model import RoutingPolicy
-from snipebend.fleet.parsing import parse_fleet
 from snipebend.state.claim_book import ClaimBook
 from snipebend.state.commands import (
     ApplyFleet,
@@ -26,7 +24,6 @@
 from snipebend.state.crash_book import CrashBook
 from snipebend.state.expert_maps import MapBook
 from snipebend.state.fence_book import FenceBook
-from snipebend.state.messages import ApplyReply, ApplyRequest
 
 
 class MachineState(Struct):
@@ -48,7 +45,6 @@
     def __init__(self, state: MachineState | None = None) -> None:
         """Start empty, or with the state of a snapshot."""
         self.state = state or MachineState()
-        self._routing = _routing(self.state.configuration.text)
 
     @classmethod
     def decode(cls, data: bytes) -> Machine:
@@ -62,42 +58,28 @@
     def execute(self, command: Command) -> Reply:
         """Carry out one command; time in the state only grows."""
         state = self.state
+        routing = state.configuration.routing
         state.now = max(state.now, command.at)
         state.claims.expire(state.now)
         state.crashes.expire(state.now)
         match command:
             case ApplyFleet(req=req):
-                return self._apply(req)
+                return state.configuration.apply(req, state.now)
             case Claim(req=req):
                 return state.claims.claim(req, state.now)
             case Settle(req=req):
-                return state.claims.settle(req, self._routing.answer_bytes)
+                return state.claims.settle(req, routing.answer_bytes)
             case TakeFence(req=req):
                 return state.fences.take(req, state.now)
             case ReportCrash(req=req):
                 return state.crashes.report(
                     req,
                     state.now,
-                    self._routing.crash_limit,
-                    self._routing.quarantine_s,
+                    routing.crash_limit,
+                    routing.quarantine_s,
                 )
             case ClearSuspect(req=req):
                 return state.crashes.clear(req, state.now)
             case DecideExpertMap(req=req):
                 fence = state.fences.read(req.group).fence
                 return state.maps.decide(req, fence)
-
-    def _apply(self, req: ApplyRequest) -> ApplyReply:
-        configuration = self.state.configuration
-        before = configuration.revision
-        reply = configuration.apply(req, self.state.now)
-        if configuration.revision > before:
-            self._routing = _routing(configuration.text)
-        return reply
-
-
-def _routing(text: str) -> RoutingPolicy:
-    parsed = parse_fleet(text, 'state')
-    if parsed.is_err():
-        return RoutingPolicy()
-    return parsed.unwrap().routing
--- a/src/snipebend/transport/control_api.py
+++ b/src/snipebend/transport/control_api.py
@@ -20,7 +20,7 @@
 )
 from snipebend.transport.methods import APPLY, SHOW, WATCH
 from snipebend.transport.rpc import Endpoint, RpcServer
-from snipebend.transport.state_store import StateStore
+from snipebend.transport.replicated_state import ReplicatedState
 
 
 class ConfigurationKeeper(Service):
@@ -93,7 +93,7 @@
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
-        self._store = registry.find('state', StateStore)
+        self._store = registry.find('state', ReplicatedState)
 
     @property
     def _state(self) -> ConfigurationState:
--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -30,6 +30,20 @@
     ShowRequest,
     WatchRequest,
 )
+from snipebend.transport.group_messages import (
+    Delivery,
+    DeliveryEnd,
+    ForwardReply,
+    ForwardRequest,
+    GroupQuery,
+    GroupReply,
+    HelloReply,
+    HelloRequest,
+    JoinReply,
+    JoinRequest,
+    ReadIndexReply,
+    ReadIndexRequest,
+)
 from snipebend.transport.rpc import Method
 
 APPLY = Method('/snipebend.Control/Apply', ApplyRequest, ApplyReply)
@@ -67,3 +81,18 @@
     DecideMapReply,
 )
 READ_MAP = Method('/snipebend.Control/ReadMap', MapQuery, DecideMapReply)
+DELIVER = Method(
+    '/snipebend.Group/Deliver',
+    Delivery,
+    DeliveryEnd,
+    streams_requests=True,
+)
+HELLO = Method('/snipebend.Group/Hello', HelloRequest, HelloReply)
+JOIN = Method('/snipebend.Group/Join', JoinRequest, JoinReply)
+FORWARD = Method('/snipebend.Group/Forward', ForwardRequest, ForwardReply)
+READ_INDEX = Method(
+    '/snipebend.Group/ReadIndex',
+    ReadIndexRequest,
+    ReadIndexReply,
+)
+GROUP = Method('/snipebend.Group/Group', GroupQuery, GroupReply)
--- a/src/snipebend/transport/rpc.py
+++ b/src/snipebend/transport/rpc.py
@@ -174,9 +174,14 @@
 class RpcClients:
     """Channels to peers by address, opened when first used."""
 
-    def __init__(self) -> None:
-        """Start with no channels."""
+    def __init__(
+        self,
+        ping_every_s: float = PING_EVERY_S,
+        ping_timeout_s: float = PING_TIMEOUT_S,
+    ) -> None:
+        """Start with no channels; the times are those of pings, in seconds."""
         self._channels: dict[str, Channel] = {}
+        self._pings = (ping_every_s, ping_timeout_s)
 
     async def call(
         self,
@@ -195,6 +200,9 @@
         )
         try:
             return Ok(await unary(req, timeout=timeout))
+        except GRPCError as exc:
+            # The peer refused: the connection works, others may use it.
+            return Err(_unavailable(exc, method.path, peer))
         except CALL_FAILURES as exc:
             self.retire(peer)
             return Err(_unavailable(exc, method.path, peer))
@@ -274,18 +282,23 @@
                 host,
                 int(port),
                 codec=MessageCodec(),
-                config=_configuration(),
+                config=_configuration(*self._pings),
             )
             self._channels[peer] = channel
         return channel
 
 
-def _configuration() -> Configuration:
+def _configuration(
+    ping_every_s: float = PING_EVERY_S,
+    ping_timeout_s: float = PING_TIMEOUT_S,
+) -> Configuration:
     return Configuration(
-        _keepalive_time=PING_EVERY_S,
-        _keepalive_timeout=PING_TIMEOUT_S,
+        _keepalive_time=ping_every_s,
+        _keepalive_timeout=ping_timeout_s,
         _keepalive_permit_without_calls=True,
         _http2_max_pings_without_data=0,
+        # By default 300 s, which would leave out all pings but the first.
+        _http2_min_sent_ping_interval_without_data=ping_every_s / 2,
     )
 
 
--- a/src/snipebend/transport/state_api.py
+++ b/src/snipebend/transport/state_api.py
@@ -26,7 +26,7 @@
     TAKE_FENCE,
 )
 from snipebend.transport.rpc import Endpoint, RpcServer
-from snipebend.transport.state_store import StateStore
+from snipebend.transport.replicated_state import ReplicatedState
 
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
@@ -69,7 +69,7 @@
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
-        self._store = registry.find('state', StateStore)
+        self._store = registry.find('state', ReplicatedState)
 
     async def claim(self, req: ClaimRequest) -> ClaimReply:
         """Claim an idempotency key."""
--- /dev/null
+++ b/tests/daemons/test_replicated_control.py
@@ -0,0 +1,196 @@
+"""Three control daemons with real files and sockets, under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+import psutil
+
+from snipebend.state.messages import ApplyOutcome
+from tests.daemons.control_group import (
+    NAMES,
+    ControlGroup,
+    control_group,
+    fleet_text,
+    until,
+)
+
+#: Applies while the leader is killed; more by hand, fewer in CI.
+APPLIES = int(os.environ.get('SNIPEBEND_APPLIES', '60'))
+
+
+class ReplicatedControlTest(unittest.IsolatedAsyncioTestCase):
+    """Accepted is a promise, whatever happens to one of three."""
+
+    def setUp(self) -> None:
+        name = tempfile.TemporaryDirectory()
+        self.addCleanup(name.cleanup)
+        self.folder = Path(name.name)
+
+    async def test_kill_of_the_leader_amid_applies(self) -> None:
+        async with control_group(self.folder) as group:
+            await self.apply_amid_kills(group)
+            await group.kill(*NAMES)
+            await group.start(*NAMES)
+            for name in NAMES:
+                self.assertEqual(await group.revision(name), APPLIES)
+
+    async def test_racing_operators_with_equal_numbers(self) -> None:
+        async with control_group(self.folder) as group:
+            for expected in range(3):
+                replies = await asyncio.gather(
+                    *(
+                        group.apply(name, expected, fleet_text(number))
+                        for number, name in enumerate(NAMES * 2)
+                    ),
+                )
+                outcomes = [reply.outcome for reply in replies if reply]
+                self.assertEqual(len(outcomes), 6)
+                self.assertEqual(outcomes.count(ApplyOutcome.ACCEPTED), 1)
+                winner = await group.show(NAMES[expected])
+                self.assertEqual(winner.revision, expected + 1)
+                for reply in replies:
+                    if reply and reply.outcome is ApplyOutcome.CONFLICT:
+                        self.assertEqual(reply.text, winner.text)
+
+    async def test_restart_of_all_after_hundreds_of_changes(self) -> None:
+        async with control_group(self.folder) as group:
+            for number in range(200):
+                await self.insist(group, number)
+            self.assertTrue(list((self.folder / 'c-1').glob('snapshot-*')))
+            await group.kill(*NAMES)
+            await group.start(*NAMES)
+            for name in NAMES:
+                shown = await group.show(name)
+                self.assertEqual(shown.revision, 200)
+                self.assertIn('queue_limit = 200', shown.text)
+            again = await group.apply('c-1', 120, fleet_text(120), 'change-120')
+            self.assertEqual(again.revision if again else 0, 121)
+
+    async def test_stopped_leader_serves_no_stale_read(self) -> None:
+        async with control_group(self.folder) as group:
+            await self.insist(group, 0)
+            old = await group.leader()
+            others = [name for name in NAMES if name != old]
+            group.programs[old].send(signal.SIGSTOP)
+            asked = asyncio.create_task(group.revision(old))
+            await group.leader(*others)
+            reply = await group.apply(others[0], 1, fleet_text(1), 'change-1')
+            self.assertEqual(reply.revision if reply else 0, 2)
+            late = asyncio.create_task(group.revision(old))
+            await asyncio.sleep(0)
+            group.programs[old].send(signal.SIGCONT)
+            self.assertIn(await asked, {None, 2})
+            self.assertIn(await late, {None, 2})
+            await until(lambda: self.is_at(group, old, 2))
+
+    async def test_isolated_leader_with_clients_on_it(self) -> None:
+        async with control_group(self.folder) as group:
+            await self.insist(group, 0)
+            old = await group.leader()
+            others = [name for name in NAMES if name != old]
+            group.wires.cut(*((old, name) for name in others))
+            stuck = asyncio.create_task(
+                group.apply(old, 1, fleet_text(9), 'stuck'),
+            )
+            await group.leader(*others)
+            reply = await group.apply(others[0], 1, fleet_text(1), 'change-1')
+            self.assertEqual(reply.revision if reply else 0, 2)
+            self.assertIsNone(await group.revision(old))
+            self.assertIsNone(await stuck)
+            group.wires.mend()
+            await until(lambda: self.is_at(group, old, 2))
+            lost = await group.apply(old, 1, fleet_text(9), 'stuck')
+            outcome = lost.outcome if lost else None
+            self.assertIs(outcome, ApplyOutcome.CONFLICT)
+
+    async def test_silent_connections_are_replaced(self) -> None:
+        async with control_group(self.folder) as group:
+            for number, name in enumerate(NAMES):
+                group.wires.silence(name)
+                await self.insist(group, number)
+            await group.wait_voters(*NAMES)
+            for name in NAMES:
+                await until(lambda name=name: self.is_at(group, name, 3))
+
+    async def test_wiped_disk_then_a_second_member_lost(self) -> None:
+        async with control_group(self.folder) as group:
+            for number in range(60):
+                await self.insist(group, number)
+            before = await group.wait_voters(*NAMES)
+            wiped = await group.leader()
+            await group.wipe(wiped)
+            await group.start(wiped)
+            gone = {one.member_id for one in before if one.name == wiped}
+            after = await group.wait_voters(*NAMES, without=gone)
+            self.assertEqual(len(after), 3)
+            second = [name for name in NAMES if name != wiped][0]
+            await group.kill(second)
+            await self.insist(group, 60)
+            self.assertEqual(await group.revision(wiped), 61)
+
+    async def test_full_disk_refuses_and_recovers(self) -> None:
+        async with control_group(self.folder) as group:
+            await self.insist(group, 0)
+            full = await group.leader()
+            process = psutil.Process(group.programs[full].process.pid)
+            process.rlimit(psutil.RLIMIT_FSIZE, (10, -1))
+            await self.insist(group, 1)
+            self.assertNotEqual(await group.leader(), full)
+            others = [name for name in NAMES if name != full]
+            process.rlimit(psutil.RLIMIT_FSIZE, (-1, -1))
+            await group.kill(others[0])
+            await self.insist(group, 2)
+            self.assertEqual(await group.revision(full), 3)
+
+    async def test_leader_hands_over_on_sigterm(self) -> None:
+        async with control_group(self.folder) as group:
+            await self.insist(group, 0)
+            old = await group.leader()
+            leaving = group.programs.pop(old)
+            leaving.send(signal.SIGTERM)
+            await self.insist(group, 1)
+            self.assertEqual(await leaving.wait(), 0)
+            log = '\n'.join(leaving.log)
+            self.assertIn('role=follower', log.rpartition('event=draining')[2])
+
+    async def is_at(
+        self, group: ControlGroup, name: str, revision: int
+    ) -> bool:
+        return await group.revision(name) == revision
+
+    async def apply_amid_kills(self, group: ControlGroup) -> None:
+        highest = dict.fromkeys(NAMES, 0)
+        for number in range(APPLIES):
+            if number % 20 == 10:
+                leader = await group.leader()
+                await group.kill(leader)
+                await group.start(leader)
+            reply = await self.insist(group, number)
+            self.assertEqual(reply, number + 1)
+            again = await self.insist(group, number)
+            self.assertEqual(again, reply)
+            name = NAMES[number % 3]
+            seen = await group.revision(name) or highest[name]
+            self.assertGreaterEqual(seen, highest[name])
+            highest[name] = seen
+
+    async def insist(self, group: ControlGroup, number: int) -> int:
+        """Resend one change through all daemons until it is answered."""
+        for attempt in range(30):
+            reply = await group.apply(
+                NAMES[(number + attempt) % 3],
+                number,
+                fleet_text(number),
+                f'change-{number}',
+            )
+            if reply is not None:
+                self.assertIs(reply.outcome, ApplyOutcome.ACCEPTED)
+                return reply.revision
+            await asyncio.sleep(0.05)
+        raise TimeoutError
