--- a/src/snipebend/transport/peer_links.py
+++ b/src/snipebend/transport/peer_links.py
@@ -96,13 +96,15 @@
             self._clients.retire(link.address)
             link.address = address
 
-    def send(self, envelope: Envelope) -> None:
-        """Send a message, or drop it when its target is unknown."""
+    def send(self, envelope: Envelope) -> bool:
+        """Send a message; return False when its target is unknown."""
         link = self._links.get(envelope.target)
         if link is None:
             link = self._open(envelope.target)
-        if link is not None:
-            link.put(envelope)
+        if link is None:
+            return False
+        link.put(envelope)
+        return True
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -55,6 +55,7 @@
 if TYPE_CHECKING:
     from snipebend.consensus.config import CoreConfig
     from snipebend.consensus.core import CoreStatus
+    from snipebend.consensus.messages import Envelope
     from snipebend.consensus.records import Member
     from snipebend.consensus.storage import Opened, Storage
     from snipebend.kernel.clock import Clock
@@ -187,7 +188,7 @@
     def _carry_out(self, action: Action) -> None:
         match action:
             case Send(envelope):
-                self.links.send(envelope)
+                self._send(envelope)
             case Persist():
                 self.writer.put(action)
             case Commit(entries):
@@ -204,6 +205,12 @@
             case InstallSnapshot() | NeedSnapshot() | RoleChanged():
                 self._carry_out_rare(action)
 
+    def _send(self, envelope: Envelope) -> None:
+        if not self.links.send(envelope):
+            # A member that was added since the last look.
+            self.links.learn(self._everybody())
+            self.links.send(envelope)
+
     def _carry_out_rare(
         self, action: InstallSnapshot | NeedSnapshot | RoleChanged
     ) -> None:
