Tell entries of the directory by differences over one open call

Cause: the entry polled the whole directory four times a second, 18 KB for 100 upstreams each time, against a budget of 3 KB/s; and each announcement was a call of its own. Agents now feed announcements over one call a control daemon, and an entry gets the whole list once, then who came, changed or went at once, and changed loads once a second as three small numbers each.

Ruled out: fewer announcements alone, since the poll of the directory was the larger part.

Found on the way: a leaving agent that was idle could end before its last announcement left; it now waits for the control daemons to have it, at most a second.

--- a/bench/rpc_cost.py
+++ b/bench/rpc_cost.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import sys
 import tempfile
@@ -24,13 +25,15 @@
 from tests.programs import control_toml, start_daemon
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
 CALLS = 2000
 UPSTREAMS = 100
 _TIMEOUT_S = 10.0
 _MICRO = 1e6
 _MEBI = 1024 * 1024
+_PAUSE_S = 0.002
+_SEQUENCE = itertools.count(1)
 
 
 async def measure() -> dict[str, float]:
@@ -61,15 +64,6 @@
         'control_idle_rss_mib': control.memory_info().rss / _MEBI,
     }
 
-    async def announce(number: int, address: str = peer) -> None:
-        reply = await clients.call(
-            address,
-            ANNOUNCE,
-            _announcement(number),
-            timeout=_TIMEOUT_S,
-        )
-        reply.unwrap()
-
     async def list_all(_: int) -> None:
         reply = await clients.call(
             peer,
@@ -79,18 +73,42 @@
         )
         reply.unwrap()
 
-    await _repeat(announce, UPSTREAMS)
-    figures |= await _cost('announce', announce, control)
+    await clients.feed(peer, ANNOUNCE, _announcements(UPSTREAMS))
+    figures |= await _feed_cost(clients, peer, control)
     figures |= await _cost('directory_100', list_all, control)
     async with CountingProxy(peer) as proxy:
-        await announce(0, proxy.address)
+        await clients.feed(proxy.address, ANNOUNCE, _announcements(1))
         before = proxy.total_bytes
-        await _repeat(lambda one: announce(one, proxy.address), UPSTREAMS)
-        figures['announce_bytes'] = (proxy.total_bytes - before) / UPSTREAMS
+        await clients.feed(proxy.address, ANNOUNCE, _announcements(CALLS))
+        figures['announce_bytes'] = (proxy.total_bytes - before) / CALLS
     clients.close()
     return figures
 
 
+async def _feed_cost(
+    clients: RpcClients,
+    peer: str,
+    server: psutil.Process,
+) -> dict[str, float]:
+    """Measure announcements that leave one by one, as in service."""
+    client_before = time.process_time()
+    server_before = _cpu(server)
+    await clients.feed(peer, ANNOUNCE, _announcements(CALLS))
+    client_s = time.process_time() - client_before
+    server_s = _cpu(server) - server_before
+    return {
+        'announce_client_us': client_s / CALLS * _MICRO,
+        'announce_server_us': server_s / CALLS * _MICRO,
+    }
+
+
+async def _announcements(count: int) -> AsyncIterator[Announcement]:
+    for number in range(count):
+        yield _announcement(next(_SEQUENCE), number)
+        # One packet each: the next one leaves in a later turn of the loop.
+        await asyncio.sleep(_PAUSE_S)
+
+
 async def _cost(
     name: str,
     call: Callable[[int], Awaitable[None]],
@@ -117,7 +135,7 @@
     return float(times.user + times.system)
 
 
-def _announcement(number: int) -> Announcement:
+def _announcement(sequence: int, number: int) -> Announcement:
     return Announcement(
         upstream=f'drafting-{number % UPSTREAMS:03}',
         policy='drafting',
@@ -125,7 +143,7 @@
         http_address='10.0.0.7:8080',
         grpc_address='10.0.0.7:8081',
         incarnation=1764700000000,
-        sequence=number,
+        sequence=sequence,
         running=5,
         queued=2,
         revision=17,
--- a/src/snipebend/daemons/entry.py
+++ b/src/snipebend/daemons/entry.py
@@ -13,10 +13,8 @@
 from snipebend.kernel.process import Process
 from snipebend.settings.model import EntrySettings
 from snipebend.transport.caller_api import CallerApi
-from snipebend.transport.followers import (
-    ConfigurationFollower,
-    DirectoryFollower,
-)
+from snipebend.transport.directory_follower import DirectoryFollower
+from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.rpc import RpcClients
--- a/src/snipebend/transport/announcer.py
+++ b/src/snipebend/transport/announcer.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from functools import partial
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
+from snipebend.errors.hierarchy import UnavailableError
 from snipebend.kernel.service import Service
 from snipebend.membership.messages import Announcement, Phase
-from snipebend.transport.followers import CALL_TIMEOUT_S, ConfigurationFollower
+from snipebend.transport.followers import (
+    RETRY_DELAY_S,
+    ConfigurationFollower,
+)
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.methods import ANNOUNCE
 from snipebend.transport.rpc import RpcClients, RpcServer
@@ -18,6 +25,9 @@
     from snipebend.kernel.registry import Registry
     from snipebend.settings.model import AgentSettings
 
+#: Seconds that a leaving agent waits for the control daemons to hear it.
+LEAVE_PATIENCE_S = 1.0
+
 
 class Announcer(Service):
     """Announces the upstream until it has left."""
@@ -35,6 +45,9 @@
         self._clients = clients
         self._phase = Phase.SERVING
         self._sequence = 0
+        self._wake = asyncio.Event()
+        self._told = 0
+        self._all_told = asyncio.Event()
 
     async def start(self, registry: Registry) -> None:
         """Find what is announced and begin."""
@@ -46,32 +59,57 @@
             'configuration',
             ConfigurationFollower,
         )
-        registry.tasks.start('announce', self._announce_for_ever)
+        for peer in self._control:
+            registry.tasks.start(
+                f'announce-{peer}',
+                partial(self._announce_to, peer),
+            )
 
     async def drain(self) -> None:
-        """Tell every control daemon that the upstream is leaving."""
+        """Tell the control daemons at once that the upstream is leaving.
+
+        A daemon that can't be reached isn't waited for: the lease of the
+        announcement ends there by itself.
+        """
         self._phase = Phase.LEAVING
-        await self._announce()
+        self._wake.set()
+        try:
+            await asyncio.wait_for(self._all_told.wait(), LEAVE_PATIENCE_S)
+        except asyncio.TimeoutError:
+            logger.warning('event=leaving_untold told={}', self._told)
 
-    async def _announce_for_ever(self) -> None:
+    async def _announce_to(self, peer: str) -> None:
         while True:
-            await self._announce()
-            await asyncio.sleep(self._cfg.upstream.report_every_s)
-
-    async def _announce(self) -> None:
-        self._sequence += 1
-        announcement = self._compose()
-        await asyncio.gather(
-            *(self._send(peer, announcement) for peer in self._control),
-        )
+            try:
+                await self._clients.feed(peer, ANNOUNCE, self._announcements())
+            except UnavailableError as exc:
+                logger.debug('event=announce_lost error={!r}', exc)
+            await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _send(self, peer: str, announcement: Announcement) -> None:
-        await self._clients.call(
-            peer,
-            ANNOUNCE,
-            announcement,
-            timeout=CALL_TIMEOUT_S,
-        )
+    async def _announcements(self) -> AsyncIterator[Announcement]:
+        while True:
+            self._sequence += 1
+            announcement = self._compose()
+            yield announcement
+            if announcement.phase is Phase.LEAVING:
+                self._count_told()
+            await self._pause()
+
+    def _count_told(self) -> None:
+        self._told += 1
+        if self._told >= len(self._control):
+            self._all_told.set()
+
+    async def _pause(self) -> None:
+        """Wait for the next turn, which a change of phase brings forward."""
+        span = self._cfg.upstream.report_every_s
+        if self._phase is Phase.LEAVING:
+            await asyncio.sleep(span)
+            return
+        try:
+            await asyncio.wait_for(self._wake.wait(), span)
+        except asyncio.TimeoutError:
+            return
 
     def _compose(self) -> Announcement:
         return Announcement(
--- a/src/snipebend/transport/caller_api.py
+++ b/src/snipebend/transport/caller_api.py
@@ -18,10 +18,8 @@
 from snipebend.kernel.service import Service
 from snipebend.membership.messages import Announcement, Phase
 from snipebend.transport.asgi import BODY_KEY, GONE_KEY, build_sink_app
-from snipebend.transport.followers import (
-    ConfigurationFollower,
-    DirectoryFollower,
-)
+from snipebend.transport.directory_follower import DirectoryFollower
+from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient, Outgoing, end_to_end
 from snipebend.transport.problems import (
     ATTEMPT_HEADER,
@@ -138,7 +136,7 @@
     ) -> Result[Announcement | None, Problem]:
         candidates = [
             upstream
-            for upstream in self._directory.directory.upstreams
+            for upstream in self._directory.upstreams()
             if upstream.policy in policies and upstream.phase is Phase.SERVING
         ]
         if not candidates:
--- a/src/snipebend/transport/followers.py
+++ b/src/snipebend/transport/followers.py
@@ -1,4 +1,4 @@
-"""What entries and agents follow from control: configuration, directory."""
+"""The configuration as entries and agents follow it from control."""
 
 from __future__ import annotations
 
@@ -12,20 +12,13 @@
 from snipebend.fleet.lookup import FleetIndex
 from snipebend.fleet.parsing import parse_fleet
 from snipebend.kernel.service import Service
-from snipebend.membership.messages import Directory, DirectoryRequest
 from snipebend.state.messages import Configuration, WatchRequest
-from snipebend.transport.methods import DIRECTORY, WATCH
+from snipebend.transport.methods import WATCH
 from snipebend.transport.rpc import RpcClients
 
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
 
-#: Seconds between two looks at the directory.
-DIRECTORY_EVERY_S = 0.25
-
-#: Seconds for one call to a control daemon.
-CALL_TIMEOUT_S = 2.0
-
 #: Seconds before the next control daemon is tried.
 RETRY_DELAY_S = 0.2
 
@@ -84,54 +77,3 @@
         self.index = FleetIndex(parsed.unwrap())
         self.revision = configuration.revision
         logger.info('event=configuration revision={}', self.revision)
-
-
-class DirectoryFollower(Service):
-    """Keeps the list of upstreams that control knows."""
-
-    def __init__(
-        self,
-        name: str,
-        process_name: str,
-        control: Sequence[str],
-        clients: RpcClients,
-    ) -> None:
-        """Keep the control daemons' addresses."""
-        super().__init__(name)
-        self.directory = Directory(())
-        self._process_name = process_name
-        self._control = tuple(control)
-        self._clients = clients
-
-    async def start(self, registry: Registry) -> None:
-        """Start to follow."""
-        self._configuration = registry.find(
-            'configuration',
-            ConfigurationFollower,
-        )
-        registry.tasks.start('follow-directory', self._follow)
-
-    def dump(self) -> Mapping[str, object]:
-        """Return the upstreams and their phases."""
-        upstreams = self.directory.upstreams
-        return {entry.upstream: entry.phase.value for entry in upstreams}
-
-    async def _follow(self) -> None:
-        while True:
-            for peer in self._control:
-                if await self._ask(peer):
-                    break
-            await asyncio.sleep(DIRECTORY_EVERY_S)
-
-    async def _ask(self, peer: str) -> bool:
-        req = DirectoryRequest(self._process_name, self._configuration.revision)
-        answer = await self._clients.call(
-            peer,
-            DIRECTORY,
-            req,
-            timeout=CALL_TIMEOUT_S,
-        )
-        if answer.is_err():
-            return False
-        self.directory = answer.unwrap()
-        return True
--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from snipebend.membership.directory_delta import DirectoryDelta
 from snipebend.membership.messages import (
     AnnounceReply,
     Announcement,
@@ -40,7 +41,24 @@
     Configuration,
     streams_replies=True,
 )
-ANNOUNCE = Method('/snipebend.Control/Announce', Announcement, AnnounceReply)
+ANNOUNCE = Method(
+    '/snipebend.Control/Announce',
+    Announcement,
+    AnnounceReply,
+    streams_requests=True,
+)
+CONFIRM = Method(
+    '/snipebend.Control/Confirm',
+    DirectoryRequest,
+    AnnounceReply,
+    streams_requests=True,
+)
+WATCH_DIRECTORY = Method(
+    '/snipebend.Control/WatchDirectory',
+    DirectoryRequest,
+    DirectoryDelta,
+    streams_replies=True,
+)
 DIRECTORY = Method(
     '/snipebend.Control/Directory',
     DirectoryRequest,
