--- a/src/snipebend/delivery/guard.py
+++ b/src/snipebend/delivery/guard.py
@@ -1,21 +1,56 @@
-"""The agent's admission guard: at most one execution of each attempt."""
+"""The agent's admission guard: at most one execution of each attempt.
+
+Why its memory can be bounded: an attempt carries a deadline after which the
+guard refuses it. A tombstone (a barred attempt) is thus needed only until that
+deadline, read on the guard's own clock, which never runs backwards here; no
+two clocks are compared. A started attempt is remembered longer, so that a
+resend learns how it ended. Once such a record is forgotten, the guard can't
+tell that attempt from one never seen; it says ``UNKNOWN`` for every unseen
+attempt whose deadline isn't later than the latest one forgotten. Where there
+is no room for a tombstone nothing is promised: ``UNKNOWN``, ``UNTRACKED``.
+
+What it relies on: an agent's incarnation grows with each start, so that no
+memory need survive a restart; and a sender sends each attempt once, so that
+a refusal answers the only delivery. Copies that arrive later find the record.
+"""
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from snipebend.delivery.attempt_records import (
+    AttemptId,
+    AttemptPhase,
+    AttemptRecord,
+    AttemptRecords,
+)
+from snipebend.delivery.messages import (
+    RefusalReason,
+    SealReply,
+    SealRequest,
+    SealVerdict,
+)
+
 if TYPE_CHECKING:
-    from snipebend.delivery.messages import (
-        AttemptTicket,
-        RefusalReason,
-        SealReply,
-        SealRequest,
-    )
+    from snipebend.delivery.messages import AttemptTicket
     from snipebend.state.claims import StoredAnswer
 
+_VERDICTS = MappingProxyType(
+    {
+        AttemptPhase.BARRED: SealVerdict.NOT_RUN,
+        AttemptPhase.RUNNING: SealVerdict.RUNNING,
+        AttemptPhase.FINISHED: SealVerdict.RAN,
+        AttemptPhase.BROKEN: SealVerdict.UNKNOWN,
+    }
+)
+
 
 class Admitted(NamedTuple):
-    """The attempt may start now; ``Guard.finish`` must follow."""
+    """The attempt may start now.
+
+    ``Guard.finish``, ``Guard.fail`` or ``Guard.withdraw`` must follow.
+    """
 
 
 class Refused(NamedTuple):
@@ -28,7 +63,12 @@
 
 
 class GuardLimits(NamedTuple):
-    """Bounds of the guard: attempts at once, records and kept bytes."""
+    """Bounds of the guard.
+
+    ``max_running`` counts attempts at once, ``max_records`` those remembered.
+    ``max_answer_bytes`` bounds all kept answers together. ``retention_s`` is
+    how long past its deadline a started attempt is remembered for resends.
+    """
 
     max_running: int
     max_records: int = 65536
@@ -42,15 +82,37 @@
     def __init__(self, incarnation: int, limits: GuardLimits) -> None:
         """Know no attempts yet; ``incarnation`` grows with each start."""
         self.incarnation = incarnation
+        self.leaving = False
         self._limits = limits
+        self._now = float('-inf')
+        self._records = AttemptRecords(
+            limits.max_records,
+            limits.max_answer_bytes,
+        )
+
+    @property
+    def running(self) -> int:
+        """Return how many attempts run."""
+        return self._records.running
 
     def leave(self) -> None:
         """Refuse new attempts from now on; seals are still answered."""
-        raise NotImplementedError
+        self.leaving = True
 
     def admit(self, ticket: AttemptTicket, now: float) -> Admission:
-        """Decide whether an attempt may start."""
-        raise NotImplementedError
+        """Decide whether an attempt may start, at wall time ``now``."""
+        self._advance(now)
+        reason = self._known_reason(ticket) or self._barring_reason(ticket)
+        if reason is not None:
+            return Refused(reason)
+        record = AttemptRecord(
+            AttemptPhase.RUNNING,
+            ticket.deadline_at,
+            self._limits.retention_s if ticket.keep_answer else 0,
+            repeatable=not ticket.keep_answer,
+        )
+        self._records.add(_id_of(ticket), record)
+        return Admitted()
 
     def finish(
         self,
@@ -58,9 +120,97 @@
         attempt: int,
         answer: StoredAnswer | None,
     ) -> None:
-        """Note the end of an admitted attempt and its answer, if complete."""
-        raise NotImplementedError
+        """Note that an attempt ran to its end; None: its answer isn't kept."""
+        attempt_id = AttemptId(request_id, attempt)
+        self._records.end(attempt_id, AttemptPhase.FINISHED, self._now, answer)
+
+    def fail(self, request_id: str, attempt: int) -> None:
+        """Note that the upstream broke off after it was sent something."""
+        attempt_id = AttemptId(request_id, attempt)
+        self._records.end(attempt_id, AttemptPhase.BROKEN, self._now)
+
+    def withdraw(self, request_id: str, attempt: int) -> Refused:
+        """Bar an admitted attempt of which nothing was sent to the upstream."""
+        attempt_id = AttemptId(request_id, attempt)
+        self._records.end(attempt_id, AttemptPhase.BARRED, self._now)
+        return Refused(RefusalReason.UPSTREAM_DOWN)
 
     def seal(self, request: SealRequest, now: float) -> SealReply:
         """Tell what became of an attempt and bar it if it is unseen."""
-        raise NotImplementedError
+        self._advance(now)
+        if request.incarnation != self.incarnation:
+            return SealReply(SealVerdict.UNKNOWN)
+        attempt_id = AttemptId(request.request_id, request.attempt)
+        record = self._records.find(attempt_id)
+        if record is None:
+            return SealReply(self._seal_unseen(request))
+        return SealReply(_VERDICTS[record.phase], record.answer)
+
+    def _advance(self, now: float) -> None:
+        self._now = max(self._now, now)
+        self._records.forget(self._now)
+
+    def _known_reason(self, ticket: AttemptTicket) -> RefusalReason | None:
+        """Refuse what needs no new record: it is known, or its time is over."""
+        if ticket.incarnation != self.incarnation:
+            return RefusalReason.WRONG_INCARNATION
+        record = self._records.find(_id_of(ticket))
+        if record is not None:
+            is_barred = record.phase is AttemptPhase.BARRED
+            return (
+                RefusalReason.SEALED if is_barred else RefusalReason.DUPLICATE
+            )
+        if ticket.deadline_at > self._now:
+            return None
+        if ticket.deadline_at <= self._records.forgotten_until:
+            return RefusalReason.DUPLICATE
+        return RefusalReason.DEADLINE_PASSED
+
+    def _barring_reason(self, ticket: AttemptTicket) -> RefusalReason | None:
+        """Refuse for the state of the agent, and bar late copies as well."""
+        if self._records.is_full:
+            return RefusalReason.UNTRACKED
+        reason = self._state_reason(ticket)
+        if reason is not None:
+            self._records.add(_id_of(ticket), _tombstone(ticket.deadline_at))
+        return reason
+
+    def _state_reason(self, ticket: AttemptTicket) -> RefusalReason | None:
+        if ticket.attempt < self._records.highest_attempt(ticket.request_id):
+            return RefusalReason.STALE_ATTEMPT
+        if self.leaving:
+            return RefusalReason.LEAVING
+        if self.running >= self._limits.max_running:
+            return RefusalReason.FULL
+        return None
+
+    def _seal_unseen(self, request: SealRequest) -> SealVerdict:
+        if request.deadline_at <= self._records.forgotten_until:
+            return SealVerdict.UNKNOWN
+        if request.deadline_at <= self._now:
+            return _verdict_past_deadline(request)
+        if self._records.is_full:
+            return SealVerdict.UNKNOWN
+        self._records.add(
+            AttemptId(request.request_id, request.attempt),
+            _tombstone(request.deadline_at),
+        )
+        return SealVerdict.NOT_RUN
+
+
+def _id_of(ticket: AttemptTicket) -> AttemptId:
+    return AttemptId(ticket.request_id, ticket.attempt)
+
+
+def _tombstone(deadline_at: float) -> AttemptRecord:
+    return AttemptRecord(AttemptPhase.BARRED, deadline_at)
+
+
+def _verdict_past_deadline(request: SealRequest) -> SealVerdict:
+    """Judge an unseen attempt that would be refused anyway.
+
+    Without a known deadline nothing bounds when it might still arrive.
+    """
+    if request.deadline_at:
+        return SealVerdict.NOT_RUN
+    return SealVerdict.UNKNOWN
--- a/src/snipebend/delivery/messages.py
+++ b/src/snipebend/delivery/messages.py
@@ -25,22 +25,27 @@
     SEALED = 'sealed'
     #: A later attempt of the same request is known here.
     STALE_ATTEMPT = 'stale-attempt'
-    #: This very attempt was started before: no proof that it didn't run.
+    #: The upstream can't be reached; nothing was sent to it.
+    UPSTREAM_DOWN = 'upstream-down'
+    #: The attempt was started before, or may have been: no proof.
     DUPLICATE = 'duplicate'
+    #: No room to remember the refusal, so that a late copy might run: no proof.
+    UNTRACKED = 'untracked'
 
     @property
     def proves_not_run(self) -> bool:
         """Tell whether the refused attempt never ran and never will."""
-        return self is not RefusalReason.DUPLICATE
+        return self not in {RefusalReason.DUPLICATE, RefusalReason.UNTRACKED}
 
 
 class AttemptTicket(Struct, frozen=True):
     """What an attempt carries beside the caller's request.
 
     ``incarnation`` is that of the agent it is addressed to. The agent won't
-    start it after ``deadline_at``. ``keep_answer`` asks the agent to run the
-    call to its end whatever becomes of the connection, and to keep the answer.
-    ``resume_from`` is the number of the first chunk that is wanted.
+    start it after ``deadline_at``. ``keep_answer`` is set for work that may
+    not be repeated: the agent runs it to its end, whatever becomes of the
+    connection, and keeps the answer. ``resume_from`` is the number of the
+    first chunk that is wanted.
     """
 
     request_id: str
@@ -72,7 +77,8 @@
     RUNNING = 'running'
     #: Started and ended; the reply has the answer if it was kept.
     RAN = 'ran'
-    #: The agent restarted since, or has forgotten attempts of that age.
+    #: The agent restarted since, has forgotten attempts of that age, or the
+    #: upstream broke off in the middle.
     UNKNOWN = 'unknown'
 
 
