--- /dev/null
+++ b/src/snipebend/experts/switch_coordinator.py
@@ -0,0 +1,286 @@
+"""The coordinator of one group's expert map switches, in the control leader.
+
+A pure machine: prepare, durable decision, activation. It recovers from the
+committed record and the ranks' reports alone, so that a new leader can take
+over at any point.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Literal
+
+from snipebend.experts.switch_events import (
+    CoordinatorAction,
+    CoordinatorEvent,
+    MapProposed,
+    NeedMap,
+    PersistDecision,
+    RankReported,
+    RanksAnnounced,
+    RecordCommitted,
+    SendOrder,
+    Superseded,
+    SwitchEnded,
+    Tick,
+)
+from snipebend.experts.switch_group import (
+    GroupNeed,
+    OrderWriter,
+    PromiseCheck,
+    base_stamp,
+    check_promises,
+    find_need,
+    first_step,
+    has_ended,
+    without_promise,
+)
+from snipebend.experts.switch_messages import (
+    Abort,
+    Bump,
+    Decide,
+    GroupRecord,
+    MapStamp,
+    RankOrder,
+    RankReport,
+    RecordChange,
+    SwitchDecision,
+    change_record,
+)
+from snipebend.experts.switch_roster import RankRoster
+from snipebend.experts.switch_states import (
+    Activating,
+    CoordinatorConfig,
+    CoordinatorState,
+    Idle,
+    Persisting,
+    Preparing,
+    Stopped,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from snipebend.experts.switch_store import StoreSchedule
+
+#: A hold step that came too early is put off by this factor each time.
+HOLD_GROWTH = 2
+
+#: The growth ends here; a switch that needs more steps never succeeds.
+MAX_HOLD_FACTOR = 1024
+
+_HALF = 0.5
+
+Outcome = Literal['activated', 'aborted', 'interrupted']
+
+
+class SwitchCoordinator:
+    """One holder of a group's fence, from its election to its end."""
+
+    def __init__(
+        self,
+        cfg: CoordinatorConfig,
+        fence: int,
+        record: GroupRecord,
+        schedule: StoreSchedule,
+    ) -> None:
+        """Recover from the committed record.
+
+        A former coordinator may have prepared the version after the last
+        settled one; it is aborted first, so that no version has two contents.
+        """
+        self.record = record
+        self.roster = RankRoster(fence)
+        self.state: CoordinatorState = Persisting(
+            Abort(record.settled + 1),
+            MapStamp(record.incarnation, record.settled + 1),
+        )
+        self._cfg = cfg
+        self._fence = fence
+        self._writer = OrderWriter(cfg.group, fence)
+        self._schedule = schedule
+        self._resend_at = float('-inf')
+        self._hold_factor = 1
+
+    def step(
+        self,
+        event: CoordinatorEvent,
+        now: float,
+        rng: Random,
+    ) -> list[CoordinatorAction]:
+        """Handle one event and return what to do, in order."""
+        if isinstance(self.state, Stopped):
+            return []
+        match event:
+            case Tick():
+                return self._tick(now, rng)
+            case MapProposed():
+                return self._propose(event, now)
+            case RankReported(report):
+                return self._note_report(report)
+            case RanksAnnounced(ranks):
+                self.roster.announce(ranks)
+                return self._reconcile()
+            case RecordCommitted(record):
+                return self._note_commit(record)
+            case Superseded():
+                self.state = Stopped()
+        return []
+
+    def decide(self, decision: SwitchDecision) -> list[CoordinatorAction]:
+        """Decide durably; nothing is activated before."""
+        return self._persist(Decide(decision), decision.stamp)
+
+    def bump(self) -> list[CoordinatorAction]:
+        """End the incarnation and settle whatever was being prepared."""
+        settled = self.record.settled
+        if isinstance(self.state, Preparing):
+            settled = self.state.decision.stamp.map_version
+        change = Bump(self.record.incarnation + 1, settled)
+        return self._persist(change, MapStamp(change.incarnation, settled))
+
+    def _propose(
+        self,
+        event: MapProposed,
+        now: float,
+    ) -> list[CoordinatorAction]:
+        if not isinstance(self.state, Idle) or not self._fits(event):
+            return []
+        starts = self._schedule.reserve(event.fetch_bytes, now)
+        if starts is None:
+            return []
+        hold_ahead = event.hold_ahead * self._hold_factor
+        decision = SwitchDecision(
+            MapStamp(event.incarnation, self.record.settled + 1),
+            first_step(self.record, self.roster) + hold_ahead,
+            event.digest,
+            event.members,
+            event.placement,
+        )
+        self.state = Preparing(
+            decision,
+            base_stamp(self.record),
+            self.roster.lives(event.members),
+            event.fetch_bytes,
+            starts,
+            now + self._cfg.prepare_s,
+        )
+        return self._send_prepares(self.state)
+
+    def _fits(self, event: MapProposed) -> bool:
+        return (
+            self.roster.is_complete()
+            and event.incarnation == self.record.incarnation
+            and event.members == self.roster.announced
+        )
+
+    def _tick(self, now: float, rng: Random) -> list[CoordinatorAction]:
+        if now < self._resend_at:
+            return []
+        self._resend_at = now + self._cfg.resend_s * (_HALF + rng.random())
+        match self.state:
+            case Preparing(decision=decision, deadline_at=deadline_at):
+                if deadline_at <= now:
+                    return self._persist(
+                        Abort(decision.stamp.map_version),
+                        decision.stamp,
+                    )
+                return self._send_prepares(self.state)
+            case Persisting(change=change):
+                return [PersistDecision(change)]
+            case Activating(decision):
+                order = self._writer.activate(self.record)
+                return _send(self.roster.to_activate(decision), order)
+        query = _send(self.roster.announced or (), self._writer.query())
+        return query + self._reconcile()
+
+    def _note_report(self, report: RankReport) -> list[CoordinatorAction]:
+        if report.fence > self._fence:
+            self.state = Stopped()
+            return []
+        return self._reconcile() if self.roster.note(report) else []
+
+    def _reconcile(self) -> list[CoordinatorAction]:
+        """Compare the reports with the state, and act on the difference."""
+        match self.state:
+            case Idle():
+                need = find_need(self.record, self.roster, self._cfg.ranks)
+                if need is GroupNeed.BUMP:
+                    return self.bump()
+                if need is GroupNeed.MAP:
+                    members = self.roster.announced or ()
+                    return [NeedMap(self.record.incarnation, members)]
+            case Preparing():
+                return self._check_promises(self.state)
+            case Activating(decision):
+                return self._check_activation(decision)
+        return []
+
+    def _check_promises(self, state: Preparing) -> list[CoordinatorAction]:
+        stamp = state.decision.stamp
+        match check_promises(state, self.roster):
+            case PromiseCheck.MEMBER_LOST:
+                return self.bump()
+            case PromiseCheck.TOO_LATE:
+                grown = self._hold_factor * HOLD_GROWTH
+                self._hold_factor = min(grown, MAX_HOLD_FACTOR)
+                return self._persist(Abort(stamp.map_version), stamp)
+            case PromiseCheck.COMPLETE:
+                return self.decide(state.decision)
+        return []
+
+    def _check_activation(
+        self,
+        decision: SwitchDecision,
+    ) -> list[CoordinatorAction]:
+        if self.roster.lacks(decision):
+            ended = SwitchEnded(decision.stamp, 'interrupted')
+            return [ended, *self.bump()]
+        if self.roster.to_activate(decision):
+            return []
+        self._hold_factor = 1
+        self.state = Idle()
+        ended = SwitchEnded(decision.stamp, 'activated')
+        return [ended, *self._reconcile()]
+
+    def _persist(
+        self,
+        change: RecordChange,
+        stamp: MapStamp,
+    ) -> list[CoordinatorAction]:
+        self.state = Persisting(change, stamp)
+        return [PersistDecision(change)]
+
+    def _note_commit(self, record: GroupRecord) -> list[CoordinatorAction]:
+        state = self.state
+        if not isinstance(state, Persisting):
+            return []
+        if change_record(record, state.change) is not None:
+            # An older record: the change has not been committed yet.
+            return []
+        self.record = record
+        told = _send(self.roster.announced or (), self._writer.activate(record))
+        decision = record.decision
+        if decision is None or has_ended(record):
+            self.state = Idle()
+            return [*told, _name_end(state), *self._reconcile()]
+        self.state = Activating(decision)
+        if decision.stamp != state.stamp:
+            told.append(_name_end(state))
+        return told + self._reconcile()
+
+    def _send_prepares(self, state: Preparing) -> list[CoordinatorAction]:
+        return [
+            SendOrder(rank, self._writer.prepare(rank, state))
+            for rank in without_promise(state.decision, self.roster)
+        ]
+
+
+def _send(ranks: Iterable[str], order: RankOrder) -> list[CoordinatorAction]:
+    return [SendOrder(rank, order) for rank in ranks]
+
+
+def _name_end(state: Persisting) -> SwitchEnded:
+    aborted = isinstance(state.change, Abort)
+    outcome: Outcome = 'aborted' if aborted else 'interrupted'
+    return SwitchEnded(state.stamp, outcome)
--- /dev/null
+++ b/src/snipebend/experts/switch_group.py
@@ -0,0 +1,131 @@
+"""What a group needs, by its committed record and its ranks' reports."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from snipebend.experts.switch_messages import (
+    Activate,
+    GroupRecord,
+    MapStamp,
+    Prepare,
+    StatusQuery,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from snipebend.experts.switch_messages import RankOrder, SwitchDecision
+    from snipebend.experts.switch_roster import RankRoster
+    from snipebend.experts.switch_states import Preparing
+
+
+class GroupNeed(Enum):
+    """What is to be done for a group while no switch runs."""
+
+    NOTHING = 'nothing'
+    BUMP = 'bump'
+    MAP = 'map'
+
+
+class PromiseCheck(Enum):
+    """How far the members' promises are."""
+
+    MISSING = 'missing'
+    COMPLETE = 'complete'
+    TOO_LATE = 'too-late'
+    MEMBER_LOST = 'member-lost'
+
+
+def base_stamp(record: GroupRecord) -> MapStamp:
+    """Return the stamp of the decision in force, or the empty one."""
+    return record.decision.stamp if record.decision else MapStamp()
+
+
+def has_ended(record: GroupRecord) -> bool:
+    """Tell whether the record's incarnation has no map yet."""
+    return base_stamp(record).incarnation < record.incarnation
+
+
+def first_step(record: GroupRecord, roster: RankRoster) -> int:
+    """Return a step that no rank has entered in any incarnation."""
+    decided = record.decision.step if record.decision else 0
+    return max(roster.next_step(), decided)
+
+
+def find_need(
+    record: GroupRecord,
+    roster: RankRoster,
+    ranks: int,
+) -> GroupNeed:
+    """Compare the live ranks with the members in force.
+
+    The first incarnation waits for all ``ranks`` of the group.
+    """
+    members = roster.announced
+    if not members or not roster.is_complete():
+        return GroupNeed.NOTHING
+    if has_ended(record):
+        return GroupNeed.MAP
+    decision = record.decision
+    if decision is None:
+        complete = len(members) >= ranks
+        return GroupNeed.BUMP if complete else GroupNeed.NOTHING
+    if decision.members != members or roster.lacks(decision):
+        return GroupNeed.BUMP
+    return GroupNeed.NOTHING
+
+
+def check_promises(state: Preparing, roster: RankRoster) -> PromiseCheck:
+    """Compare the members' reports with what is being prepared."""
+    stamp = state.decision.stamp
+    reports = [roster.find(rank) for rank in state.decision.members]
+    known = [report for report in reports if report is not None]
+    if len(known) < len(reports) or any(
+        report.life != state.lives[report.rank] for report in known
+    ):
+        return PromiseCheck.MEMBER_LOST
+    if any(report.too_late == stamp for report in known):
+        return PromiseCheck.TOO_LATE
+    if all(report.prepared == stamp for report in known):
+        return PromiseCheck.COMPLETE
+    return PromiseCheck.MISSING
+
+
+class OrderWriter(NamedTuple):
+    """Writes the orders of one coordinator."""
+
+    group: str
+    fence: int
+
+    def query(self) -> RankOrder:
+        """Ask for a report."""
+        return StatusQuery(self.group, self.fence)
+
+    def activate(self, record: GroupRecord) -> RankOrder:
+        """Tell the committed record."""
+        return Activate(self.group, self.fence, record)
+
+    def prepare(self, rank: str, state: Preparing) -> RankOrder:
+        """Ask for a promise."""
+        return Prepare(
+            self.group,
+            self.fence,
+            state.lives[rank],
+            state.base,
+            state.decision,
+            state.fetch_bytes.get(rank, 0),
+            state.fetch_at.get(rank, 0),
+        )
+
+
+def without_promise(
+    decision: SwitchDecision,
+    roster: RankRoster,
+) -> Iterable[str]:
+    """Return the members that have not promised yet."""
+    for rank in decision.members:
+        report = roster.find(rank)
+        if report is None or report.prepared != decision.stamp:
+            yield rank
--- /dev/null
+++ b/src/snipebend/experts/switch_messages.py
@@ -0,0 +1,161 @@
+"""Messages and records of the expert map switch.
+
+Steps are counted from 0 in each group; map versions grow by one with every
+proposal of a group, whether it is decided or aborted in the end.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class MapStamp(Struct, frozen=True, order=True):
+    """What each step barrier carries: the incarnation and its map version."""
+
+    incarnation: int = 0
+    map_version: int = 0
+
+
+class SwitchDecision(Struct, frozen=True):
+    """The decided map: in force from ``step`` on among ``members``.
+
+    ``placement`` is the encoded map, which ``digest`` identifies.
+    """
+
+    stamp: MapStamp
+    step: int
+    digest: str
+    members: tuple[str, ...]
+    placement: bytes = b''
+
+
+class GroupRecord(Struct, frozen=True):
+    """The committed state of one group.
+
+    ``incarnation`` may be ahead of the decision's while a map for the new
+    members is prepared. All versions up to ``settled`` are decided or aborted.
+    """
+
+    incarnation: int = 0
+    settled: int = 0
+    decision: SwitchDecision | None = None
+
+
+class Decide(Struct, frozen=True, tag=True):
+    """Put a prepared map in force; committed before any activation."""
+
+    decision: SwitchDecision
+
+
+class Abort(Struct, frozen=True, tag=True):
+    """Give up a version for good."""
+
+    map_version: int
+
+
+class Bump(Struct, frozen=True, tag=True):
+    """Begin a new incarnation, which settles every version so far."""
+
+    incarnation: int
+    settled: int
+
+
+RecordChange = Decide | Abort | Bump
+
+
+class Prepare(Struct, frozen=True, tag=True):
+    """Fetch a map's weights, then promise to hold at ``hold_step``.
+
+    ``base`` is the stamp that the map replaces, ``fetch_bytes`` the rank's
+    share of the weights, to be fetched no earlier than ``fetch_at`` (seconds).
+    Only the ``life`` of the rank that the coordinator has heard may accept: a
+    rank that restarted has lost what it had entered and promised.
+    """
+
+    group: str
+    fence: int
+    life: int
+    base: MapStamp
+    decision: SwitchDecision
+    fetch_bytes: int = 0
+    fetch_at: float = 0
+
+
+class Activate(Struct, frozen=True, tag=True):
+    """The committed record of the group, pushed or as an answer to a rank."""
+
+    group: str
+    fence: int
+    record: GroupRecord
+
+
+class StatusQuery(Struct, frozen=True, tag=True):
+    """Ask a rank for its report."""
+
+    group: str
+    fence: int
+
+
+RankOrder = Prepare | Activate | StatusQuery
+
+
+class RankReport(Struct, frozen=True):
+    """What a rank answers to every order.
+
+    ``life`` grows with each start of the rank's guard and ``sequence`` with
+    each report. ``installed`` is the newest stamp whose decision the rank
+    knows, ``prepared`` the stamp that it has promised to hold for, and
+    ``too_late`` one whose hold step had passed. ``next_step`` is the first
+    step that the rank has not entered.
+    """
+
+    rank: str
+    life: int
+    sequence: int
+    fence: int
+    installed: MapStamp
+    prepared: MapStamp
+    too_late: MapStamp
+    next_step: int
+    refused: bool = False
+
+
+class BarrierEntry(Struct, frozen=True):
+    """A rank's arrival at the barrier of a step."""
+
+    rank: str
+    step: int
+    stamp: MapStamp
+
+
+def change_record(
+    record: GroupRecord, change: RecordChange
+) -> GroupRecord | None:
+    """Return the record after a change, or None if it no longer applies.
+
+    Every version is settled once, and only in the current incarnation; the
+    caller checks the fence of whoever asks for the change.
+    """
+    match change:
+        case Decide(decision):
+            return _decide(record, decision)
+        case Abort(map_version) if map_version > record.settled:
+            return GroupRecord(record.incarnation, map_version, record.decision)
+        case Bump(incarnation, settled) if incarnation > record.incarnation:
+            return GroupRecord(
+                incarnation,
+                max(settled, record.settled),
+                record.decision,
+            )
+    return None
+
+
+def _decide(
+    record: GroupRecord, decision: SwitchDecision
+) -> GroupRecord | None:
+    stamp = decision.stamp
+    if stamp.incarnation != record.incarnation:
+        return None
+    if stamp.map_version <= record.settled:
+        return None
+    return GroupRecord(record.incarnation, stamp.map_version, decision)
--- /dev/null
+++ b/src/snipebend/experts/switch_rank.py
@@ -0,0 +1,168 @@
+"""The guard of one rank: which step may run, and under which expert map.
+
+A pure machine. A rank that acknowledged ``Prepare`` enters no step at or
+beyond the hold step before it knows the decision, which is the participant's
+side of two-phase commit (Gray, Notes on Data Base Operating Systems, 1978)
+with the blocking limited to the hold.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.experts.switch_events import Tick
+from snipebend.experts.switch_messages import (
+    Activate,
+    Prepare,
+    RankOrder,
+    RankReport,
+    StatusQuery,
+)
+from snipebend.experts.switch_promise import RankPromise
+from snipebend.experts.switch_rank_events import (
+    AskDecision,
+    BarrierSeen,
+    EntryRefused,
+    FetchWeights,
+    OrderArrived,
+    RankAction,
+    RankEvent,
+    SendReport,
+    StepFinished,
+    WeightsFetched,
+)
+from snipebend.experts.switch_runner import StepRunner
+
+if TYPE_CHECKING:
+    from random import Random
+
+#: Seconds between two questions for a decision, before jitter.
+ASK_EVERY_S = 0.2
+
+_HALF = 0.5
+
+
+class RankGuard:
+    """One life of one rank; a restart makes a new guard with a higher life."""
+
+    def __init__(self, rank: str, life: int, fence: int) -> None:
+        """Begin without a map; ``fence`` was read from a quorum."""
+        self.rank = rank
+        self.life = life
+        self.fence = fence
+        self.promise = RankPromise()
+        self.runner = StepRunner(rank, self.promise)
+        self._sequence = 0
+        self._ask_at = float('-inf')
+
+    def step(
+        self,
+        event: RankEvent,
+        now: float,
+        rng: Random,
+    ) -> list[RankAction]:
+        """Handle one event and return what to do, in order."""
+        return self._dispatch(event, now, rng) + self.runner.advance()
+
+    def report(self, *, refused: bool = False) -> RankReport:
+        """Return the rank's state for the coordinators."""
+        self._sequence += 1
+        return RankReport(
+            rank=self.rank,
+            life=self.life,
+            sequence=self._sequence,
+            fence=self.fence,
+            installed=self.promise.installed,
+            prepared=self.promise.prepared,
+            too_late=self.promise.too_late,
+            next_step=self.runner.next_step,
+            refused=refused,
+        )
+
+    def is_stale(self, fence: int) -> bool:
+        """Tell whether an order comes from a former holder of the fence."""
+        return fence < self.fence
+
+    def may_promise(self) -> bool:
+        """Tell whether the weights for the promise are there."""
+        return self.promise.is_fetched()
+
+    def _dispatch(
+        self,
+        event: RankEvent,
+        now: float,
+        rng: Random,
+    ) -> list[RankAction]:
+        match event:
+            case Tick():
+                return self._tick(now, rng)
+            case OrderArrived(order):
+                return self._take_order(order)
+            case WeightsFetched(digest):
+                self.promise.note_fetched(digest)
+                return self._try_promise()
+            case BarrierSeen(entry):
+                return self.runner.note_entry(entry)
+            case EntryRefused(incarnation):
+                return self._note_refusal(incarnation)
+            case StepFinished(step):
+                self.runner.finish(step)
+        return []
+
+    def _tick(self, now: float, rng: Random) -> list[RankAction]:
+        if now < self._ask_at:
+            return []
+        self._ask_at = now + ASK_EVERY_S * (_HALF + rng.random())
+        actions = self.runner.resend()
+        if self.runner.in_force is None or self.promise.hold_step is not None:
+            actions.append(AskDecision())
+        return actions
+
+    def _take_order(self, order: RankOrder) -> list[RankAction]:
+        if self.is_stale(order.fence):
+            return [SendReport(self.report(refused=True))]
+        self.fence = max(self.fence, order.fence)
+        match order:
+            case Prepare():
+                return self._prepare(order)
+            case Activate(record=record):
+                self.promise.learn(record, self.runner.next_step)
+            case StatusQuery():
+                # It asks for nothing but the report below.
+                pass  # noqa: WPS420  # a case needs a body
+        return [SendReport(self.report())]
+
+    def _prepare(self, order: Prepare) -> list[RankAction]:
+        if not self._is_acceptable(order):
+            return [SendReport(self.report())]
+        if self.promise.take_up(order):
+            size, moment = order.fetch_bytes, order.fetch_at
+            fetch = FetchWeights(order.decision.digest, size, moment)
+            return [fetch, *self._try_promise()]
+        return self._try_promise()
+
+    def _is_acceptable(self, order: Prepare) -> bool:
+        stamp = order.decision.stamp
+        if order.life != self.life or self.rank not in order.decision.members:
+            return False
+        if stamp <= self.promise.newest:
+            return False
+        if stamp.incarnation > self.promise.installed.incarnation:
+            return True
+        # Within an incarnation one map follows another: none may be skipped.
+        return (
+            order.base == self.promise.installed
+            and self.promise.pending is None
+        )
+
+    def _try_promise(self) -> list[RankAction]:
+        if not self.may_promise():
+            return []
+        self.promise.promise(self.runner.next_step)
+        return [SendReport(self.report())]
+
+    def _note_refusal(self, incarnation: int) -> list[RankAction]:
+        if incarnation <= self.runner.stamp.incarnation:
+            return []
+        self.promise.stop_at(self.runner.next_step)
+        return [AskDecision()]
--- /dev/null
+++ b/src/snipebend/experts/switch_roster.py
@@ -0,0 +1,96 @@
+"""The ranks of a group as a coordinator knows them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from snipebend.experts.switch_messages import RankReport, SwitchDecision
+
+
+class RankRoster:
+    """Who is held for alive, and each rank's newest report."""
+
+    def __init__(self, fence: int) -> None:
+        """Begin with nobody; only reports under ``fence`` count.
+
+        A report under a lower fence was sent before the rank heard of this
+        coordinator, so it may be arbitrarily late.
+        """
+        self.announced: tuple[str, ...] | None = None
+        self._fence = fence
+        self._reports: dict[str, RankReport] = {}
+
+    def announce(self, ranks: Iterable[str]) -> None:
+        """Set the ranks that are held for alive and forget the others."""
+        self.announced = tuple(sorted(ranks))
+        for lost in self._reports.keys() - set(self.announced):
+            self._reports.pop(lost)
+
+    def note(self, report: RankReport) -> bool:
+        """Keep a report; return False for a late or repeated one."""
+        if report.fence != self._fence or not self._is_alive(report.rank):
+            return False
+        known = self._reports.get(report.rank)
+        if known is not None and _order(report) <= _order(known):
+            return False
+        self._reports[report.rank] = report
+        return True
+
+    def find(self, rank: str) -> RankReport | None:
+        """Return the newest report of a rank."""
+        return self._reports.get(rank)
+
+    def is_complete(self) -> bool:
+        """Tell whether every live rank has reported."""
+        return self.announced is not None and all(
+            rank in self._reports for rank in self.announced
+        )
+
+    def lives(self, members: Iterable[str]) -> dict[str, int]:
+        """Return the lives of members, all of which must have reported."""
+        return {rank: self._reports[rank].life for rank in members}
+
+    def next_step(self) -> int:
+        """Return the first step that no rank has entered."""
+        steps = [report.next_step for report in self._reports.values()]
+        return max(steps, default=0)
+
+    def lacks(self, decision: SwitchDecision) -> bool:
+        """Tell whether a member can't go on under a committed decision.
+
+        It is lost, or it has neither installed nor promised the map, as after
+        a restart. A member that has not reported yet is given time.
+        """
+        return any(self._is_unfit(rank, decision) for rank in decision.members)
+
+    def all_installed(self, decision: SwitchDecision) -> bool:
+        """Tell whether every member knows of a decision."""
+        return not self.to_activate(decision)
+
+    def to_activate(self, decision: SwitchDecision) -> list[str]:
+        """Return the members that do not know of a decision."""
+        return [
+            rank
+            for rank in decision.members
+            if rank not in self._reports
+            or self._reports[rank].installed != decision.stamp
+        ]
+
+    def _is_alive(self, rank: str) -> bool:
+        return self.announced is not None and rank in self.announced
+
+    def _is_unfit(self, rank: str, decision: SwitchDecision) -> bool:
+        if not self._is_alive(rank):
+            return self.announced is not None
+        report = self._reports.get(rank)
+        return report is not None and decision.stamp not in {
+            report.installed,
+            report.prepared,
+        }
+
+
+def _order(report: RankReport) -> tuple[int, int]:
+    return (report.life, report.sequence)
--- /dev/null
+++ b/tests/experts/test_switch_search.py
@@ -0,0 +1,141 @@
+"""A seeded search over schedules of the expert map switch."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+
+from snipebend.experts.switch_barrier import Verdict
+from snipebend.experts.switch_coordinator import SwitchCoordinator
+from snipebend.experts.switch_events import NeedMap, SendOrder
+from snipebend.experts.switch_messages import Activate, Decide, change_record
+from snipebend.experts.switch_rank import RankGuard
+from snipebend.experts.switch_rank_events import BarrierSeen
+from snipebend.experts.switch_runner import StepRunner
+from snipebend.experts.switch_states import Activating, Idle
+from tests.experts.switch_world import GROUP, BrokenPromiseError, World
+
+SCHEDULES = 200
+EVENTS = 1500
+SETTLING_ROUNDS = 120
+
+#: A planted fault must be found within this many schedules.
+FAULT_SCHEDULES = 200
+
+
+class EagerCoordinator(SwitchCoordinator):
+    """Activates without a durable decision."""
+
+    def decide(self, decision):
+        self.record = change_record(self.record, Decide(decision))
+        self.state = Activating(decision)
+        order = Activate(GROUP, self._fence, self.record)
+        return [SendOrder(rank, order) for rank in decision.members]
+
+
+class SameIncarnationCoordinator(SwitchCoordinator):
+    """Goes on in the incarnation of a lost rank."""
+
+    def bump(self):
+        if self.record.incarnation == 0:
+            return super().bump()
+        self.state = Idle()
+        return [NeedMap(self.record.incarnation, self.roster.announced)]
+
+
+class HoldlessRunner(StepRunner):
+    """Enters steps beyond the hold."""
+
+    def may_enter(self, step):
+        return True
+
+
+class CarelessRunner(StepRunner):
+    """Compares nobody's stamps at the barrier."""
+
+    def note_entry(self, entry):
+        self._barrier.note(entry)
+        return []
+
+    def judge_barrier(self):
+        seen = None not in self._barrier.stamps()
+        return Verdict.AGREED if seen else Verdict.WAITING
+
+
+def with_runner(runner):
+    def make(rank, life, fence):
+        guard = RankGuard(rank, life, fence)
+        guard.runner = runner(rank, guard.promise)
+        return guard
+
+    return make
+
+
+class ForgetfulGuard(RankGuard):
+    """Takes orders under old fences."""
+
+    def is_stale(self, fence):
+        return False
+
+
+class HastyGuard(RankGuard):
+    """Promises before the weights are there."""
+
+    def may_promise(self):
+        return self.promise.fetching is not None
+
+
+FAULTS = {
+    'activate without durable decision': {'coordinator': EagerCoordinator},
+    'no hold': {'guard': with_runner(HoldlessRunner)},
+    'barrier without version check': {'guard': with_runner(CarelessRunner)},
+    'incarnation not bumped': {'coordinator': SameIncarnationCoordinator},
+    'old fence accepted': {'guard': ForgetfulGuard},
+    'ack before weights fetched': {'guard': HastyGuard},
+}
+
+
+def find_fault(seed: int, **machines: object) -> str:
+    """Run one schedule; name what it broke, or return nothing."""
+    world = World(seed, **machines)
+    try:
+        world.run(EVENTS)
+        progress = world.settle(SETTLING_ROUNDS)
+    except BrokenPromiseError as exc:
+        return str(exc.args)
+    return '' if progress else 'no progress'
+
+
+class SwitchSearchTest(unittest.TestCase):
+    def test_no_step_under_two_maps_and_progress(self) -> None:
+        steps = switches = stopped = 0
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                world = World(seed)
+                world.run(EVENTS)
+                self.assertTrue(world.settle(SETTLING_ROUNDS), world.record)
+                steps += world.checker.steps
+                switches += world.activated
+                stopped += world.checker.stopped
+        sys.stdout.write(
+            f'switch search: {SCHEDULES} schedules of {EVENTS} events, '
+            f'{steps} steps run, {switches} switches, '
+            f'{stopped} steps stopped at the barrier\n',
+        )
+        self.assertGreater(steps, SCHEDULES * 10)
+        self.assertGreater(switches, SCHEDULES * 2)
+
+    def test_planted_faults_are_found(self) -> None:
+        for name, machines in FAULTS.items():
+            with self.subTest(fault=name):
+                found = ''
+                for seed in range(FAULT_SCHEDULES):
+                    found = find_fault(seed, **machines)
+                    if found:
+                        break
+                sys.stdout.write(f'{name}: seed {seed}: {found[:70]}\n')
+                self.assertTrue(found)
+
+
+if __name__ == '__main__':
+    unittest.main()
