Replicate the state over three control daemons

One task owns the core and the state machine; files are written by another one in threads, and messages to each peer go over one open call. A command that reaches a follower makes one hop to the leader and is asked again until its deadline; each command may be executed twice without harm. Reads ask the leader for an index and wait until it is executed here.

The first daemon of the settings' list founds the group once all others know of none; a daemon whose disk is new takes a new identity and joins as a learner in place of its old one, after the leader has called it back.

Process tests kill, stop, isolate, wipe, fill and silence one of three.

--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -55,6 +55,19 @@
         """Return a snapshot with all dedupe tables."""
         return msgpack.encode(self.state)
 
+    def sizes(self) -> dict[str, int]:
+        """Return the revision and how much the tables hold."""
+        state = self.state
+        ledgers = state.claims.ledgers.values()
+        return {
+            'revision': state.configuration.revision,
+            'change_ids': len(state.configuration.answers),
+            'claims': sum(len(ledger.claims) for ledger in ledgers),
+            'answer_bytes': sum(ledger.answer_bytes for ledger in ledgers),
+            'fences': len(state.fences.fences),
+            'deaths': len(state.crashes.deaths),
+        }
+
     def execute(self, command: Command) -> Reply:
         """Carry out one command; time in the state only grows."""
         state = self.state
--- a/src/snipebend/transport/group_api.py
+++ b/src/snipebend/transport/group_api.py
@@ -11,6 +11,7 @@
 from snipebend.kernel.service import Service
 from snipebend.transport.group_messages import (
     DeliveryEnd,
+    GroupReply,
     HelloReply,
     JoinReply,
     ReadIndexReply,
@@ -37,7 +38,6 @@
         ForwardReply,
         ForwardRequest,
         GroupQuery,
-        GroupReply,
         HelloRequest,
         JoinRequest,
         ReadIndexRequest,
@@ -73,36 +73,46 @@
 
     async def hello(self, req: HelloRequest) -> HelloReply:
         """Tell who this is and the members it knows."""
-        return HelloReply(self._state.own, self._state.members)
+        group = self._state.group
+        if group is None:
+            return HelloReply(self._state.own)
+        return HelloReply(self._state.own, group.replica.status.members)
 
     async def join(self, req: JoinRequest) -> JoinReply:
         """Take in a member with a new disk, if this daemon leads."""
-        if not self._state.leads:
+        group = self._state.found_group()
+        if not group.replica.leads:
             return JoinReply(accepted=False, reason=_NOT_LEADING)
-        return await self._state.repairs.join(req)
+        return await group.repairs.join(req)
 
     async def forward(self, req: ForwardRequest) -> ForwardReply:
         """Execute a follower's command, if this daemon leads."""
-        reply = await self._state.questions.take_forwarded(req)
+        group = self._state.found_group()
+        reply = await group.questions.take_forwarded(req)
         if reply is None:
             raise GRPCError(Status.UNAVAILABLE, _NOT_LEADING)
         return reply
 
     async def read_index(self, req: ReadIndexRequest) -> ReadIndexReply:
         """Return the index for a follower's read, if this daemon leads."""
-        answer = await self._state.questions.read_index(HOP_S)
+        group = self._state.found_group()
+        answer = await group.questions.read_index(HOP_S)
         if answer.is_err():
             raise GRPCError(Status.UNAVAILABLE, _NOT_LEADING)
         return ReadIndexReply(answer.unwrap())
 
     async def describe(self, req: GroupQuery) -> GroupReply:
         """Return this daemon's view of the group."""
-        return self._state.describe()
+        group = self._state.group
+        if group is None:
+            return GroupReply(self._state.own)
+        return group.describe()
 
     def _take_in(self, delivery: Delivery) -> None:
-        replica = self._state.replica
-        if replica is None:
+        group = self._state.group
+        if group is None:
             return
+        replica = group.replica
         for envelope in delivery.envelopes:
             replica.links.learn_address(
                 envelope.source, delivery.source_address
--- a/src/snipebend/transport/group_questions.py
+++ b/src/snipebend/transport/group_questions.py
@@ -63,6 +63,7 @@
         self._clients = clients
         self._clock = clock
         self._numbers = count()
+        self.confirmed_at: float | None = None
 
     async def execute(
         self, command: Command
@@ -77,17 +78,25 @@
         return await self._until_deadline(once)
 
     async def read(self) -> Result[int, UnavailableError]:
-        """Wait until all is executed here that was committed before."""
+        """Wait until all is executed here that was committed before.
+
+        ``confirmed_at`` becomes the time of the call: a quorum confirmed that
+        nothing newer had been committed by then.
+        """
 
         async def once(remaining: float) -> Answer:
             if self._replica.leads:
                 return await self.read_index(remaining)
             return await self._forward_read(remaining)
 
+        began = self._clock.now()
         index = await self._until_deadline(once)
         if index.is_err():
             return index
-        return await self._replica.executed(index.unwrap(), DEADLINE_S)
+        answer = await self._replica.executed(index.unwrap(), DEADLINE_S)
+        if answer.is_ok():
+            self.confirmed_at = max(began, self.confirmed_at or began)
+        return answer
 
     async def propose(self, command: Command, timeout: float) -> Answer:
         """Propose a command here, with the time of this leader."""
--- /dev/null
+++ b/src/snipebend/transport/group_start.py
@@ -0,0 +1,94 @@
+"""Opens a daemon's data folder and enters its group."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+from snipebend.consensus.folder_lock import FolderLock
+from snipebend.consensus.records import Member, Members
+from snipebend.consensus.storage import Storage
+from snipebend.transport.founding import Founding
+from snipebend.transport.group import Group
+from snipebend.transport.rpc import RpcClients
+
+if TYPE_CHECKING:
+    from snipebend.consensus.storage import Opened
+    from snipebend.kernel.registry import Registry
+    from snipebend.settings.model import ControlSettings
+
+
+class GroupStart:
+    """The data folder from its lock to its release."""
+
+    def __init__(self, cfg: ControlSettings) -> None:
+        """Keep the settings; nothing is opened yet."""
+        folder = Path(cfg.storage.folder)
+        self._cfg = cfg
+        self._lock = FolderLock(folder)
+        self._storage = Storage(folder)
+        self._clients = RpcClients()
+        self._opened: Opened | None = None
+
+    def open(self) -> Member:
+        """Lock and read the folder; return who this daemon is.
+
+        Raises:
+            CorruptionError: when the folder is damaged.
+            UnavailableError: when another process uses the folder.
+        """
+        self._lock.acquire()
+        self._opened = self._storage.open(uuid4().hex)
+        return self._own
+
+    async def enter(
+        self, registry: Registry, notify: Callable[[], None]
+    ) -> Group:
+        """Return the group, once it is known; that may take time."""
+        opened = self._read
+        restored = opened.restored
+        if not (restored.members.voters or restored.entries):
+            restored = restored._replace(members=await self._find_members())
+        return Group(
+            self._cfg,
+            self._own,
+            opened._replace(restored=restored),
+            self._storage,
+            registry,
+            self._clients,
+            notify,
+        )
+
+    def close(self) -> None:
+        """Close connections and give the folder back."""
+        self._clients.close()
+        self._lock.release()
+
+    @property
+    def _read(self) -> Opened:
+        assert self._opened is not None, 'open() comes first'
+        return self._opened
+
+    @property
+    def _own(self) -> Member:
+        listed = {one.name: one.address for one in self._cfg.members}
+        listen = self._cfg.listen
+        name = self._cfg.process.name
+        default = f'{listen.host}:{listen.grpc_port}'
+        return Member(self._read.member_id, name, listed.get(name, default))
+
+    async def _find_members(self) -> Members:
+        if not self._cfg.members:
+            members = Members((self._own,))
+            await asyncio.to_thread(self._storage.found, members)
+            return members
+        founding = Founding(
+            self._own,
+            [member.address for member in self._cfg.members],
+            self._clients,
+            self._storage.found,
+        )
+        return await founding.find()
--- a/src/snipebend/transport/repairs.py
+++ b/src/snipebend/transport/repairs.py
@@ -19,7 +19,8 @@
 if TYPE_CHECKING:
     from snipebend.consensus.records import Member
     from snipebend.transport.group_messages import JoinRequest
-    from snipebend.transport.replicated_state import ReplicatedState
+    from snipebend.transport.group_questions import GroupQuestions
+    from snipebend.transport.replica import Replica
     from snipebend.transport.rpc import RpcClients
 
 #: Seconds between two looks at the learners.
@@ -38,12 +39,14 @@
 
     def __init__(
         self,
-        state: ReplicatedState,
+        replica: Replica,
+        questions: GroupQuestions,
         names: frozenset[str],
         clients: RpcClients,
     ) -> None:
-        """Keep the state; only the listed names may join."""
-        self._state = state
+        """Keep the replica; only the listed names may join."""
+        self._replica = replica
+        self._questions = questions
         self._names = names
         self._clients = clients
 
@@ -51,8 +54,8 @@
         """Promote learners that have caught up, until cancelled."""
         while True:
             await asyncio.sleep(EVERY_S)
-            if self._state.leads:
-                for learner in self._state.members.learners:
+            if self._replica.leads:
+                for learner in self._replica.status.members.learners:
                     await self._promote(learner)
 
     async def join(self, req: JoinRequest) -> JoinReply:
@@ -94,7 +97,7 @@
         return answer.is_ok() and answer.unwrap().member == member
 
     async def _change(self, change: MembersChange) -> bool:
-        answer = await self._state.change_members(change)
+        answer = await self._questions.change_members(change)
         return answer.is_ok()
 
     def _namesakes(self, joiner: Member) -> list[Member]:
@@ -106,5 +109,5 @@
         ]
 
     def _everybody(self) -> tuple[Member, ...]:
-        members = self._state.members
+        members = self._replica.status.members
         return members.voters + members.learners
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -8,20 +8,7 @@
 
 from loguru import logger
 
-from snipebend.consensus.actions import (
-    Action,
-    Commit,
-    InstallSnapshot,
-    NeedSnapshot,
-    Persist,
-    ProposalCommitted,
-    ProposalRejected,
-    ReadReady,
-    ReadRejected,
-    Role,
-    RoleChanged,
-    Send,
-)
+from snipebend.consensus.actions import Role
 from snipebend.consensus.core import Core
 from snipebend.consensus.events import (
     Event,
@@ -29,11 +16,10 @@
     SnapshotInstalled,
     SnapshotTaken,
 )
-from snipebend.consensus.records import SnapshotMeta
-from snipebend.consensus.snapshot_file import Snapshot
 from snipebend.errors.hierarchy import CorruptionError
 from snipebend.kernel.mailbox import Mailbox
 from snipebend.transport.applier import Applier
+from snipebend.transport.effects import Effects
 from snipebend.transport.letters import (
     Ask,
     Letter,
@@ -45,21 +31,13 @@
     Tell,
 )
 from snipebend.transport.questions import Questions
-from snipebend.transport.storage_writer import (
-    LoadSnapshot,
-    ReplaceSnapshot,
-    SaveSnapshot,
-    StorageWriter,
-)
+from snipebend.transport.storage_writer import StorageWriter
 
 if TYPE_CHECKING:
     from snipebend.consensus.config import CoreConfig
     from snipebend.consensus.core import CoreStatus
-    from snipebend.consensus.messages import Envelope
-    from snipebend.consensus.records import Member
     from snipebend.consensus.storage import Opened, Storage
     from snipebend.kernel.clock import Clock
-    from snipebend.state.commands import Reply
     from snipebend.transport.letters import Answer
     from snipebend.transport.peer_links import PeerLinks
 
@@ -70,9 +48,9 @@
 
 
 class Replica:
-    """Steps the core, carries out its actions and executes commands.
+    """Steps the core with the letters of other tasks.
 
-    ``notify`` is called whenever entries were executed.
+    ``notify`` is called whenever the configuration has changed.
     """
 
     def __init__(
@@ -87,22 +65,23 @@
     ) -> None:
         """Restore core and machine from what the disk held."""
         self._clock = clock
-        self.links = links
         self._notify = notify
         # Spreads elections only; nobody gains by guessing it.
         self._rng = random.Random()
         self._letters: Mailbox[Letter] = Mailbox(_CAPACITY)
-        self._questions = Questions()
-        self._replies: dict[int, Reply | None] = {}
+        self.links = links
         self.storage_error = ''
         self.writer = StorageWriter(storage, self.post)
+        self.questions = Questions()
         meta = opened.restored.snapshot
         start = meta.index if meta else 0
         self.applier = Applier(opened.payload, start, snapshot_every)
         self._core = Core(
             cfg, opened.member_id, opened.restored, clock.now(), self._rng
         )
-        self.links.learn(self._everybody())
+        self._effects = Effects(
+            self._core, links, self.writer, self.applier, self.questions
+        )
 
     @property
     def status(self) -> CoreStatus:
@@ -122,7 +101,7 @@
 
     async def executed(self, index: int, timeout: float) -> Answer:
         """Wait until an index is executed here."""
-        return await self._questions.wait(index, self.applier.index, timeout)
+        return await self.questions.wait(index, self.applier.index, timeout)
 
     def post(self, letter: Letter) -> None:
         """Send a letter that must not get lost."""
@@ -142,7 +121,7 @@
         except CorruptionError as exc:
             logger.critical('event=replica_failed error={!r}', str(exc))
             self.storage_error = str(exc)
-            self._questions.fail_all(str(exc))
+            self.questions.fail_all(str(exc))
 
     async def _collect(self) -> list[Letter]:
         letters = [await self._letters.receive()]
@@ -151,27 +130,24 @@
         return letters
 
     def _step(self, letters: list[Letter]) -> None:
+        revision = self.applier.revision
         events: list[Event] = []
         for letter in letters:
             events.extend(self._to_events(letter))
         actions = self._core.step_all(events, self._clock.now(), self._rng)
-        for action in actions:
-            self._carry_out(action)
-        self._replies.clear()
-        self._questions.executed(self.applier.index)
-        if self.applier.snapshot_due():
-            self._save_snapshot()
+        self._effects.carry_out(actions)
+        if self.applier.revision > revision:
+            self._notify()
 
     def _to_events(self, letter: Letter) -> list[Event]:
         match letter:
             case Tell(event):
                 return [event]
             case Ask(event, _):
-                self._questions.add(letter)
+                self.questions.add(letter)
                 return [event]
             case SnapshotReplaced(snapshot):
                 self.applier.replace(snapshot)
-                self._notify()
                 return [SnapshotInstalled(snapshot.meta.index)]
             case SnapshotSaved(keep):
                 return self._drop_log(keep)
@@ -185,68 +161,9 @@
             case StorageFailed(error):
                 raise error
 
-    def _carry_out(self, action: Action) -> None:
-        match action:
-            case Send(envelope):
-                self._send(envelope)
-            case Persist():
-                self.writer.put(action)
-            case Commit(entries):
-                for entry in entries:
-                    self._replies[entry.index] = self.applier.apply(entry)
-                self._notify()
-            case ProposalCommitted(proposal_id, index):
-                reply = self._replies.get(index)
-                self._questions.answer(proposal_id, reply)
-            case ProposalRejected() | ReadRejected():
-                self._questions.reject(action)
-            case ReadReady(read_id, index):
-                self._questions.read_ready(read_id, index)
-            case InstallSnapshot() | NeedSnapshot() | RoleChanged():
-                self._carry_out_rare(action)
-
-    def _send(self, envelope: Envelope) -> None:
-        if not self.links.send(envelope):
-            # A member that was added since the last look.
-            self.links.learn(self._everybody())
-            self.links.send(envelope)
-
-    def _carry_out_rare(
-        self, action: InstallSnapshot | NeedSnapshot | RoleChanged
-    ) -> None:
-        match action:
-            case InstallSnapshot(payload, index, term, members):
-                meta = SnapshotMeta(index, term, members)
-                self.writer.put(ReplaceSnapshot(Snapshot(meta, payload)))
-            case NeedSnapshot(target):
-                self.writer.put(LoadSnapshot(target))
-            case RoleChanged(role, term, leader):
-                self.links.learn(self._everybody())
-                logger.info(
-                    'event=role role={} term={} leader={}',
-                    role.value,
-                    term,
-                    leader.name if leader else '-',
-                )
-
-    def _save_snapshot(self) -> None:
-        index = self.applier.index
-        meta = SnapshotMeta(
-            index,
-            self._core.term_at(index) or 0,
-            self._core.members_at(index),
-        )
-        snapshot = Snapshot(meta, self.applier.machine.encode())
-        self.writer.put(SaveSnapshot(snapshot, self.applier.keep_index()))
-        logger.info('event=snapshot index={}', index)
-
     def _drop_log(self, keep: int) -> list[Event]:
         """Let the core forget what a snapshot covers, if it still has it."""
         term = self._core.term_at(keep)
         if term is None or not keep:
             return []
         return [SnapshotTaken(keep, term, self._core.members_at(keep))]
-
-    def _everybody(self) -> tuple[Member, ...]:
-        members = self._core.status().members
-        return members.voters + members.learners
--- a/tests/daemons/control_group.py
+++ b/tests/daemons/control_group.py
@@ -150,6 +150,12 @@
         await until(look)
         return voters[-1]
 
+    async def close(self) -> None:
+        """End all daemons and connections."""
+        await self.kill(*tuple(self.programs))
+        self.clients.close()
+        self.wires.close()
+
     def _owner(self, port: int) -> str:
         for name, program in self.programs.items():
             if owns_port(program.process.pid, port):
@@ -191,6 +197,4 @@
         await group.wait_voters(*NAMES)
         yield group
     finally:
-        await group.kill(*tuple(group.programs))
-        group.clients.close()
-        group.wires.close()
+        await group.close()
--- a/tests/daemons/test_replicated_control.py
+++ b/tests/daemons/test_replicated_control.py
@@ -43,20 +43,24 @@
     async def test_racing_operators_with_equal_numbers(self) -> None:
         async with control_group(self.folder) as group:
             for expected in range(3):
-                replies = await asyncio.gather(
-                    *(
-                        group.apply(name, expected, fleet_text(number))
-                        for number, name in enumerate(NAMES * 2)
-                    ),
-                )
-                outcomes = [reply.outcome for reply in replies if reply]
-                self.assertEqual(len(outcomes), 6)
-                self.assertEqual(outcomes.count(ApplyOutcome.ACCEPTED), 1)
-                winner = await group.show(NAMES[expected])
-                self.assertEqual(winner.revision, expected + 1)
-                for reply in replies:
-                    if reply and reply.outcome is ApplyOutcome.CONFLICT:
-                        self.assertEqual(reply.text, winner.text)
+                await self.race(group, expected)
+
+    async def race(self, group: ControlGroup, expected: int) -> None:
+        """Six operators apply at once; one wins, the others see its file."""
+        replies = await asyncio.gather(
+            *(
+                group.apply(name, expected, fleet_text(number))
+                for number, name in enumerate(NAMES * 2)
+            ),
+        )
+        answered = [reply for reply in replies if reply is not None]
+        self.assertEqual(len(answered), 6)
+        winner = await group.show(NAMES[expected])
+        self.assertEqual(winner.revision, expected + 1)
+        lost = [one for one in answered if one.text == winner.text]
+        self.assertEqual({one.outcome for one in lost}, {ApplyOutcome.CONFLICT})
+        self.assertEqual(len(lost), 5)
+        self.assertIn(ApplyOutcome.ACCEPTED, {one.outcome for one in answered})
 
     async def test_restart_of_all_after_hundreds_of_changes(self) -> None:
         async with control_group(self.folder) as group:
@@ -115,8 +119,7 @@
                 group.wires.silence(name)
                 await self.insist(group, number)
             await group.wait_voters(*NAMES)
-            for name in NAMES:
-                await until(lambda name=name: self.is_at(group, name, 3))
+            await until(lambda: self.all_are_at(group, 3))
 
     async def test_wiped_disk_then_a_second_member_lost(self) -> None:
         async with control_group(self.folder) as group:
@@ -159,6 +162,10 @@
             log = '\n'.join(leaving.log)
             self.assertIn('role=follower', log.rpartition('event=draining')[2])
 
+    async def all_are_at(self, group: ControlGroup, revision: int) -> bool:
+        seen = [await group.revision(name) for name in NAMES]
+        return set(seen) == {revision}
+
     async def is_at(
         self, group: ControlGroup, name: str, revision: int
     ) -> bool:
--- a/tests/daemons/wires.py
+++ b/tests/daemons/wires.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import psutil
@@ -34,15 +35,12 @@
     async def pump(
         self, source: asyncio.StreamReader, target: asyncio.StreamWriter
     ) -> None:
-        try:
+        with suppress(OSError):
             while chunk := await source.read(_READ_BYTES):
                 if not self.silent:
                     target.write(chunk)
                     await target.drain()
-        except OSError:
-            pass
-        finally:
-            target.close()
+        target.close()
 
 
 class Wires:
