--- a/src/snipebend/console/demo.py
+++ b/src/snipebend/console/demo.py
@@ -135,7 +135,10 @@
 
 
 def _base(name: str) -> dict[str, object]:
-    return {'process': {'name': name, 'data_center': _DATA_CENTER}}
+    return {
+        'process': {'name': name, 'data_center': _DATA_CENTER},
+        'listen': {'grace_s': float(0)},
+    }
 
 
 def _control_settings(folder: str) -> ControlSettings:
--- a/src/snipebend/daemons/agent.py
+++ b/src/snipebend/daemons/agent.py
@@ -34,9 +34,9 @@
             cfg.control.addresses,
             clients,
         ),
-        UpstreamRelay('relay', http, cfg.upstream.address),
-        http,
+        UpstreamRelay('relay', cfg, http, grpc),
         grpc,
+        http,
         admin,
         Announcer('announcer', cfg, clients),
         PortsFile(
--- a/src/snipebend/daemons/entry.py
+++ b/src/snipebend/daemons/entry.py
@@ -13,12 +13,15 @@
 from snipebend.kernel.process import Process
 from snipebend.settings.model import EntrySettings
 from snipebend.transport.caller_api import CallerApi
+from snipebend.transport.control_calls import ControlCalls
+from snipebend.transport.dispatch import Dispatcher
 from snipebend.transport.followers import (
     ConfigurationFollower,
     DirectoryFollower,
 )
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.routing_desk import RoutingDesk
 from snipebend.transport.rpc import RpcClients
 
 
@@ -33,7 +36,10 @@
         HttpClient('client'),
         ConfigurationFollower('configuration', name, control, clients),
         DirectoryFollower('directory', name, control, clients),
-        CallerApi('callers', http),
+        ControlCalls('control-calls', control, clients),
+        RoutingDesk('routing'),
+        Dispatcher('dispatch', cfg),
+        CallerApi('callers', cfg, http),
         http,
         admin,
         PortsFile(cfg.listen.ports_file, {'http': http, 'admin': admin}),
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -50,6 +50,9 @@
     admin_port: Port = 0
     #: Where to write the chosen ports as JSON, for scripts; empty: nowhere.
     ports_file: str = ''
+    #: Seconds of a graceful stop in which peers learn of it: an entry still
+    #: takes new work meanwhile, an agent refuses it.
+    grace_s: Annotated[float, Field(ge=0, le=MAX_SPAN_S)] = 1.0
 
 
 class LogSection(Section):
@@ -72,10 +75,19 @@
     addresses: Annotated[list[Address], Field(min_length=1)]
 
 
+class ConnectionsSection(Section):
+    """The health of an entry's connections to agents."""
+
+    #: Seconds without a byte after which a connection is given up; agents
+    #: beat more often than that.
+    silent_after_s: Seconds = 2.0
+
+
 class EntrySettings(DaemonSettings):
     """The settings of ``snipebend-entry``."""
 
     control: ControlSection
+    connections: ConnectionsSection = ConnectionsSection()
 
 
 class UpstreamSection(Section):
@@ -87,6 +99,10 @@
     address: Address
     #: Seconds between two announcements and load reports.
     report_every_s: Seconds = 1.0
+    #: Seconds between two signs of life while the upstream is quiet.
+    beat_s: Seconds = 0.5
+    #: Attempts at once, beyond which the agent refuses.
+    max_running: Annotated[int, Field(ge=1)] = 1024
 
 
 class AgentSettings(DaemonSettings):
--- a/src/snipebend/transport/announcer.py
+++ b/src/snipebend/transport/announcer.py
@@ -38,7 +38,6 @@
 
     async def start(self, registry: Registry) -> None:
         """Find what is announced and begin."""
-        self._incarnation = int(registry.clock.wall() * 1000)
         self._http = registry.find('http', HttpServer)
         self._grpc = registry.find('grpc', RpcServer)
         self._relay = registry.find('relay', UpstreamRelay)
@@ -80,7 +79,7 @@
             data_center=self._cfg.process.data_center,
             http_address=self._http.address,
             grpc_address=self._grpc.address,
-            incarnation=self._incarnation,
+            incarnation=self._relay.incarnation,
             sequence=self._sequence,
             phase=self._phase,
             running=self._relay.running,
--- a/src/snipebend/transport/asgi.py
+++ b/src/snipebend/transport/asgi.py
@@ -2,7 +2,7 @@
 
 ``falcon`` reads bodies, but tells nothing of a caller that hangs up while the
 answer is being made. This layer reads the body up to a bound, hands it on, and
-then watches the connection.
+then watches the connection. It also breaks an answer off visibly.
 """
 
 from __future__ import annotations
@@ -12,6 +12,9 @@
 from typing import Any, cast
 
 from falcon.asgi import App
+from loguru import logger
+
+from snipebend.transport.problems import handle_failure, serialize_http_error
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Any]]
@@ -20,25 +23,72 @@
 
 #: Keys under which the layer adds to the ASGI scope.
 BODY_KEY = 'snipebend.body'
-GONE_KEY = 'snipebend.gone'
+CONNECTION_KEY = 'snipebend.connection'
+
+#: Bodies beyond 64 MiB are cut, whatever the fleet file allows.
+MAX_BODY_BYTES = 0x4000000
+
+
+def largest_body() -> int:
+    """Return the limit of those who have no other."""
+    return MAX_BODY_BYTES
+
 
-#: Bodies beyond this many bytes are cut; the application refuses them.
-MAX_BODY_BYTES = 4 * 1024 * 1024
+class BrokenAnswerError(Exception):
+    """The answer can't get complete; its connection is to be aborted."""
 
 
-def build_sink_app(serve: Callable[..., Awaitable[None]]) -> Application:
-    """Build an application that hands every request to one function."""
+class Connection:
+    """The other end of one request: tells once that it is gone."""
+
+    def __init__(self) -> None:
+        """Begin with the other end there."""
+        self.gone = False
+        self._listeners: list[Callable[[], object]] = []
+
+    def when_gone(self, listener: Callable[[], object]) -> None:
+        """Call ``listener`` once the other end is gone, maybe at once."""
+        if self.gone:
+            listener()
+            return
+        self._listeners.append(listener)
+
+    def close(self) -> None:
+        """Tell all listeners."""
+        self.gone = True
+        listeners = tuple(self._listeners)
+        self._listeners.clear()
+        for listener in listeners:
+            listener()
+
+
+def build_sink_app(
+    serve: Callable[..., Awaitable[None]],
+    body_limit: Callable[[], int],
+) -> Application:
+    """Build an application that hands every request to one function.
+
+    A body beyond ``body_limit()`` bytes is cut right after the limit, so that
+    the function sees that it is too long.
+    """
     app = App()
     app.add_sink(cast(Any, serve), prefix='/')
-    return BodyAndDisconnect(cast(Application, app))
+    app.set_error_serializer(cast(Any, serialize_http_error))
+    app.add_error_handler(Exception, cast(Any, handle_failure))
+    return BodyAndDisconnect(cast(Application, app), body_limit)
 
 
 class BodyAndDisconnect:
-    """Adds the body and an event of the disconnect to the scope."""
+    """Adds the body and the connection to the scope."""
 
-    def __init__(self, app: Application) -> None:
+    def __init__(
+        self,
+        app: Application,
+        body_limit: Callable[[], int],
+    ) -> None:
         """Wrap an application."""
         self._app = app
+        self._body_limit = body_limit
 
     async def __call__(
         self,
@@ -50,20 +100,26 @@
         if scope['type'] != 'http':
             await self._app(scope, receive, send)
             return
-        gone = asyncio.Event()
-        scope[BODY_KEY] = await _read_body(receive)
-        scope[GONE_KEY] = gone
-        watcher = asyncio.create_task(_watch(receive, gone))
+        connection = Connection()
+        scope[BODY_KEY] = await _read_body(receive, self._body_limit())
+        scope[CONNECTION_KEY] = connection
+        watcher = asyncio.create_task(_watch(receive, connection))
         try:
-            await self._app(scope, _replay(gone), send)
+            await self._app(scope, _replay(connection), send)
+        except BrokenAnswerError:
+            # The server aborts the connection of an answer without its end.
+            logger.debug('event=answer_aborted')
+        except Exception as exc:
+            logger.error('event=answer_failed reason={!r}', exc)
+            raise
         finally:
             watcher.cancel()
 
 
-async def _read_body(receive: Receive) -> bytes:
+async def _read_body(receive: Receive, limit: int) -> bytes:
     parts: list[bytes] = []
     size = 0
-    while size <= MAX_BODY_BYTES:
+    while size <= limit:
         event = await receive()
         part = event.get('body', b'')
         parts.append(part)
@@ -73,14 +129,14 @@
     return b''.join(parts)
 
 
-async def _watch(receive: Receive, gone: asyncio.Event) -> None:
-    while not gone.is_set():
+async def _watch(receive: Receive, connection: Connection) -> None:
+    while not connection.gone:
         event = await receive()
         if event['type'] == 'http.disconnect':
-            gone.set()
+            connection.close()
 
 
-def _replay(gone: asyncio.Event) -> Receive:
+def _replay(connection: Connection) -> Receive:
     delivered = False
 
     async def receive() -> Any:
@@ -88,7 +144,9 @@
         if not delivered:
             delivered = True
             return {'type': 'http.request', 'body': b'', 'more_body': False}
-        await gone.wait()
+        closed = asyncio.Event()
+        connection.when_gone(closed.set)
+        await closed.wait()
         return {'type': 'http.disconnect'}
 
     return receive
--- a/src/snipebend/transport/caller_api.py
+++ b/src/snipebend/transport/caller_api.py
@@ -3,46 +3,58 @@
 from __future__ import annotations
 
 import asyncio
-import json
-from collections import Counter
+import math
 from collections.abc import AsyncIterator, Mapping
-from contextlib import AsyncExitStack, asynccontextmanager
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
-from uuid import uuid4
+from typing import TYPE_CHECKING
 
-from aiohttp import ClientError
-from loguru import logger
+import falcon
 from result import Err, Ok, Result
 
+from snipebend.delivery.actions import (
+    AbortAnswer,
+    AnswerStored,
+    Refuse,
+    RelayHead,
+)
+from snipebend.delivery.outcomes import Outcome
 from snipebend.kernel.service import Service
-from snipebend.membership.messages import Announcement, Phase
-from snipebend.transport.asgi import BODY_KEY, GONE_KEY, build_sink_app
-from snipebend.transport.followers import (
-    ConfigurationFollower,
-    DirectoryFollower,
+from snipebend.transport.asgi import (
+    CONNECTION_KEY,
+    MAX_BODY_BYTES,
+    BrokenAnswerError,
+    build_sink_app,
+)
+from snipebend.transport.caller_checks import (
+    Wanted,
+    check_request,
+    model_names,
 )
-from snipebend.transport.forward import HttpClient, Outgoing, end_to_end
+from snipebend.transport.dispatch import Dispatcher
+from snipebend.transport.events import MEDIA_EVENTS
+from snipebend.transport.followers import ConfigurationFollower
+from snipebend.transport.forward import end_to_end
 from snipebend.transport.problems import (
-    ATTEMPT_HEADER,
+    OUTCOME_HEADER,
     REQUEST_ID_HEADER,
-    REVISION_HEADER,
-    Outcome,
     Problem,
+    encode_problem,
     write_problem,
 )
-from snipebend.transport.relay import relay_answer
+from snipebend.transport.request_facts import correlation_id
+from snipebend.transport.request_record import RequestRecord
 
 if TYPE_CHECKING:
     from falcon.asgi import Request, Response
 
     from snipebend.fleet.lookup import FleetIndex
     from snipebend.kernel.registry import Registry
+    from snipebend.settings.model import EntrySettings
+    from snipebend.transport.delivery_driver import Delivery
     from snipebend.transport.http_server import HttpServer
 
-_BEARER = 'Bearer '
-_MODEL_PATHS = frozenset(('/v1/completions', '/v1/chat/completions'))
-_MODELS_PATH = '/v1/models'
+#: Answers that never have a body (RFC 9110, section 6.4.1).
+_BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 _NO_CONFIGURATION = Problem(
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -50,197 +62,184 @@
     'no configuration is in force here yet',
     retry_after=1,
 )
-_NO_WORKSPACE = Problem(
-    HTTPStatus.UNAUTHORIZED,
-    'Unknown workspace',
-    'the bearer token belongs to no workspace',
-    field='authorization',
-)
-_NOT_JSON = Problem(
-    HTTPStatus.BAD_REQUEST, 'Bad body', 'the body is not a JSON object'
-)
-_NO_PATH = Problem(
-    HTTPStatus.NOT_FOUND, 'Unknown path', 'no service has this path'
-)
-_NO_UPSTREAM = Problem(
+_LEAVING = Problem(
     HTTPStatus.SERVICE_UNAVAILABLE,
-    'No upstream',
-    'no upstream serves this right now',
+    'Leaving',
+    'this entry takes no new work',
     retry_after=1,
 )
-_LEAVING = Problem(
-    HTTPStatus.SERVICE_UNAVAILABLE, 'Leaving', 'this entry takes no new work'
-)
-_BROKEN = Problem(
-    HTTPStatus.BAD_GATEWAY,
-    'Upstream lost',
-    'the connection to the upstream broke before an answer came',
+_GONE = Problem(
+    HTTPStatus.REQUEST_TIMEOUT,
+    'Caller gone',
+    'the connection closed before the answer began',
     Outcome.UNKNOWN,
 )
 
 
 class CallerApi(Service):
-    """Takes callers' requests, chooses an upstream and streams the answer."""
+    """Takes callers' requests and streams the answers back."""
 
-    def __init__(self, name: str, server: HttpServer) -> None:
+    def __init__(
+        self,
+        name: str,
+        cfg: EntrySettings,
+        server: HttpServer,
+    ) -> None:
         """Serve on ``server``."""
         super().__init__(name)
-        self._outstanding: Counter[str] = Counter()
+        self._grace_s = cfg.listen.grace_s
         self._leaving = False
-        self._idle = asyncio.Event()
-        self._idle.set()
-        server.serve(build_sink_app(self._serve))
+        server.serve(build_sink_app(self._serve, self._body_limit))
 
     async def start(self, registry: Registry) -> None:
-        """Find the client, the configuration and the directory."""
-        self._client = registry.find('client', HttpClient)
-        self._directory = registry.find('directory', DirectoryFollower)
+        """Find the configuration and the dispatcher."""
+        self._clock = registry.clock
+        self._dispatcher = registry.find('dispatch', Dispatcher)
         self._configuration = registry.find(
             'configuration',
             ConfigurationFollower,
         )
 
     async def drain(self) -> None:
-        """Refuse new work and wait for what is in flight."""
+        """Refuse new work and wait for what is in flight.
+
+        New work is still taken for the grace period, in which the platform's
+        balancer sees that this entry isn't ready and moves on.
+        """
+        await asyncio.sleep(self._grace_s)
         self._leaving = True
-        await self._idle.wait()
+        await self._dispatcher.wait_idle()
 
     def dump(self) -> Mapping[str, object]:
-        """Return what is outstanding on each upstream."""
-        return {'outstanding': dict(+self._outstanding)}
+        """Return whether new work is refused."""
+        return {'leaving': self._leaving}
 
     async def _serve(self, req: Request, resp: Response, **_: str) -> None:
-        match self._choose(req):
-            case Ok(None):
-                self._list_models(resp)
-            case Ok(upstream) if upstream is not None:
-                await self._deliver(req, resp, upstream)
+        req_id = correlation_id(req)
+        resp.set_header(REQUEST_ID_HEADER, req_id)
+        match self._admit(req):
+            case Ok((index, wanted)) if wanted.lists_models:
+                _list_models(resp, model_names(index, wanted.workspace))
+            case Ok((index, wanted)):
+                await self._deliver(req, resp, index, wanted)
             case Err(problem):
+                self._dispatcher.meters.refused(problem.status)
                 write_problem(resp, problem)
 
-    def _choose(self, req: Request) -> Result[Announcement | None, Problem]:
+    def _admit(
+        self,
+        req: Request,
+    ) -> Result[tuple[FleetIndex, Wanted], Problem]:
         index = self._configuration.index
         if self._leaving:
             return Err(_LEAVING)
         if index is None:
             return Err(_NO_CONFIGURATION)
-        key = (req.auth or '').removeprefix(_BEARER)
-        if index.workspace_for_key(key) is None:
-            return Err(_NO_WORKSPACE)
-        if req.path == _MODELS_PATH:
-            return Ok(None)
-        policies = _policies_for(index, req)
-        return policies.and_then(self._least_loaded)
-
-    def _least_loaded(
-        self,
-        policies: frozenset[str],
-    ) -> Result[Announcement | None, Problem]:
-        candidates = [
-            upstream
-            for upstream in self._directory.directory.upstreams
-            if upstream.policy in policies and upstream.phase is Phase.SERVING
-        ]
-        if not candidates:
-            return Err(_NO_UPSTREAM)
-        return Ok(min(candidates, key=self._load_of))
-
-    def _load_of(self, upstream: Announcement) -> int:
-        return self._outstanding[upstream.upstream]
-
-    def _list_models(self, resp: Response) -> None:
-        index = self._configuration.index
-        names = _model_names(index) if index else ()
-        resp.media = {
-            'object': 'list',
-            'data': [{'id': name, 'object': 'model'} for name in names],
-        }
+        return check_request(index, req).map(lambda wanted: (index, wanted))
 
     async def _deliver(
         self,
         req: Request,
         resp: Response,
-        upstream: Announcement,
+        index: FleetIndex,
+        wanted: Wanted,
     ) -> None:
-        stack = AsyncExitStack()
-        await stack.enter_async_context(self._count(upstream.upstream))
-        try:
-            await self._forward(req, resp, upstream, stack)
-        except (ClientError, OSError) as exc:
-            await stack.aclose()
-            logger.warning(
-                'event=attempt_failed peer={} reason={!r}',
-                upstream.upstream,
-                exc,
-            )
-            write_problem(resp, _BROKEN)
-
-    async def _forward(
+        record, delivery = self._dispatcher.open(req, index, wanted)
+        connection = req.scope[CONNECTION_KEY]
+        match await delivery.begin(record.facts, connection):
+            case RelayHead() as head:
+                await self._relay(req, resp, head, record, delivery)
+                return
+            case AnswerStored() as stored:
+                record.ended(Outcome.RAN, stored.answer.status)
+                _write_stored(resp, stored)
+            case Refuse() as refusal:
+                record.ended(refusal.outcome, refusal.status)
+                write_problem(resp, _to_problem(refusal))
+            case None:
+                record.ended(Outcome.UNKNOWN, _GONE.status)
+                write_problem(resp, _GONE)
+        self._dispatcher.close(record, delivery)
+
+    async def _relay(
         self,
         req: Request,
         resp: Response,
-        upstream: Announcement,
-        stack: AsyncExitStack,
+        head: RelayHead,
+        record: RequestRecord,
+        delivery: Delivery,
     ) -> None:
-        headers = end_to_end(req.headers)
-        headers.setdefault(REQUEST_ID_HEADER, uuid4().hex)
-        headers[ATTEMPT_HEADER] = '1'
-        headers[REVISION_HEADER] = str(self._configuration.revision)
-        outgoing = Outgoing(
-            req.method,
-            f'http://{upstream.http_address}{req.relative_uri}',
-            headers,
-            req.scope[BODY_KEY],
-        )
-        answer = await stack.enter_async_context(
-            self._client.send(outgoing, req.scope[GONE_KEY]),
-        )
-        relay_answer(resp, answer, stack)
-
-    @asynccontextmanager
-    async def _count(self, upstream: str) -> AsyncIterator[None]:
-        self._outstanding[upstream] += 1
-        self._idle.clear()
+        resp.status = falcon.code_to_http_status(head.status)
+        for name, text in end_to_end(head.headers).items():
+            resp.set_header(name, text)
+        resp.set_header(REQUEST_ID_HEADER, correlation_id(req))
+        record.began(head.status)
+        streams = resp.content_type == MEDIA_EVENTS
+        body = self._body(record, delivery, streams=streams)
+        if req.method == 'HEAD' or head.status in _BODILESS:
+            await _exhaust(body)
+        else:
+            resp.stream = body
+
+    async def _body(
+        self,
+        record: RequestRecord,
+        delivery: Delivery,
+        *,
+        streams: bool,
+    ) -> AsyncIterator[bytes]:
         try:
-            yield
+            async for piece in delivery.body():
+                if isinstance(piece, AbortAnswer):
+                    record.ended(piece.outcome)
+                    yield _error_event(piece) if streams else b''
+                    raise BrokenAnswerError
+                record.passed_chunk()
+                yield piece
+            record.ended(Outcome.RAN)
         finally:
-            self._outstanding[upstream] -= 1
-            if not self._outstanding.total():
-                self._idle.set()
-
-
-def _policies_for(
-    index: FleetIndex,
-    req: Request,
-) -> Result[frozenset[str], Problem]:
-    if req.path in _MODEL_PATHS:
-        return _policies_for_model(index, req.scope[BODY_KEY])
-    service = index.service_for_path(req.path)
-    if service is None:
-        return Err(_NO_PATH)
-    return Ok(frozenset((service.upstream,)))
-
-
-def _policies_for_model(
-    index: FleetIndex,
-    body: bytes,
-) -> Result[frozenset[str], Problem]:
-    try:
-        document: Any = json.loads(body)
-    except ValueError:
-        return Err(_NOT_JSON)
-    if not isinstance(document, dict):
-        return Err(_NOT_JSON)
-    model = document.get('model')
-    policies = index.upstreams_for_model(str(model))
-    if policies:
-        return Ok(frozenset(policy.name for policy in policies))
-    detail = f'no group serves the model {model!r}'
-    return Err(
-        Problem(HTTPStatus.NOT_FOUND, 'Unknown model', detail, field='model')
+            self._dispatcher.close(record, delivery)
+
+    def _body_limit(self) -> int:
+        index = self._configuration.index
+        limit = index.fleet.routing.max_body_bytes if index else 0
+        return min(limit, MAX_BODY_BYTES)
+
+
+async def _exhaust(body: AsyncIterator[bytes]) -> None:
+    """Wait for the end of an answer that has no body."""
+    while await anext(body, None) is not None:
+        await asyncio.sleep(0)
+
+
+def _list_models(resp: Response, names: tuple[str, ...]) -> None:
+    models = [{'id': name, 'object': 'model'} for name in names]
+    resp.media = {'object': 'list', 'data': models}
+
+
+def _write_stored(resp: Response, stored: AnswerStored) -> None:
+    resp.status = falcon.code_to_http_status(stored.answer.status)
+    resp.content_type = stored.answer.content_type
+    resp.data = stored.answer.body
+    resp.set_header(OUTCOME_HEADER, Outcome.RAN.value)
+    resp.set_header('idempotent-replayed', 'true')
+
+
+def _to_problem(refusal: Refuse) -> Problem:
+    return Problem(
+        refusal.status,
+        refusal.title,
+        refusal.detail,
+        refusal.outcome,
+        retry_after=math.ceil(refusal.retry_after),
     )
 
 
-def _model_names(index: FleetIndex) -> tuple[str, ...]:
-    names = {group.model for group in index.fleet.groups}
-    return tuple(sorted(names))
+def _error_event(abort: AbortAnswer) -> bytes:
+    problem = Problem(
+        HTTPStatus.BAD_GATEWAY,
+        'Answer broken off',
+        abort.reason,
+        abort.outcome,
+    )
+    return b'event: error\ndata: %b\n\n' % encode_problem(problem)
--- /dev/null
+++ b/src/snipebend/transport/completion_body.py
@@ -0,0 +1,88 @@
+"""The body of an OpenAI-style completion call, as far as the entry checks it.
+
+Members that the entry doesn't know go through to the engine unread.
+"""
+
+from __future__ import annotations
+
+import re
+from http import HTTPStatus
+from typing import Annotated, Any
+
+from msgspec import DecodeError, Meta, Struct, ValidationError
+from msgspec.json import Decoder
+from result import Err, Ok, Result
+
+from snipebend.transport.problems import Problem
+
+#: Bound on ``max_tokens``; no engine of ours answers longer.
+MAX_TOKENS = 1_000_000
+
+_AT_PATH = re.compile(r' - at `\$\.?([^`]*)`$')
+_MISSING = re.compile(r'missing required field `([^`]+)`')
+
+_NOT_JSON = Problem(
+    HTTPStatus.BAD_REQUEST,
+    'Bad body',
+    'the body is not a JSON object',
+)
+
+Prompt = str | list[str | int | list[int]]
+Message = dict[str, Any]
+
+
+class CompletionBody(Struct, frozen=True):
+    """What routing needs of a completion call."""
+
+    model: Annotated[str, Meta(min_length=1)]
+    prompt: Prompt | None = None
+    messages: list[Message] | None = None
+    max_tokens: Annotated[int, Meta(ge=1, le=MAX_TOKENS)] | None = None
+    stream: bool | None = None
+    priority: int | None = None
+
+
+class ChatBody(CompletionBody, frozen=True, kw_only=True):
+    """A chat's body, which can't do without messages."""
+
+    messages: list[Message] | None
+
+
+class TextBody(CompletionBody, frozen=True, kw_only=True):
+    """A plain completion's body, which can't do without a prompt."""
+
+    prompt: Prompt | None
+
+
+_TEXT_PATH = '/v1/completions'
+_CHAT_PATH = '/v1/chat/completions'
+
+#: The paths whose bodies these are.
+COMPLETION_PATHS = frozenset((_TEXT_PATH, _CHAT_PATH))
+
+_TEXT_DECODER = Decoder(TextBody)
+_CHAT_DECODER = Decoder(ChatBody)
+
+
+def parse_completion(path: str, body: bytes) -> Result[CompletionBody, Problem]:
+    """Check a body; the problem names the member that is wrong."""
+    try:
+        if path == _CHAT_PATH:
+            return Ok(_CHAT_DECODER.decode(body))
+        return Ok(_TEXT_DECODER.decode(body))
+    except ValidationError as exc:
+        return Err(_wrong_member(str(exc)))
+    except (DecodeError, UnicodeDecodeError):
+        return Err(_NOT_JSON)
+
+
+def _wrong_member(message: str) -> Problem:
+    missing = _MISSING.search(message)
+    at_path = _AT_PATH.search(message)
+    if at_path is None and missing is None:
+        return _NOT_JSON
+    field = missing.group(1) if missing else ''
+    if at_path is not None:
+        field = '.'.join(filter(None, (at_path.group(1), field)))
+    detail = _AT_PATH.sub('', message)
+    return Problem(HTTPStatus.BAD_REQUEST, 'Bad body', detail, field=field)
--- /dev/null
+++ b/src/snipebend/transport/delivery_driver.py
@@ -0,0 +1,132 @@
+"""Drives one request's machine: its actions become I/O, I/O its events."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, TypeAlias
+
+from snipebend.delivery.actions import (
+    AbortAnswer,
+    Action,
+    AnswerStored,
+    FinishAnswer,
+    Refuse,
+    RelayChunk,
+    RelayHead,
+)
+from snipebend.delivery.attempt_events import AttemptFinished, AttemptRefused
+from snipebend.delivery.events import Arrived, CallerGone, Event
+from snipebend.delivery.request_machine import RequestMachine
+from snipebend.transport.delivery_io import DeliveryIo, Inbox, Resources
+
+if TYPE_CHECKING:
+    from snipebend.delivery.facts import RequestFacts
+    from snipebend.transport.asgi import Connection
+    from snipebend.transport.forward import Outgoing
+    from snipebend.transport.routing_desk import RoutingTicket
+
+Answer: TypeAlias = RelayHead | Refuse | AnswerStored
+_ToCaller: TypeAlias = Answer | RelayChunk | FinishAnswer | AbortAnswer
+
+
+class Delivery:
+    """One request from its arrival to the last thing settled.
+
+    The caller's side pulls: ``begin`` returns the head of the answer and
+    ``body`` its pieces, so that a slow caller slows the upstream down.
+    """
+
+    def __init__(
+        self,
+        shared: Resources,
+        outgoing: Outgoing,
+        ticket: RoutingTicket,
+    ) -> None:
+        """Prepare; ``outgoing`` is the request without its peer."""
+        self.chunks = 0
+        self._shared = shared
+        self._ticket = ticket
+        self._machine = RequestMachine(shared.limits)
+        self._inbox = Inbox()
+        self.io = DeliveryIo(shared, outgoing, ticket, self._inbox)
+        self._outputs: deque[_ToCaller] = deque()
+
+    @property
+    def done(self) -> bool:
+        """Tell whether nothing is left to do or to hand to the caller."""
+        return self._machine.done and not self._outputs
+
+    async def begin(
+        self,
+        facts: RequestFacts,
+        connection: Connection,
+    ) -> Answer | None:
+        """Go on until the answer begins; None: the caller is gone."""
+        self._inbox.post(Arrived(facts))
+        connection.when_gone(lambda: self._inbox.post(CallerGone()))
+        while not self.done:
+            output = await self._next_output()
+            if isinstance(output, (RelayHead, Refuse, AnswerStored)):
+                return output
+        return None
+
+    async def body(self) -> AsyncIterator[bytes | AbortAnswer]:
+        """Yield the pieces of the body; an abort comes last if it comes."""
+        while not self.done:
+            output = await self._next_output()
+            if isinstance(output, RelayChunk):
+                yield self._join_chunks(output)
+            elif isinstance(output, AbortAnswer):
+                yield output
+            if isinstance(output, (FinishAnswer, AbortAnswer)):
+                return
+
+    async def settle(self) -> None:
+        """Do what is left after the caller's answer, and end all tasks."""
+        try:
+            while not self._machine.done:
+                await self._pump()
+        finally:
+            self.io.close()
+
+    async def _next_output(self) -> _ToCaller | None:
+        while not self._outputs:
+            if self._machine.done:
+                return None
+            await self._pump()
+        return self._outputs.popleft()
+
+    def _join_chunks(self, first: RelayChunk) -> bytes:
+        payloads = [first.payload]
+        while self._outputs:
+            following = self._outputs[0]
+            if not isinstance(following, RelayChunk):
+                break
+            payloads.append(following.payload)
+            self._outputs.popleft()
+        self.chunks += len(payloads)
+        return b''.join(payloads)
+
+    async def _pump(self) -> None:
+        for event in await self._inbox.receive():
+            self._step(event)
+
+    def _step(self, event: Event) -> None:
+        match event:
+            case AttemptFinished(attempt=attempt):
+                self.io.release(attempt)
+            case AttemptRefused(reason=reason):
+                self._shared.desk.note_refusal(self.io.peer, reason)
+        now = self._shared.clock.wall()
+        for action in self._machine.step(event, now, self._shared.rng):
+            self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case RelayHead() | RelayChunk() | FinishAnswer() | AbortAnswer():
+                self._outputs.append(action)
+            case Refuse() | AnswerStored():
+                self._outputs.append(action)
+            case _:
+                self.io.perform(action)
--- /dev/null
+++ b/src/snipebend/transport/delivery_io.py
@@ -0,0 +1,206 @@
+"""The I/O of one delivery: attempts, claims, seals and timers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias
+
+from snipebend.delivery.actions import (
+    AskRetry,
+    CancelAttempt,
+    ChooseUpstream,
+    Claim,
+    Seal,
+    SendAttempt,
+    SetTimer,
+    Settle,
+)
+from snipebend.delivery.claim_events import (
+    ClaimAnswered,
+    ClaimFailed,
+    SealAnswered,
+    SealFailed,
+    SettleAnswered,
+    SettleFailed,
+)
+from snipebend.delivery.events import DeadlineReached, Event
+from snipebend.transport.attempt_stream import AttemptStream
+
+if TYPE_CHECKING:
+    from snipebend.delivery.limits import DeliveryLimits
+    from snipebend.kernel.clock import Clock
+    from snipebend.transport.control_calls import ControlCalls
+    from snipebend.transport.forward import HttpClient, Outgoing
+    from snipebend.transport.routing_desk import RoutingDesk, RoutingTicket
+
+#: Batches of events that may wait before the reader of an attempt pauses.
+MAX_BATCHES = 4
+
+IoAction: TypeAlias = (
+    ChooseUpstream
+    | AskRetry
+    | Claim
+    | Settle
+    | SendAttempt
+    | CancelAttempt
+    | Seal
+    | SetTimer
+)
+
+
+class Resources(NamedTuple):
+    """What all deliveries of an entry share."""
+
+    clock: Clock
+    rng: Random
+    client: HttpClient
+    control: ControlCalls
+    desk: RoutingDesk
+    limits: DeliveryLimits
+    silent_after_s: float
+
+
+class Inbox:
+    """The events of one delivery, in batches; writers wait when it is full."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._batches: asyncio.Queue[list[Event]] = asyncio.Queue()
+        self._room = asyncio.Event()
+
+    def post(self, event: Event) -> None:
+        """Add one event, however full it is."""
+        self._batches.put_nowait([event])
+
+    async def post_all(self, events: list[Event]) -> None:
+        """Add a batch, then wait while the reader is behind."""
+        self._batches.put_nowait(events)
+        if self._batches.qsize() >= MAX_BATCHES:
+            self._room.clear()
+            await self._room.wait()
+
+    async def receive(self) -> list[Event]:
+        """Wait for the next batch."""
+        batch = await self._batches.get()
+        if self._batches.empty():
+            self._room.set()
+        return batch
+
+
+class DeliveryIo:
+    """Does what the machine asks for and posts what comes of it."""
+
+    def __init__(
+        self,
+        shared: Resources,
+        outgoing: Outgoing,
+        ticket: RoutingTicket,
+        inbox: Inbox,
+    ) -> None:
+        """Prepare; ``outgoing`` is the request without its peer."""
+        self.attempts = 0
+        self.peer = ''
+        self._shared = shared
+        self._outgoing = outgoing
+        self._ticket = ticket
+        self._inbox = inbox
+        self._streams: dict[int, asyncio.Task[None]] = {}
+        self._asked: set[asyncio.Task[None]] = set()
+        self._timers: list[asyncio.TimerHandle] = []
+
+    def perform(self, action: IoAction) -> None:
+        """Start one action; its answer is posted."""
+        match action:
+            case ChooseUpstream(exclude=exclude):
+                desk = self._shared.desk
+                self._inbox.post(desk.choose(self._ticket, exclude))
+            case AskRetry():
+                self._inbox.post(self._shared.desk.ask_retry())
+            case SendAttempt():
+                self._send(action)
+            case CancelAttempt(attempt=attempt):
+                self._cancel(attempt)
+            case Claim():
+                self._ask(self._claim(action))
+            case Settle():
+                self._ask(self._settle(action))
+            case Seal():
+                self._ask(self._seal(action))
+            case SetTimer(deadline_at=deadline_at):
+                self._set_timer(deadline_at)
+
+    def release(self, attempt: int) -> None:
+        """Let an attempt's task end alone: it only frees its connection."""
+        self._streams.pop(attempt, None)
+
+    def close(self) -> None:
+        """End all tasks and timers."""
+        for timer in self._timers:
+            timer.cancel()
+        for task in (*self._streams.values(), *self._asked):
+            task.cancel()
+        self._streams.clear()
+
+    def _send(self, action: SendAttempt) -> None:
+        self.attempts += 1
+        self.peer = action.target.upstream
+        stream = AttemptStream(
+            self._shared.client,
+            self._outgoing._replace(peer=action.target.http_address),
+            action,
+            self._shared.silent_after_s,
+            self._inbox.post_all,
+        )
+        task = asyncio.create_task(stream.run())
+        self._streams[action.ticket.attempt] = task
+        self._shared.desk.track(self._ticket, self.peer, task)
+
+    def _cancel(self, attempt: int) -> None:
+        task = self._streams.pop(attempt, None)
+        if task is not None:
+            task.cancel()
+
+    def _ask(self, asking: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(asking)
+        self._asked.add(task)
+        task.add_done_callback(self._asked.discard)
+
+    async def _claim(self, action: Claim) -> None:
+        answer = await self._shared.control.claim(action.request)
+        attempt = action.request.holder.attempt
+        if answer.is_ok():
+            self._inbox.post(ClaimAnswered(attempt, answer.unwrap()))
+        else:
+            self._inbox.post(ClaimFailed(attempt))
+
+    async def _settle(self, action: Settle) -> None:
+        req = action.request
+        answer = await self._shared.control.settle(req)
+        if answer.is_ok():
+            self._inbox.post(
+                SettleAnswered(req.request_id, req.attempt, answer.unwrap()),
+            )
+        else:
+            self._inbox.post(SettleFailed(req.request_id, req.attempt))
+
+    async def _seal(self, action: Seal) -> None:
+        req = action.request
+        answer = await self._shared.control.seal(action.grpc_address, req)
+        if answer.is_ok():
+            self._inbox.post(
+                SealAnswered(req.request_id, req.attempt, answer.unwrap()),
+            )
+        else:
+            self._inbox.post(SealFailed(req.request_id, req.attempt))
+
+    def _set_timer(self, deadline_at: float) -> None:
+        delay_s = max(0, deadline_at - self._shared.clock.wall())
+        self._timers.append(
+            asyncio.get_running_loop().call_later(
+                delay_s,
+                self._inbox.post,
+                DeadlineReached(),
+            ),
+        )
--- a/src/snipebend/transport/forward.py
+++ b/src/snipebend/transport/forward.py
@@ -1,4 +1,4 @@
-"""Passing a request on over HTTP and its answer back, chunk by chunk."""
+"""Passing a request on over HTTP: headers, and pools of connections."""
 
 from __future__ import annotations
 
@@ -11,15 +11,18 @@
 from multidict import CIMultiDict
 
 from snipebend.kernel.service import Service
+from snipebend.transport.problems import INTERNAL_HEADERS
 
 if TYPE_CHECKING:
     from aiohttp import ClientResponse
 
-    from snipebend.kernel.registry import Registry
-
 #: Seconds to open a connection to a peer.
 CONNECT_TIMEOUT_S = 2.0
 
+#: Seconds for which an idle connection is kept: less than the five after
+#: which ``uvicorn`` closes it from its side, so that the two rarely race.
+IDLE_S = 3.0
+
 #: Headers that belong to one hop only (RFC 9110, section 7.6.1).
 _HOP_HEADERS = frozenset(
     (
@@ -33,88 +36,118 @@
         'upgrade',
     )
 )
+_DROPPED = _HOP_HEADERS | INTERNAL_HEADERS
 
 Headers = Mapping[str, str]
 
 
 class Outgoing(NamedTuple):
-    """A request on its way to a peer."""
+    """A request on its way to a peer at ``host:port``."""
 
     method: str
-    url: str
+    peer: str
+    uri: str
     headers: Headers
     body: bytes
 
 
+class _Pool:
+    """The connections to one peer; closed after its last use if retired."""
+
+    def __init__(self) -> None:
+        self.in_use = 0
+        self.retired = False
+        self.session = ClientSession(
+            connector=TCPConnector(
+                limit=0,
+                use_dns_cache=False,
+                keepalive_timeout=IDLE_S,
+            ),
+            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            auto_decompress=False,
+        )
+        # Only the delivery's own rules say what may be sent twice.
+        self.session._retry_connection = False
+
+    async def __aenter__(self) -> ClientSession:
+        self.in_use += 1
+        return self.session
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.in_use -= 1
+        if self.retired and not self.in_use:
+            await self.session.close()
+
+
 class HttpClient(Service):
-    """The pool of outgoing HTTP connections of one process."""
+    """The pools of outgoing HTTP connections of one process, one a peer."""
 
     def __init__(self, name: str) -> None:
         """Open nothing yet."""
         super().__init__(name)
-        self._session: ClientSession | None = None
-
-    @property
-    def session(self) -> ClientSession:
-        """Return the open session."""
-        if self._session is None:
-            raise RuntimeError('the HTTP client has not started')
-        return self._session
-
-    async def start(self, registry: Registry) -> None:
-        """Open the pool."""
-        self._session = ClientSession(
-            connector=TCPConnector(limit=0, use_dns_cache=False),
-            timeout=ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT_S,
-            ),
-            auto_decompress=False,
-        )
+        self._pools: dict[str, _Pool] = {}
 
     async def stop(self) -> None:
-        """Close the pool."""
-        if self._session is not None:
-            await self._session.close()
+        """Close all pools."""
+        for pool in self._pools.values():
+            await pool.session.close()
+        self._pools.clear()
+
+    def retire(self, peer: str) -> None:
+        """Use none of the connections to a peer again.
+
+        Requests in flight end on their connections; later ones get new ones.
+        """
+        pool = self._pools.pop(peer, None)
+        if pool is not None:
+            pool.retired = True
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the requests in flight by peer."""
+        return {peer: pool.in_use for peer, pool in self._pools.items()}
 
     @asynccontextmanager
-    async def send(
-        self,
-        outgoing: Outgoing,
-        gone: asyncio.Event,
-    ) -> AsyncIterator[ClientResponse]:
-        """Send a request; the answer is cut off once ``gone`` is set.
+    async def send(self, outgoing: Outgoing) -> AsyncIterator[ClientResponse]:
+        """Send a request once and close the answer in the end.
 
         Raises:
             aiohttp.ClientError: when the peer can't be reached or breaks off.
         """
-        response = await self.session.request(
-            outgoing.method,
-            outgoing.url,
-            headers=outgoing.headers,
-            data=outgoing.body,
-            allow_redirects=False,
-        )
-        closer = asyncio.create_task(_close_when_gone(response, gone))
-        try:
-            yield response
-        finally:
-            closer.cancel()
-            response.close()
+        async with self._pool(outgoing.peer) as session:
+            response = await session.request(
+                outgoing.method,
+                f'http://{outgoing.peer}{outgoing.uri}',
+                headers=outgoing.headers,
+                data=outgoing.body,
+                allow_redirects=False,
+            )
+            try:
+                yield response
+            finally:
+                response.close()
+
+    def _pool(self, peer: str) -> _Pool:
+        pool = self._pools.get(peer)
+        if pool is None:
+            pool = _Pool()
+            self._pools[peer] = pool
+        return pool
 
 
 def end_to_end(headers: Headers) -> CIMultiDict[str]:
-    """Return the headers without those of one hop."""
+    """Return the headers without those of one hop and without our own."""
     kept: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
-        if name.lower() not in _HOP_HEADERS:
+        if name.lower() not in _DROPPED:
             kept.add(name, value)
     return kept
 
 
-async def _close_when_gone(
-    response: ClientResponse,
-    gone: asyncio.Event,
-) -> None:
-    await gone.wait()
-    response.close()
+async def read_some(response: ClientResponse, timeout_s: float) -> bytes:
+    """Return the next bytes of a body, none at its end.
+
+    Raises:
+        TimeoutError: after ``timeout_s`` seconds; reading may go on.
+    """
+    async with asyncio.timeout(timeout_s):
+        return await response.content.readany()
--- a/src/snipebend/transport/http_server.py
+++ b/src/snipebend/transport/http_server.py
@@ -79,6 +79,7 @@
     return Config(
         app,
         log_config=None,
+        log_level='critical',
         access_log=False,
         server_header=False,
         date_header=False,
--- /dev/null
+++ b/src/snipebend/transport/meters.py
@@ -0,0 +1,90 @@
+"""The counters and histograms of entries and agents."""
+
+from __future__ import annotations
+
+from snipebend.telemetry.metrics import get_meter
+
+#: Seconds at the upper ends of the latency histogram's buckets.
+LATENCY_BUCKETS_S = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+class EntryMeters:
+    """What an entry counts of callers' requests."""
+
+    def __init__(self) -> None:
+        """Make the instruments."""
+        meter = get_meter()
+        self._requests = meter.create_counter(
+            'snipebend_requests',
+            description="callers' requests by status class and outcome",
+        )
+        self._chunks = meter.create_counter(
+            'snipebend_chunks',
+            description='pieces of answers passed on to callers',
+        )
+        self._in_flight = meter.create_up_down_counter(
+            'snipebend_requests_in_flight',
+        )
+        self._first_chunk = meter.create_histogram(
+            'snipebend_first_chunk_seconds',
+            unit='s',
+            description='from the request to the first piece of its answer',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+
+    def begin(self) -> None:
+        """Count a request as in flight."""
+        self._in_flight.add(1)
+
+    def first_chunk(self, seconds: float) -> None:
+        """Note how long the first piece took."""
+        self._first_chunk.record(seconds)
+
+    def end(self, outcome: str, chunks: int) -> None:
+        """Count a request that has ended."""
+        self._in_flight.add(-1)
+        self._requests.add(1, {'outcome': outcome})
+        if chunks:
+            self._chunks.add(chunks)
+
+    def refused(self, status: int) -> None:
+        """Count a request that was refused before it was routed."""
+        self._requests.add(1, {'outcome': 'not-run', 'status': str(status)})
+
+
+class AgentMeters:
+    """What an agent counts of attempts."""
+
+    def __init__(self) -> None:
+        """Make the instruments."""
+        meter = get_meter()
+        self._attempts = meter.create_counter('snipebend_attempts')
+        self._chunks = meter.create_counter('snipebend_upstream_chunks')
+        self._running = meter.create_up_down_counter(
+            'snipebend_attempts_running',
+        )
+
+    def begin(self) -> None:
+        """Count an attempt as running."""
+        self._running.add(1)
+
+    def end(self, ending: str, chunks: int) -> None:
+        """Count an attempt that has ended."""
+        self._running.add(-1)
+        self._attempts.add(1, {'ending': ending})
+        if chunks:
+            self._chunks.add(chunks)
--- a/src/snipebend/transport/problems.py
+++ b/src/snipebend/transport/problems.py
@@ -6,27 +6,27 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import falcon
+from msgspec import json
+
+from snipebend.delivery.outcomes import Outcome
 
 if TYPE_CHECKING:
-    from falcon.asgi import Response
+    from falcon.asgi import Request, Response
 
 MEDIA_PROBLEM = 'application/problem+json'
 OUTCOME_HEADER = 'x-snipebend-outcome'
 REVISION_HEADER = 'x-snipebend-revision'
 REQUEST_ID_HEADER = 'x-request-id'
 ATTEMPT_HEADER = 'x-attempt'
+#: An attempt's ticket, as JSON, between entry and agent only.
+TICKET_HEADER = 'x-snipebend-ticket'
 
-
-class Outcome(Enum):
-    """What became of a request."""
-
-    NOT_RUN = 'not-run'
-    RAN = 'ran'
-    UNKNOWN = 'unknown'
+#: Headers between our own processes, which a caller can't set.
+INTERNAL_HEADERS = frozenset((TICKET_HEADER, REVISION_HEADER, OUTCOME_HEADER))
 
 
 class Problem(NamedTuple):
@@ -40,8 +40,8 @@
     retry_after: int = 0
 
 
-def write_problem(resp: Response, problem: Problem) -> None:
-    """Turn a response into the refusal."""
+def encode_problem(problem: Problem) -> bytes:
+    """Return the document of a refusal."""
     body: dict[str, object] = {
         'title': problem.title,
         'status': problem.status,
@@ -50,9 +50,43 @@
     }
     if problem.field:
         body['field'] = problem.field
+    return json.encode(body)
+
+
+def write_problem(resp: Response, problem: Problem) -> None:
+    """Turn a response into the refusal."""
     resp.status = falcon.code_to_http_status(problem.status)
-    resp.media = body
+    resp.data = encode_problem(problem)
     resp.content_type = MEDIA_PROBLEM
     resp.set_header(OUTCOME_HEADER, problem.outcome.value)
     if problem.retry_after:
         resp.set_header('retry-after', str(problem.retry_after))
+
+
+def serialize_http_error(
+    req: Request,
+    resp: Response,
+    exc: falcon.HTTPError,
+) -> None:
+    """Write ``falcon``'s own refusals, which come before anything ran."""
+    detail = exc.description or exc.title or ''
+    problem = Problem(exc.status_code, exc.title or 'Refused', detail)
+    write_problem(resp, problem)
+
+
+async def handle_failure(
+    req: Request,
+    resp: Response,
+    exc: Exception,
+    _: dict[str, Any],
+) -> None:
+    """Answer a fault of our own; nobody can tell how far it got."""
+    write_problem(
+        resp,
+        Problem(
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            'Internal error',
+            type(exc).__name__,
+            Outcome.UNKNOWN,
+        ),
+    )
--- a/src/snipebend/transport/upstream_api.py
+++ b/src/snipebend/transport/upstream_api.py
@@ -1,121 +1,232 @@
-"""The agent's HTTP interface: passes requests on to the one upstream."""
+"""The agent's HTTP interface: passes attempts on to the one upstream."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping
-from contextlib import AsyncExitStack, asynccontextmanager
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientError
 from loguru import logger
+from msgspec import DecodeError, json
 
+from snipebend.delivery.guard import Guard, GuardLimits, Refused
+from snipebend.delivery.messages import AttemptTicket, SealReply, SealRequest
 from snipebend.kernel.service import Service
-from snipebend.transport.asgi import BODY_KEY, GONE_KEY, build_sink_app
+from snipebend.transport.asgi import (
+    BODY_KEY,
+    CONNECTION_KEY,
+    Connection,
+    build_sink_app,
+    largest_body,
+)
+from snipebend.transport.engine_call import EngineCall
+from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient, Outgoing, end_to_end
+from snipebend.transport.frames import (
+    MEDIA_FRAMES,
+    Accepted,
+    Declined,
+    encode_frame,
+)
+from snipebend.transport.kept_answer import AnswerKeeper, Ending
+from snipebend.transport.meters import AgentMeters
+from snipebend.transport.agent_methods import SEAL
 from snipebend.transport.problems import (
     REQUEST_ID_HEADER,
-    Outcome,
+    TICKET_HEADER,
     Problem,
     write_problem,
 )
-from snipebend.transport.relay import relay_answer
+from snipebend.transport.rpc import Endpoint, RpcServer
 
 if TYPE_CHECKING:
     from falcon.asgi import Request, Response
 
     from snipebend.kernel.registry import Registry
+    from snipebend.settings.model import AgentSettings
     from snipebend.transport.http_server import HttpServer
 
-_LEAVING = Problem(
-    HTTPStatus.SERVICE_UNAVAILABLE, 'Leaving', 'this upstream takes no new work'
-)
-_BROKEN = Problem(
-    HTTPStatus.BAD_GATEWAY,
-    'Upstream broke off',
-    'the upstream accepted the request, but did not answer',
-    Outcome.UNKNOWN,
+#: The upstream's header for the first chunk that is wanted.
+RESUME_HEADER = 'x-resume-from'
+
+#: Answers up to this many bytes are kept before a configuration is known.
+_ANSWER_BYTES = 262_144
+_MS_PER_S = 1000
+
+_NO_TICKET = Problem(
+    HTTPStatus.BAD_REQUEST,
+    'No ticket',
+    'an agent takes attempts from entries only',
+    field=TICKET_HEADER,
 )
 
 
 class UpstreamRelay(Service):
-    """Counts what runs on the upstream and refuses new work when leaving."""
+    """Guards the upstream: admits attempts, runs them and answers seals."""
 
-    def __init__(self, name: str, server: HttpServer, upstream: str) -> None:
-        """Serve on ``server`` for the upstream at ``host:port``."""
+    def __init__(
+        self,
+        name: str,
+        cfg: AgentSettings,
+        http: HttpServer,
+        grpc: RpcServer,
+    ) -> None:
+        """Serve attempts on ``http`` and seals on ``grpc``."""
         super().__init__(name)
         self.running = 0
-        self._upstream = upstream
-        self._leaving = False
+        self._cfg = cfg
         self._idle = asyncio.Event()
         self._idle.set()
-        server.serve(build_sink_app(self._serve))
+        self._meters = AgentMeters()
+        http.serve(build_sink_app(self._serve, largest_body))
+        grpc.add(Endpoint(SEAL, self.seal))
+
+    @property
+    def incarnation(self) -> int:
+        """Return the number of this life of the agent."""
+        return self._guard.incarnation
 
     async def start(self, registry: Registry) -> None:
-        """Find the client."""
+        """Begin a new life, which knows of no attempts."""
+        self._clock = registry.clock
         self._client = registry.find('client', HttpClient)
+        self._configuration = registry.find(
+            'configuration',
+            ConfigurationFollower,
+        )
+        self._guard = Guard(
+            int(registry.clock.wall() * _MS_PER_S),
+            GuardLimits(self._cfg.upstream.max_running),
+        )
 
     async def drain(self) -> None:
-        """Refuse new work and wait for what runs."""
-        self._leaving = True
+        """Refuse new attempts and wait for those that run.
+
+        The listener stays for the grace period, so that entries that haven't
+        heard yet get the refusal, which proves that nothing ran.
+        """
+        self._guard.leave()
+        await asyncio.sleep(self._cfg.listen.grace_s)
         await self._idle.wait()
 
+    async def seal(self, req: SealRequest) -> SealReply:
+        """Tell what became of an attempt, and bar it if it is unseen."""
+        reply = self._guard.seal(req, self._clock.wall())
+        logger.info(
+            'event=sealed request={} attempt={} verdict={}',
+            req.request_id,
+            req.attempt,
+            reply.verdict.value,
+        )
+        return reply
+
     def dump(self) -> Mapping[str, object]:
         """Return the load."""
-        return {'running': self.running, 'leaving': self._leaving}
+        return {'running': self.running, 'incarnation': self.incarnation}
 
-    async def _serve(
-        self,
-        req: Request,
-        resp: Response,
-        **_: str,
-    ) -> None:
-        if self._leaving:
-            write_problem(resp, _LEAVING)
+    async def _serve(self, req: Request, resp: Response, **_: str) -> None:
+        ticket = _read_ticket(req)
+        if ticket is None:
+            write_problem(resp, _NO_TICKET)
             return
-        stack = AsyncExitStack()
-        await stack.enter_async_context(self._count())
-        try:
-            await self._forward(req, resp, stack)
-        except (ClientError, OSError) as exc:
-            await stack.aclose()
-            _log_broken(req, self._upstream, exc)
-            write_problem(resp, _BROKEN)
+        resp.content_type = MEDIA_FRAMES
+        admission = self._guard.admit(ticket, self._clock.wall())
+        if isinstance(admission, Refused):
+            declined = Declined(ticket.attempt, admission.reason)
+            resp.data = encode_frame(declined)
+            self._log(req, ticket, admission.reason.value)
+            return
+        resp.stream = self._run(req, ticket)
 
-    async def _forward(
+    async def _run(
         self,
         req: Request,
-        resp: Response,
-        stack: AsyncExitStack,
-    ) -> None:
+        ticket: AttemptTicket,
+    ) -> AsyncIterator[bytes]:
+        """Yield the frames; whatever happens, the guard learns the end."""
+        keeper = AnswerKeeper(self._answer_bytes(ticket))
+        self._begin()
+        try:
+            yield encode_frame(Accepted(ticket.request_id, ticket.attempt))
+            async for frames in self._call(req, ticket).frames():
+                keeper.note(frames)
+                if keeper.ending is Ending.UNSENT:
+                    break
+                yield b''.join(map(encode_frame, frames))
+        finally:
+            refused = self._end(ticket, keeper)
+            self._log(req, ticket, keeper.ending.value)
+        if refused is not None:
+            yield encode_frame(Declined(ticket.attempt, refused.reason))
+
+    def _call(self, req: Request, ticket: AttemptTicket) -> EngineCall:
+        headers = end_to_end(req.headers)
+        if ticket.resume_from:
+            headers[RESUME_HEADER] = str(ticket.resume_from)
         outgoing = Outgoing(
             req.method,
-            f'http://{self._upstream}{req.relative_uri}',
-            end_to_end(req.headers),
+            self._cfg.upstream.address,
+            req.relative_uri,
+            headers,
             req.scope[BODY_KEY],
         )
-        answer = await stack.enter_async_context(
-            self._client.send(outgoing, req.scope[GONE_KEY]),
+        asker = req.scope[CONNECTION_KEY]
+        return EngineCall(
+            self._client,
+            outgoing,
+            ticket,
+            self._cfg.upstream.beat_s,
+            # Kept answers are made to their end, whoever still waits.
+            Connection() if ticket.keep_answer else asker,
         )
-        relay_answer(resp, answer, stack)
 
-    @asynccontextmanager
-    async def _count(self) -> AsyncIterator[None]:
+    def _begin(self) -> None:
         self.running += 1
         self._idle.clear()
-        try:
-            yield
-        finally:
-            self.running -= 1
-            if not self.running:
-                self._idle.set()
-
-
-def _log_broken(req: Request, peer: str, exc: Exception) -> None:
-    logger.warning(
-        'event=upstream_failed request={} peer={} reason={!r}',
-        req.get_header(REQUEST_ID_HEADER),
-        peer,
-        exc,
-    )
+        self._meters.begin()
+
+    def _end(
+        self,
+        ticket: AttemptTicket,
+        keeper: AnswerKeeper,
+    ) -> Refused | None:
+        self._meters.end(keeper.ending.value, keeper.chunks)
+        self.running -= 1
+        if not self.running:
+            self._idle.set()
+        attempt_id = (ticket.request_id, ticket.attempt)
+        match keeper.ending:
+            case Ending.COMPLETE:
+                self._guard.finish(*attempt_id, keeper.answer)
+            case Ending.UNSENT:
+                return self._guard.withdraw(*attempt_id)
+            case _:
+                self._guard.fail(*attempt_id)
+        return None
+
+    def _answer_bytes(self, ticket: AttemptTicket) -> int:
+        if not ticket.keep_answer:
+            return 0
+        index = self._configuration.index
+        return index.fleet.routing.answer_bytes if index else _ANSWER_BYTES
+
+    def _log(self, req: Request, ticket: AttemptTicket, ending: str) -> None:
+        logger.info(
+            'event=attempt request={} id={} step={} attempt={} peer={}',
+            req.get_header(REQUEST_ID_HEADER),
+            ticket.request_id,
+            ending,
+            ticket.attempt,
+            self._cfg.upstream.address,
+        )
+
+
+def _read_ticket(req: Request) -> AttemptTicket | None:
+    try:
+        return json.decode(
+            req.get_header(TICKET_HEADER) or '',
+            type=AttemptTicket,
+        )
+    except DecodeError:
+        return None
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -107,7 +107,7 @@
     """Return the sections that every daemon's settings begin with."""
     return (
         f'[process]\nname = "{name}"\ndata_center = "{data_center}"\n'
-        '[listen]\nhost = "127.0.0.1"\n'
+        '[listen]\nhost = "127.0.0.1"\ngrace_s = 0.0\n'
     )
 
 
--- /dev/null
+++ b/tests/transport/test_frames.py
@@ -0,0 +1,75 @@
+"""Frames and events, cut at every byte."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.delivery.messages import RefusalReason
+from snipebend.transport.events import EventBuffer, is_done, is_error
+from snipebend.transport.frames import (
+    Accepted,
+    Beat,
+    Broken,
+    Chunk,
+    Declined,
+    End,
+    FrameBuffer,
+    FrameError,
+    Head,
+    encode_frame,
+)
+
+_FRAMES = (
+    Accepted('r', 1),
+    Declined(2, RefusalReason.LEAVING),
+    Head(1, 200, (('content-type', 'text/event-stream'), ('a', 'b'))),
+    Chunk(1, 0, b'data: x\n\n'),
+    Beat(),
+    Chunk(1, 1, bytes(300)),
+    Broken(1, 'lost'),
+    End(1, 2),
+)
+
+
+class FrameBufferTest(unittest.TestCase):
+    def test_any_cut_gives_the_same_frames(self) -> None:
+        wire = b''.join(map(encode_frame, _FRAMES))
+        for size in (1, 2, 3, 7, 64, len(wire)):
+            buffer = FrameBuffer()
+            frames = []
+            for start in range(0, len(wire), size):
+                frames.extend(buffer.feed(wire[start : start + size]))
+            self.assertEqual(tuple(frames), _FRAMES)
+
+    def test_damage_is_an_error(self) -> None:
+        wire = encode_frame(Beat())
+        for damaged in (b'\xff' * 8, wire[:4] + b'\x00' * (len(wire) - 4)):
+            with self.assertRaises(FrameError):
+                FrameBuffer().feed(damaged)
+
+
+class EventBufferTest(unittest.TestCase):
+    def test_any_cut_gives_the_same_events(self) -> None:
+        events = [
+            b'data: a\n\n',
+            b'event: error\ndata: b\n\n',
+            b'data: c\r\n\r\n',
+            b'data: [DONE]\n\n',
+        ]
+        wire = b''.join(events)
+        for size in (1, 2, 5, len(wire)):
+            buffer = EventBuffer()
+            found = []
+            for start in range(0, len(wire), size):
+                found.extend(buffer.feed(wire[start : start + size]))
+            self.assertEqual(found, events)
+            self.assertFalse(buffer.partial)
+        self.assertEqual([one for one in events if is_done(one)], events[3:])
+        self.assertEqual([one for one in events if is_error(one)], events[1:2])
+
+    def test_done_inside_a_text_is_no_end(self) -> None:
+        self.assertFalse(is_done(b'data: {"text": "data: [DONE]"}\n\n'))
+
+
+if __name__ == '__main__':
+    unittest.main()
