--- a/src/snipebend/daemons/entry.py
+++ b/src/snipebend/daemons/entry.py
@@ -15,10 +15,8 @@
 from snipebend.transport.caller_api import CallerApi
 from snipebend.transport.control_calls import ControlCalls
 from snipebend.transport.dispatch import Dispatcher
-from snipebend.transport.followers import (
-    ConfigurationFollower,
-    DirectoryFollower,
-)
+from snipebend.transport.directory_follower import DirectoryFollower
+from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.routing_desk import RoutingDesk
--- a/src/snipebend/transport/routing_desk.py
+++ b/src/snipebend/transport/routing_desk.py
@@ -16,7 +16,7 @@
 from snipebend.delivery.messages import RefusalReason
 from snipebend.kernel.service import Service
 from snipebend.membership.messages import Announcement, Phase
-from snipebend.transport.followers import DirectoryFollower
+from snipebend.transport.directory_follower import DirectoryFollower
 
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
@@ -55,7 +55,7 @@
         """Choose among those not excluded, if there are any."""
         serving = [
             upstream
-            for upstream in self._directory.directory.upstreams
+            for upstream in self._directory.upstreams()
             if upstream.policy in ticket.policies
             and upstream.phase is Phase.SERVING
         ]
