Search the delivery for broken promises, and show that the search bites

Checked: at most one execution of a key, 'not-run' and 'ran' true, no answer mixed or cut short with a clean end, one final answer each, given in the very step of the deadline or the caller's leaving.

What is not covered: a copy that overtakes its original across a restart of the agent. A refusal for the wrong incarnation is a proof only because a sender sends each attempt once.

--- /dev/null
+++ b/tests/delivery/driver.py
@@ -0,0 +1,139 @@
+"""The entry's side of a schedule: what the machine asks for, with faults."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from snipebend.delivery.actions import (
+    AskRetry,
+    CancelAttempt,
+    ChooseUpstream,
+    Claim,
+    RelayChunk,
+    RelayHead,
+    Seal,
+    SendAttempt,
+    SetTimer,
+    Settle,
+)
+from snipebend.delivery.claim_events import (
+    ClaimAnswered,
+    ClaimFailed,
+    SealAnswered,
+    SealFailed,
+    SettleAnswered,
+    SettleFailed,
+)
+from snipebend.delivery.events import (
+    NoUpstream,
+    RetryDenied,
+    RetryGranted,
+    UpstreamChosen,
+)
+from snipebend.delivery.facts import Target
+from tests.delivery.engines import send_attempt
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from snipebend.delivery.actions import Action
+    from snipebend.delivery.events import Event
+    from snipebend.state.claims import ClaimRequest, SettleRequest
+    from tests.delivery.pieces import Sending
+    from tests.delivery.world import World
+
+#: Bytes of the longest answer that the claim store keeps.
+MAX_STORED_BYTES = 4096
+
+
+def perform(world: World, sending: Sending, action: Action) -> None:
+    match action:
+        case ChooseUpstream(exclude=exclude):
+            world.later(world.step, sending, _choose(world, exclude))
+        case AskRetry():
+            granted = world.happens(0.8)
+            answer = RetryGranted() if granted else RetryDenied(2)
+            world.later(world.step, sending, answer)
+        case Claim() | Settle() | Seal():
+            _call(world, sending, action)
+        case SendAttempt(target=target, ticket=ticket):
+            agent = world.agents[target.upstream]
+            send_attempt(world, sending, agent, ticket)
+        case CancelAttempt(attempt=attempt):
+            sending.conns[attempt].is_open = False
+        case RelayChunk(payload=payload):
+            sending.got.append(payload)
+        case RelayHead() | SetTimer():
+            return
+        case final:
+            sending.finals.append(final)
+            world.count_final(final)
+
+
+def _choose(world: World, exclude: frozenset[str]) -> Event:
+    names = [name for name in world.agents if name not in exclude]
+    if not names or world.happens(world.mix.no_upstream):
+        return NoUpstream(retry_after=1)
+    name = world.rng.choice(names)
+    return UpstreamChosen(Target(name, world.seen[name], name, name))
+
+
+def _call(
+    world: World, sending: Sending, action: Claim | Settle | Seal
+) -> None:
+    """Make a call whose request or answer may be lost, late or doubled."""
+    request = action.request
+    match action:
+        case Claim():
+            serve = partial(_claim, world, request)
+            failed: Event = ClaimFailed(request.holder.attempt)
+        case Settle():
+            serve = partial(_settle, world, request)
+            failed = SettleFailed(request.request_id, request.attempt)
+        case Seal():
+            serve = partial(_seal, world, action)
+            failed = SealFailed(request.request_id, request.attempt)
+    fate = world.draw_fate()
+    is_barred = isinstance(action, Seal) and not world.mix.seals_answered
+    if is_barred or fate in {'lost', 'late'}:
+        world.later(world.step, sending, failed)
+    if is_barred:
+        return
+    answer = partial(_answer, world, sending, serve, failed)
+    match fate:
+        case 'late':
+            world.later(serve)
+        case 'doubled':
+            world.later(answer)
+            world.later(answer)
+        case 'arrives':
+            world.later(answer)
+
+
+def _answer(
+    world: World,
+    sending: Sending,
+    serve: Callable[[], Event],
+    failed: Event,
+) -> None:
+    event = serve()
+    is_lost = world.happens(world.mix.lost)
+    world.later(world.step, sending, failed if is_lost else event)
+
+
+def _claim(world: World, request: ClaimRequest) -> Event:
+    reply = world.store.claim(request, world.now)
+    return ClaimAnswered(request.holder.attempt, reply)
+
+
+def _settle(world: World, request: SettleRequest) -> Event:
+    reply = world.store.settle(request, MAX_STORED_BYTES)
+    return SettleAnswered(request.request_id, request.attempt, reply)
+
+
+def _seal(world: World, action: Seal) -> Event:
+    agent = world.agents[action.grpc_address]
+    request = action.request
+    reply = agent.guard.seal(request, world.now + agent.skew)
+    return SealAnswered(request.request_id, request.attempt, reply)
--- /dev/null
+++ b/tests/delivery/engines.py
@@ -0,0 +1,161 @@
+"""The way of an attempt to an agent and of its answer back."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from snipebend.delivery.attempt_events import (
+    AttemptBroke,
+    AttemptFinished,
+    AttemptRefused,
+    AttemptStarted,
+    ChunkArrived,
+)
+from snipebend.delivery.guard import Refused
+from snipebend.state.claims import StoredAnswer
+from tests.delivery.pieces import Conn, Run
+
+if TYPE_CHECKING:
+    from snipebend.delivery.attempt_events import AttemptEvent
+    from snipebend.delivery.messages import AttemptTicket
+    from tests.delivery.pieces import Agent, Sending
+    from tests.delivery.world import World
+
+
+def send_attempt(
+    world: World,
+    sending: Sending,
+    agent: Agent,
+    ticket: AttemptTicket,
+) -> None:
+    conn = Conn(sending, ticket.attempt)
+    sending.conns[ticket.attempt] = conn
+    if world.happens(world.mix.unsent):
+        push(world, conn, AttemptBroke(ticket.attempt, sent=False))
+        return
+    unread = Conn(sending, ticket.attempt, is_open=False)
+    arrive = partial(_arrive, world, agent, ticket)
+    fate = world.draw_fate()
+    if fate in {'lost', 'late'}:
+        push(world, conn, AttemptBroke(ticket.attempt, sent=True))
+    match fate:
+        case 'late':
+            world.later(arrive, unread)
+        case 'doubled' if world.happens(0.5):
+            world.later(arrive, conn, unread)
+        case 'doubled':
+            world.later(arrive, unread, conn)
+        case 'arrives':
+            world.later(arrive, conn)
+
+
+def push(world: World, conn: Conn, event: AttemptEvent) -> None:
+    """Put an event on its way; what is under way survives a cancel."""
+    if not conn.is_open:
+        return
+    is_chunk = isinstance(event, ChunkArrived)
+    if world.happens(world.mix.broken):
+        broke = AttemptBroke(conn.attempt, sent=True)
+        if world.happens(0.5):
+            # Given up for silent: what was under way still comes.
+            world.later(world.step, conn.sending, broke)
+        else:
+            event = broke
+            conn.is_open = False
+    elif is_chunk and world.happens(world.mix.lost / 4):
+        return
+    conn.queue.append(event)
+    world.later(_pump, world, conn)
+    if is_chunk and world.happens(world.mix.doubled):
+        conn.queue.append(event)
+        world.later(_pump, world, conn)
+
+
+def break_all(world: World, agent: Agent) -> None:
+    """Break every connection of an agent; what ran there yields no more."""
+    for conn in agent.running:
+        push(world, conn, AttemptBroke(conn.attempt, sent=True))
+        conn.is_open = False
+    agent.running = []
+
+
+def _arrive(
+    world: World,
+    agent: Agent,
+    ticket: AttemptTicket,
+    conn: Conn,
+    behind: Conn | None = None,
+) -> None:
+    """Let an attempt arrive, and a copy of it some time behind.
+
+    The answer to a copy is read by nobody. A copy may overtake the attempt on
+    its way to one life of the agent, but no further: a refusal for the wrong
+    incarnation is a proof only because an attempt is sent once.
+    """
+    _admit(world, agent, ticket, conn)
+    incarnation = agent.incarnation
+
+    def arrive_behind(late: Conn) -> None:
+        if late.is_open and agent.incarnation != incarnation:
+            push(world, late, AttemptBroke(ticket.attempt, sent=True))
+        else:
+            _admit(world, agent, ticket, late)
+
+    if behind is not None:
+        world.later(arrive_behind, behind)
+
+
+def _admit(
+    world: World,
+    agent: Agent,
+    ticket: AttemptTicket,
+    conn: Conn,
+) -> None:
+    admission = agent.guard.admit(ticket, world.now + agent.skew)
+    if not isinstance(admission, Refused):
+        if not world.happens(world.mix.unsent):
+            _start(world, agent, ticket, conn)
+            return
+        admission = agent.guard.withdraw(ticket.request_id, ticket.attempt)
+    push(world, conn, AttemptRefused(ticket.attempt, admission.reason))
+
+
+def _start(
+    world: World,
+    agent: Agent,
+    ticket: AttemptTicket,
+    conn: Conn,
+) -> None:
+    work = conn.sending.work
+    stem = work.name
+    if not work.resumable:
+        # Such an engine never gives the same answer twice.
+        stem = f'{stem}/{ticket.request_id}/{ticket.attempt}'
+    payloads = [f'{stem}/{seq};'.encode() for seq in range(work.chunks)]
+    run = Run(ticket.request_id, work, tuple(payloads))
+    world.runs.append(run)
+    agent.running.append(conn)
+    push(world, conn, AttemptStarted(ticket.attempt, 200, {}))
+    world.later(_run, world, agent, conn, run, ticket.resume_from)
+
+
+def _run(world: World, agent: Agent, conn: Conn, run: Run, seq: int) -> None:
+    if conn not in agent.running:
+        return
+    if seq < len(run.payloads):
+        push(world, conn, ChunkArrived(conn.attempt, seq, run.payloads[seq]))
+        world.later(_run, world, agent, conn, run, seq + 1)
+        return
+    agent.running.remove(conn)
+    answer = StoredAnswer(200, '', b''.join(run.payloads))
+    agent.guard.finish(run.request_id, conn.attempt, answer)
+    push(world, conn, AttemptFinished(conn.attempt, len(run.payloads)))
+
+
+def _pump(world: World, conn: Conn) -> None:
+    front = conn.queue[:2]
+    chunks = [event for event in front if isinstance(event, ChunkArrived)]
+    may_swap = len(chunks) == 2
+    index = world.rng.randrange(2) if may_swap else 0
+    world.step(conn.sending, conn.queue.pop(index))
--- /dev/null
+++ b/tests/delivery/pieces.py
@@ -0,0 +1,106 @@
+"""What a schedule is made of: work, sendings, connections and agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from snipebend.delivery.guard import Guard
+from snipebend.delivery.limits import DeliveryLimits
+from snipebend.delivery.request_machine import RequestMachine
+
+if TYPE_CHECKING:
+    from snipebend.delivery.actions import Action
+    from snipebend.delivery.attempt_events import AttemptEvent
+    from snipebend.delivery.facts import RequestFacts
+    from snipebend.delivery.guard import GuardLimits
+
+
+class Mix(NamedTuple):
+    """How often things go wrong, as shares of messages or of steps."""
+
+    lost: float = 0.08
+    late: float = 0.06
+    doubled: float = 0.12
+    unsent: float = 0.04
+    broken: float = 0.05
+    chaos: float = 0.15
+    no_upstream: float = 0.1
+    seals_answered: bool = True
+
+    def without_loss(self) -> Mix:
+        """Return the mix for the end of a schedule."""
+        return self._replace(lost=0, late=0, doubled=0, unsent=0, broken=0)
+
+
+DEFAULT_MIX = Mix()
+
+
+class Work(NamedTuple):
+    """One piece of work of a caller; ``key`` is empty where it has none."""
+
+    name: str
+    key: str
+    repeatable: bool
+    resumable: bool
+    chunks: int
+
+
+class Run(NamedTuple):
+    """One execution at an engine, and the whole answer that it gives."""
+
+    request_id: str
+    work: Work
+    payloads: tuple[bytes, ...]
+
+
+class Sending:
+    """One request at an entry: its machine and what its caller got."""
+
+    def __init__(self, entry: str, facts: RequestFacts, work: Work) -> None:
+        self.entry = entry
+        self.facts = facts
+        self.work = work
+        self.machine = RequestMachine(DeliveryLimits(entry))
+        self.runs_before = 0
+        self.crashed = False
+        self.timer_fired = False
+        self.held_back = False
+        self.got: list[bytes] = []
+        self.finals: list[Action] = []
+        self.conns: dict[int, Conn] = {}
+
+    @property
+    def request_id(self) -> str:
+        return self.facts.request_id
+
+
+class Conn:
+    """One attempt's connection: its events arrive in their order."""
+
+    def __init__(
+        self,
+        sending: Sending,
+        attempt: int,
+        *,
+        is_open: bool = True,
+    ) -> None:
+        self.sending = sending
+        self.attempt = attempt
+        self.is_open = is_open
+        self.queue: list[AttemptEvent] = []
+
+
+class Agent:
+    """An agent with its engine; its clock is off by ``skew`` seconds."""
+
+    def __init__(self, name: str, limits: GuardLimits, skew: float) -> None:
+        self.name = name
+        self.limits = limits
+        self.skew = skew
+        self.incarnation = 0
+        self.running: list[Conn] = []
+        self.restart()
+
+    def restart(self) -> None:
+        self.incarnation += 1
+        self.guard = Guard(self.incarnation, self.limits)
--- /dev/null
+++ b/tests/delivery/test_guard.py
@@ -0,0 +1,122 @@
+"""The agent's guard: what it refuses, what it remembers, and how much."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.delivery.guard import Admitted, Guard, GuardLimits, Refused
+from snipebend.delivery.messages import (
+    AttemptTicket,
+    RefusalReason,
+    SealRequest,
+    SealVerdict,
+)
+from snipebend.state.claims import StoredAnswer
+
+LIMITS = GuardLimits(
+    max_running=2, max_records=50, max_answer_bytes=10, retention_s=30
+)
+
+
+def _ticket(
+    request_id: str = 'r',
+    attempt: int = 1,
+    deadline_at: float = 100,
+    incarnation: int = 7,
+) -> AttemptTicket:
+    return AttemptTicket(
+        request_id, attempt, incarnation, deadline_at, keep_answer=True
+    )
+
+
+def _seal(request_id: str = 'r', attempt: int = 1) -> SealRequest:
+    return SealRequest(request_id, attempt, 7, 100)
+
+
+class GuardTest(unittest.TestCase):
+    """One guard, incarnation 7."""
+
+    def setUp(self) -> None:
+        self.guard = Guard(7, LIMITS)
+
+    def assert_refused(
+        self,
+        ticket: AttemptTicket,
+        reason: RefusalReason,
+        now: float = 0,
+    ) -> None:
+        self.assertEqual(self.guard.admit(ticket, now), Refused(reason))
+
+    def test_each_attempt_starts_once(self) -> None:
+        self.assertEqual(self.guard.admit(_ticket(), 0), Admitted())
+        self.assert_refused(_ticket(), RefusalReason.DUPLICATE)
+        self.guard.finish('r', 1, None)
+        self.assert_refused(_ticket(), RefusalReason.DUPLICATE)
+        self.assertEqual(self.guard.admit(_ticket(attempt=3), 0), Admitted())
+        self.assert_refused(_ticket(attempt=2), RefusalReason.STALE_ATTEMPT)
+        stranger = _ticket('s', incarnation=6)
+        self.assert_refused(stranger, RefusalReason.WRONG_INCARNATION)
+
+    def test_a_refused_attempt_stays_refused(self) -> None:
+        self.guard.admit(_ticket('a'), 0)
+        self.guard.admit(_ticket('b'), 0)
+        self.assert_refused(_ticket('c'), RefusalReason.FULL)
+        self.guard.finish('a', 1, None)
+        self.assert_refused(_ticket('c'), RefusalReason.SEALED)
+        self.assertEqual(self.guard.running, 1)
+
+    def test_leaving_still_answers_seals(self) -> None:
+        self.guard.admit(_ticket('a'), 0)
+        self.guard.leave()
+        self.assert_refused(_ticket('b'), RefusalReason.LEAVING)
+        replies = [self.guard.seal(_seal(name), 1) for name in ('a', 'b', 'c')]
+        self.assertEqual(
+            [reply.verdict for reply in replies],
+            [SealVerdict.RUNNING, SealVerdict.NOT_RUN, SealVerdict.NOT_RUN],
+        )
+
+    def test_seal_tells_the_end(self) -> None:
+        answer = StoredAnswer(200, 'text/plain', b'12345678')
+        for answered in ('a', 'b'):
+            self.guard.admit(_ticket(answered), 0)
+            self.guard.finish(answered, 1, answer)
+        self.guard.admit(_ticket('c'), 0)
+        self.guard.fail('c', 1)
+        replies = [self.guard.seal(_seal(name), 1) for name in ('a', 'b', 'c')]
+        # Two answers are over the bound together: the older one is dropped.
+        self.assertEqual(
+            [reply.answer for reply in replies], [None, answer, None]
+        )
+        self.assertIs(replies[0].verdict, SealVerdict.RAN)
+        self.assertIs(replies[2].verdict, SealVerdict.UNKNOWN)
+
+    def test_memory_is_bounded(self) -> None:
+        for index in range(100):
+            self.guard.seal(_seal(f'r{index}'), 1)
+        reply = self.guard.seal(_seal('r99'), 1)
+        self.assertIs(reply.verdict, SealVerdict.UNKNOWN)
+        self.assert_refused(_ticket('late'), RefusalReason.UNTRACKED)
+        # Past the deadline the tombstones are gone and not needed any more.
+        self.assert_refused(_ticket('r1'), RefusalReason.DEADLINE_PASSED, 101)
+        fresh = _ticket('next', deadline_at=200)
+        self.assertEqual(self.guard.admit(fresh, 101), Admitted())
+
+    def test_a_clock_that_runs_back(self) -> None:
+        self.guard.seal(_seal(), 0)
+        self.guard.seal(_seal('other'), 101)
+        # The tombstone was forgotten; the deadline must still count as passed.
+        self.assert_refused(_ticket(), RefusalReason.DEADLINE_PASSED, 50)
+
+    def test_what_was_forgotten_is_in_doubt(self) -> None:
+        self.guard.admit(_ticket('a'), 0)
+        self.guard.finish('a', 1, None)
+        self.assertIs(self.guard.seal(_seal('a'), 129).verdict, SealVerdict.RAN)
+        reply = self.guard.seal(_seal('a'), 131)
+        self.assertIs(reply.verdict, SealVerdict.UNKNOWN)
+        self.assert_refused(_ticket('a'), RefusalReason.DUPLICATE, 131)
+        later = SealRequest('b', 1, 7, 102)
+        self.assertIs(self.guard.seal(later, 131).verdict, SealVerdict.NOT_RUN)
+
+
+if __name__ == '__main__':
+    unittest.main()
