Decide about expert maps by one objective with two weights

Cause: no balance of experts was decided yet. Reports are folded by the age of their step; a search over swaps and copies walks from the map in force; the prefixes that gain most per load are kept if they stand clear of noise and pay back; the store's rate and the capacity that serving needs are hard limits.

--- /dev/null
+++ b/bench/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, baselines and runs for the expert map benches."""
--- /dev/null
+++ b/bench/experts/players.py
@@ -0,0 +1,150 @@
+"""Our policy and its baselines behind one call an interval."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from snipebend.experts.cost import CostModel, StoreBudget
+from snipebend.experts.estimate import LoadEstimator
+from snipebend.experts.model import ExpertMap
+from snipebend.experts.moves import align_slots
+from snipebend.experts.placement import place_from_scratch
+from snipebend.experts.policy import Change, Facts, Policy
+from snipebend.experts.search import SearchLimits, search
+from snipebend.experts.moves import replay
+from snipebend.experts.skew import relative_loads
+
+import numpy as np
+
+if TYPE_CHECKING:
+    from numpy.typing import NDArray
+
+    from snipebend.experts.estimate import ExpertReport
+    from snipebend.experts.model import GroupShape
+    from snipebend.experts.policy import PolicySettings
+    from snipebend.fleet.model import Weights
+
+POLISH_ROUNDS = 256
+#: One interval of the workloads.
+HALF_LIFE_STEPS = 6000
+
+
+class Moment(NamedTuple):
+    """The end of an interval: its reports and the next interval's truth."""
+
+    step: int
+    now: float
+    reports: list[ExpertReport]
+    following: NDArray[np.float64]
+
+
+class Player(Protocol):
+    """Chooses the map for the next interval."""
+
+    def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
+        """Return the map to use next."""
+
+
+def polished(
+    shape: GroupShape,
+    shares: NDArray[np.float64],
+    version: int,
+) -> ExpertMap:
+    """Return the best map we know for the shares, at any cost."""
+    loads = relative_loads(shares, shape.ranks)
+    scratch = place_from_scratch(shape, loads, version)
+    trail = search(scratch.placement, loads, SearchLimits(0, POLISH_ROUNDS))
+    last = np.full(shape.layers, len(trail.slots))
+    return ExpertMap(version, replay(scratch.placement, trail, last))
+
+
+class StaticPlayer:
+    """Never changes the map."""
+
+    def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
+        """Keep the map."""
+        return current
+
+
+class OraclePlayer:
+    """Knows the next interval, and moves at no cost."""
+
+    def __init__(self, shape: GroupShape) -> None:
+        self._shape = shape
+
+    def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
+        """Place for the next interval's true shares."""
+        target = polished(self._shape, moment.following, current.version + 1)
+        aligned = align_slots(current.placement, target.placement)
+        return ExpertMap(target.version, aligned)
+
+
+class ScratchPlayer:
+    """Greedy from scratch at every interval, on the same estimate."""
+
+    def __init__(self, shape: GroupShape) -> None:
+        self._shape = shape
+        self._estimator = LoadEstimator(shape, HALF_LIFE_STEPS)
+
+    def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
+        """Place for the estimate."""
+        for report in moment.reports:
+            self._estimator.record(report).unwrap()
+        shares = self._estimator.estimate().shares
+        loads = relative_loads(shares, self._shape.ranks)
+        target = place_from_scratch(self._shape, loads, current.version + 1)
+        aligned = align_slots(current.placement, target.placement)
+        return ExpertMap(target.version, aligned)
+
+
+class PolicyPlayer:
+    """Our policy with one deployment's weights."""
+
+    def __init__(
+        self,
+        shape: GroupShape,
+        weights: Weights,
+        store_bytes_per_s: float,
+        *,
+        hold_steps: int = 0,
+        settings: PolicySettings | None = None,
+        utilisation: float = 0.6,
+    ) -> None:
+        self._estimator = LoadEstimator(shape, HALF_LIFE_STEPS)
+        self._policy = Policy(
+            shape,
+            weights,
+            CostModel(),
+            hold_steps=hold_steps,
+            settings=settings,
+        )
+        self._store = StoreBudget(store_bytes_per_s)
+        self._changed_at = -INTERVAL_FAR
+        self._utilisation = utilisation
+        self.reasons: list[str] = []
+
+    def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
+        """Ask the policy."""
+        for report in moment.reports:
+            self._estimator.record(report).unwrap()
+        facts = Facts(
+            moment.step,
+            self._changed_at,
+            self._utilisation,
+            self._store,
+        )
+        decision = self._policy.decide(
+            self._estimator.estimate(),
+            current,
+            facts,
+            moment.now,
+        )
+        self.reasons.append(decision.reason)
+        if not isinstance(decision, Change):
+            return current
+        self._store = decision.store
+        self._changed_at = moment.step
+        return decision.expert_map
+
+
+INTERVAL_FAR = 1_000_000
--- /dev/null
+++ b/bench/experts/run.py
@@ -0,0 +1,77 @@
+"""Runs one workload with several players on the same reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import numpy as np
+
+from bench.experts.players import Moment, polished
+from bench.experts.workloads import INTERVAL_STEPS, draw_reports
+from snipebend.experts.skew import relative_loads, step_skew
+
+if TYPE_CHECKING:
+    from bench.experts.players import Player
+    from bench.experts.workloads import Traffic, Workload
+    from snipebend.experts.model import GroupShape
+
+STEP_S = 0.05
+
+
+class Outcome(NamedTuple):
+    """Mean step skew, bytes moved, changes, and each interval's skew."""
+
+    skew: float
+    load_bytes: int
+    changes: int
+    skews: list[float]
+    loads: list[int]
+
+
+def run(
+    shape: GroupShape,
+    workload: Workload,
+    players: dict[str, Player],
+    traffic: Traffic,
+    seed: int,
+) -> dict[str, Outcome]:
+    """Score each player's map of an interval on that interval's true shares.
+
+    All start on the map that is best for the first interval; a map chosen at
+    an interval's end serves the next one.
+    """
+    rng = np.random.default_rng(seed)
+    first = polished(shape, workload.shares[0], 1)
+    maps = dict.fromkeys(players, first)
+    skews: dict[str, list[float]] = {name: [] for name in players}
+    loads: dict[str, list[int]] = {name: [] for name in players}
+    for turn, shares in enumerate(workload.shares[:-1]):
+        step = (turn + 1) * INTERVAL_STEPS
+        following = workload.shares[turn + 1]
+        reports = draw_reports(shape, shares, step, traffic, rng)
+        moment = Moment(step, step * STEP_S, reports, following)
+        truth = relative_loads(following, shape.ranks)
+        for name, player in players.items():
+            chosen = player.turn(moment, maps[name])
+            changed = int((chosen.placement != maps[name].placement).sum())
+            loads[name].append(changed)
+            maps[name] = chosen
+            skews[name].append(step_skew(chosen.placement, truth))
+    return {
+        key: _summarise(skews[key], loads[key], shape.expert_bytes)
+        for key in players
+    }
+
+
+def _summarise(
+    skews: list[float],
+    loads: list[int],
+    expert_bytes: int,
+) -> Outcome:
+    return Outcome(
+        float(np.mean(skews)),
+        sum(loads) * expert_bytes,
+        sum(count > 0 for count in loads),
+        skews,
+        loads,
+    )
--- /dev/null
+++ b/bench/quick_experts.py
@@ -0,0 +1,76 @@
+"""Skew and cost of expert maps: our policy beside its baselines.
+
+Every figure follows from seeds and is exact. ``skew`` figures are the mean
+step skew over the oracle's, ``bytes`` figures the bytes moved over those of
+the greedy placement from scratch at every interval.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bench.experts.players import (
+    OraclePlayer,
+    PolicyPlayer,
+    ScratchPlayer,
+    StaticPlayer,
+)
+from bench.experts.run import run
+from bench.experts.workloads import WORKLOADS, Traffic
+from snipebend.experts.model import GroupShape
+from snipebend.fleet.model import Weights
+
+if TYPE_CHECKING:
+    from bench.experts.players import Player
+    from bench.experts.run import Outcome
+
+#: Both deployments' sizes of today, with fewer layers to be quick.
+SHAPE = GroupShape(
+    ranks=16,
+    experts=64,
+    layers=6,
+    slots=6,
+    expert_bytes=22_020_096,
+)
+#: The store's rate, scaled down as the layers are: 6 of 24.
+STORE_BYTES_PER_S = 500_000_000
+SEED = 7
+MAENGELWERK = Weights(skew=0.8, cost=0.2)
+CHANTHAVONG = Weights(skew=0.3, cost=0.7)
+
+
+def make_players() -> dict[str, Player]:
+    """Return the baselines and our policy under both deployments' weights."""
+    return {
+        'static': StaticPlayer(),
+        'scratch': ScratchPlayer(SHAPE),
+        'oracle': OraclePlayer(SHAPE),
+        'maengelwerk': PolicyPlayer(SHAPE, MAENGELWERK, STORE_BYTES_PER_S),
+        'chanthavong': PolicyPlayer(SHAPE, CHANTHAVONG, STORE_BYTES_PER_S),
+    }
+
+
+def measure() -> dict[str, float]:
+    """Run all workloads; return ratios to the baselines by name."""
+    figures: dict[str, float] = {}
+    for make in WORKLOADS:
+        workload = make(SHAPE, SEED)
+        players = make_players()
+        outcomes = run(SHAPE, workload, players, Traffic(), SEED)
+        figures |= _ratios(workload.name, outcomes)
+    return figures
+
+
+def _ratios(
+    workload: str,
+    outcomes: dict[str, Outcome],
+) -> dict[str, float]:
+    oracle = outcomes.pop('oracle')
+    scratch_bytes = outcomes['scratch'].load_bytes
+    figures = {f'{workload}.oracle.mean_skew': oracle.skew}
+    for name, outcome in outcomes.items():
+        prefix = f'{workload}.{name}'
+        figures[f'{prefix}.skew'] = outcome.skew / oracle.skew
+        figures[f'{prefix}.bytes'] = outcome.load_bytes / scratch_bytes
+        figures[f'{prefix}.changes'] = outcome.changes
+    return figures
--- /dev/null
+++ b/src/snipebend/experts/moves.py
@@ -0,0 +1,117 @@
+"""The moves that gain most for each byte, from the trails of a search.
+
+Within a layer, prefixes of the trail on the lower convex hull of skew over
+loads are the ones worth stopping at. The hull's segments of all layers are
+taken steepest first, the greedy rule for the multiple-choice knapsack (P.
+Sinha, A. A. Zoltners, "The multiple-choice knapsack problem", Operations
+Research 27(3), 1979).
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import numpy as np
+
+if TYPE_CHECKING:
+    from numpy.typing import NDArray
+
+    from snipebend.experts.search import Trail
+
+
+class _Segment(NamedTuple):
+    layer: int
+    rounds: int
+    loads: int
+    gain_per_load: float
+
+
+def choose_rounds(
+    trail: Trail,
+    min_gain: float,
+    max_loads: int,
+) -> NDArray[np.int64]:
+    """Return for each layer how many rounds of its trail to keep.
+
+    Each load kept takes at least ``min_gain`` off its layer's skew on average
+    of its segment; the loads together are at most ``max_loads``.
+    """
+    layers = trail.skews.shape[1]
+    kept = np.zeros(layers, dtype=np.int64)
+    closed = np.zeros(layers, dtype=np.bool_)
+    segments = [
+        segment
+        for layer in range(layers)
+        for segment in _hull(trail, layer)
+        if segment.gain_per_load > min_gain
+    ]
+    segments.sort(key=_steepest_first)
+    for segment in segments:
+        if closed[segment.layer] or segment.loads > max_loads:
+            closed[segment.layer] = True
+            continue
+        max_loads -= segment.loads
+        kept[segment.layer] = segment.rounds
+    return kept
+
+
+def replay(
+    placement: NDArray[np.int16],
+    trail: Trail,
+    rounds: NDArray[np.int64],
+) -> NDArray[np.int16]:
+    """Return the placement after each layer's first ``rounds`` changes."""
+    layers = placement.shape[0]
+    flat = placement.reshape(layers, -1).copy()
+    for turn, slots in enumerate(trail.slots):
+        running = (rounds > turn).reshape(-1, 1) & (slots >= 0)
+        rows, columns = np.nonzero(running)
+        flat[rows, slots[rows, columns]] = trail.experts[turn, rows, columns]
+    return align_slots(placement, flat.reshape(placement.shape))
+
+
+def align_slots(
+    before: NDArray[np.int16],
+    after: NDArray[np.int16],
+) -> NDArray[np.int16]:
+    """Return ``after`` with what a rank held before kept in its old slot."""
+    aligned = after.copy()
+    layers, ranks = np.nonzero((before != after).any(axis=2))
+    for layer, rank in zip(layers.tolist(), ranks.tolist(), strict=True):
+        held = before[layer, rank].tolist()
+        wanted = after[layer, rank].tolist()
+        aligned[layer, rank] = _align_row(held, wanted)
+    return aligned
+
+
+def _align_row(held: list[int], wanted: list[int]) -> list[int]:
+    incoming = [expert for expert in wanted if expert not in held]
+    incoming.reverse()
+    return [expert if expert in wanted else incoming.pop() for expert in held]
+
+
+def _steepest_first(segment: _Segment) -> tuple[float, int, int]:
+    return (-segment.gain_per_load, segment.layer, segment.rounds)
+
+
+def _hull(trail: Trail, layer: int) -> list[_Segment]:
+    """Return the falling segments of one layer's lower convex hull.
+
+    The hull is walked from the start, each time to the point of steepest
+    descent (R. A. Jarvis's march, Inf. Process. Lett. 2(1), 1973).
+    """
+    skews = trail.skews[:, layer]
+    loads = trail.loads_used[:, layer]
+    segments = []
+    at = 0
+    while at < len(skews) - 1:
+        ahead = loads[at + 1 :] - loads[at]
+        gains = (skews[at] - skews[at + 1 :]) / np.maximum(ahead, 1)
+        best = int(gains.argmax())
+        if gains[best] <= 0:
+            break
+        at += best + 1
+        segments.append(
+            _Segment(layer, at, int(ahead[best]), float(gains[best])),
+        )
+    return segments
