--- /dev/null
+++ b/src/snipebend/experts/drift.py
@@ -0,0 +1,65 @@
+"""Drift of popularity told apart from noise, layer by layer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+if TYPE_CHECKING:
+    from numpy.typing import NDArray
+
+    from snipebend.experts.estimate import LoadEstimate
+
+#: A variance that says nothing was reported.
+_UNKNOWN = 1
+
+
+class DriftGate:
+    """Compares each layer with the shares that its placement was made for.
+
+    The statistic is Pearson's: squared differences over their variances,
+    summed over experts (E. L. Lehmann, J. P. Romano, "Testing statistical
+    hypotheses", 3rd ed., section 14.3). Without drift it has a mean of the
+    number of experts e and a variance of 2e; ``limit`` is the number of
+    standard deviations beyond the mean that count as drift.
+    """
+
+    def __init__(self, limit: float) -> None:
+        """Start without a reference."""
+        self._limit = limit
+        self._shares: NDArray[np.float64] | None = None
+        self._variances: NDArray[np.float64] | None = None
+
+    def drifted(self, estimate: LoadEstimate) -> NDArray[np.bool_]:
+        """Return the layers that drifted since their reference.
+
+        Layers heard of for the first time get the estimate as reference.
+        """
+        if self._shares is None or self._variances is None:
+            self._shares = estimate.shares.copy()
+            self._variances = estimate.variances.copy()
+        unknown = (self._variances >= _UNKNOWN).all(axis=1)
+        self.rebase(unknown, estimate)
+        squares = (estimate.shares - self._shares) ** 2
+        spread = estimate.variances + self._variances
+        terms = np.divide(
+            squares,
+            spread,
+            out=np.zeros_like(squares),
+            where=spread > 0,
+        )
+        experts = squares.shape[1]
+        excess = terms.sum(axis=1) - experts
+        return np.greater(excess, self._limit * np.sqrt(2 * experts))
+
+    def rebase(
+        self,
+        layers: NDArray[np.bool_],
+        estimate: LoadEstimate,
+    ) -> None:
+        """Make the estimate the reference of some layers."""
+        if self._shares is None or self._variances is None:
+            return
+        self._shares[layers] = estimate.shares[layers]
+        self._variances[layers] = estimate.variances[layers]
--- a/src/snipebend/experts/policy.py
+++ b/src/snipebend/experts/policy.py
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from snipebend.experts.drift import DriftGate
 from snipebend.experts.model import ExpertMap, Move
 from snipebend.experts.moves import choose_rounds, replay
 from snipebend.experts.search import SearchLimits, search
@@ -31,15 +32,20 @@
 class PolicySettings(NamedTuple):
     """Constants of the decisions.
 
-    ``horizon_steps`` is the longest that a gain is counted on to last,
-    ``noise_limit`` the standard deviations that a layer's gain must exceed,
-    ``load_window_s`` the time within which a change must be loaded,
-    ``stale_steps`` the age past which reports aren't acted on and ``rounds``
-    the most changes that the search tries in a layer.
+    ``horizon_steps`` is the longest that a gain is counted on to last.
+    ``drift_limit`` is the excess, in standard deviations, that counts as
+    drift of a layer's popularity. A layer's gain must exceed ``noise_limit``
+    of its own standard deviations after drift, and ``steady_limit`` without:
+    the search picks the best of thousands of changes, whose largest error of
+    pure noise lies near four. ``load_window_s`` is the time within which a
+    change must be loaded, ``stale_steps`` the age past which reports aren't
+    acted on and ``rounds`` the most changes tried in a layer.
     """
 
     horizon_steps: int = 30000
-    noise_limit: float = 4.0
+    drift_limit: float = 8.0
+    noise_limit: float = 2.0
+    steady_limit: float = 8.0
     load_window_s: float = 30.0
     stale_steps: int = 12000
     rounds: int = 256
@@ -108,6 +114,7 @@
         self._hold_steps = hold_steps
         self._settings = settings or PolicySettings()
         self._trials = TrialBook(self._settings.horizon_steps)
+        self._drift = DriftGate(self._settings.drift_limit)
 
     def decide(
         self,
@@ -162,6 +169,8 @@
         )
         if self._net_gain(plan, facts) <= 0:
             return Keep('will-not-pay-back')
+        changed = (plan.placement != expert_map.placement).any(axis=(1, 2))
+        self._drift.rebase(changed, estimate)
         return self._change(plan, expert_map, facts, now)
 
     def _plan(
@@ -182,12 +191,20 @@
             before,
             replay(before, trail, rounds),
             estimate,
-            self._settings.noise_limit,
+            self._limits(estimate),
         )
         placement = replay(before, trail, np.where(gains > 0, rounds, 0))
         changed = int((placement != before).sum())
         return _Plan(placement, float(gains.mean()), changed)
 
+    def _limits(self, estimate: LoadEstimate) -> NDArray[np.float64]:
+        """Return how far each layer's gain must stand clear of noise."""
+        return np.where(
+            self._drift.drifted(estimate),
+            self._settings.noise_limit,
+            self._settings.steady_limit,
+        )
+
     def _max_loads(self, facts: Facts, now: float) -> int:
         until = now + self._settings.load_window_s
         pace = self._costs.pace(facts.utilisation)
--- a/src/snipebend/experts/significance.py
+++ b/src/snipebend/experts/significance.py
@@ -19,12 +19,12 @@
     before: NDArray[np.int16],
     after: NDArray[np.int16],
     estimate: LoadEstimate,
-    limit: float,
+    limits: NDArray[np.float64],
 ) -> NDArray[np.float64]:
     """Return each layer's gain in skew; 0 where it may be noise.
 
-    A gain must exceed ``limit`` standard deviations (a one-sided z-test). Its
-    variance follows from those of the experts' shares by the delta method
+    A gain must exceed its layer's entry of ``limits`` in standard deviations
+    (a one-sided z-test). Its variance follows from those of the experts' shares by the delta method
     (L. Wasserman, "All of statistics", section 9.9): near the estimate, a
     layer's skew is the sum of the shares on its hottest rank.
     """
@@ -34,7 +34,7 @@
     slopes = _skew_slopes(before, loads) - _skew_slopes(after, loads)
     variances = (slopes * slopes * estimate.variances).sum(axis=1)
     deviations = np.sqrt(variances) * ranks
-    return np.where(gains > limit * deviations, gains, 0)
+    return np.where(gains > limits * deviations, gains, 0)
 
 
 def _skew_slopes(
