--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
+from snipebend.membership.directory_delta import DirectoryDelta
 from snipebend.membership.messages import (
     AnnounceReply,
     Announcement,
     Directory,
     DirectoryRequest,
 )
+from snipebend.state.claims import (
+    ClaimReply,
+    ClaimRequest,
+    SettleReply,
+    SettleRequest,
+)
+from snipebend.state.crashes import (
+    CrashReport,
+    SuspectCleared,
+    SuspectList,
+    SuspectQuery,
+)
+from snipebend.state.expert_maps import DecideMapReply, MapDecision, MapQuery
+from snipebend.state.fences import FenceQuery, FenceReply, FenceRequest
 from snipebend.state.messages import (
     ApplyReply,
     ApplyRequest,
@@ -26,9 +41,47 @@
     Configuration,
     streams_replies=True,
 )
-ANNOUNCE = Method('/snipebend.Control/Announce', Announcement, AnnounceReply)
+ANNOUNCE = Method(
+    '/snipebend.Control/Announce',
+    Announcement,
+    AnnounceReply,
+    streams_requests=True,
+)
+CONFIRM = Method(
+    '/snipebend.Control/Confirm',
+    DirectoryRequest,
+    AnnounceReply,
+    streams_requests=True,
+)
+WATCH_DIRECTORY = Method(
+    '/snipebend.Control/WatchDirectory',
+    DirectoryRequest,
+    DirectoryDelta,
+    streams_replies=True,
+)
 DIRECTORY = Method(
     '/snipebend.Control/Directory',
     DirectoryRequest,
     Directory,
 )
+CLAIM = Method('/snipebend.Control/Claim', ClaimRequest, ClaimReply)
+SETTLE = Method('/snipebend.Control/Settle', SettleRequest, SettleReply)
+TAKE_FENCE = Method('/snipebend.Control/TakeFence', FenceRequest, FenceReply)
+READ_FENCE = Method('/snipebend.Control/ReadFence', FenceQuery, FenceReply)
+REPORT_CRASH = Method(
+    '/snipebend.Control/ReportCrash',
+    CrashReport,
+    SuspectList,
+)
+CLEAR_SUSPECT = Method(
+    '/snipebend.Control/ClearSuspect',
+    SuspectCleared,
+    SuspectList,
+)
+SUSPECTS = Method('/snipebend.Control/Suspects', SuspectQuery, SuspectList)
+DECIDE_MAP = Method(
+    '/snipebend.Control/DecideMap',
+    MapDecision,
+    DecideMapReply,
+)
+READ_MAP = Method('/snipebend.Control/ReadMap', MapQuery, DecideMapReply)
