Keep each group's switch record in the replicated state

A decision alone can't tell a rank that a prepared version was given up, nor that an incarnation has ended before its first map. The book therefore keeps the whole record and lets the pure rules of the switch change it. The test of decisions now covers aborts and incarnations as well; the unchecked fence 0 is gone.

--- a/src/snipebend/state/expert_maps.py
+++ b/src/snipebend/state/expert_maps.py
@@ -4,69 +4,75 @@
 
 from msgspec import Struct
 
+from snipebend.experts.switch_messages import (
+    Abort,
+    Bump,
+    Decide,
+    GroupRecord,
+    RecordChange,
+    change_record,
+)
 
-class MapDecision(Struct, frozen=True):
-    """From ``step`` on, all ranks of an incarnation use this map.
 
-    ``digest`` identifies the map's content; ``placement`` may carry it.
-    ``fence`` is the decider's fence; 0 leaves it unchecked.
-    """
+class MapDecision(Struct, frozen=True):
+    """A change of a group's record by the holder of its fence."""
 
     group: str
-    incarnation: int
-    map_version: int
-    step: int
-    digest: str
-    fence: int = 0
-    placement: bytes = b''
-
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Return what must grow from decision to decision."""
-        return (self.incarnation, self.map_version)
+    fence: int
+    change: RecordChange
 
 
 class DecideMapReply(Struct, frozen=True):
-    """Whether the decision stands, and the one that does."""
+    """Whether the change stands, and the record in force."""
 
     accepted: bool
-    standing: MapDecision | None = None
+    record: GroupRecord
 
 
 class MapQuery(Struct, frozen=True):
-    """Ask a quorum for a group's latest decision."""
+    """Ask a quorum for a group's record."""
 
     group: str
 
 
 class MapBook(Struct):
-    """The latest decision of each group."""
+    """The record of each group."""
 
-    decisions: dict[str, MapDecision] = {}
+    records: dict[str, GroupRecord] = {}
 
     def decide(self, req: MapDecision, fence: int) -> DecideMapReply:
-        """Let a decision stand when it is newer and its fence is in force.
+        """Let a change stand if its fence is in force and it still applies.
 
-        A resend of the standing decision is accepted again; another content
-        for the same incarnation and version is not.
+        A resend of a change that stands is accepted again.
         """
-        standing = self.decisions.get(req.group)
-        if standing == req:
-            return DecideMapReply(accepted=True, standing=standing)
-        if req.fence not in {0, fence} or not _follows(req, standing):
-            return DecideMapReply(accepted=False, standing=standing)
-        self.decisions[req.group] = req
-        return DecideMapReply(accepted=True, standing=req)
+        record = self.records.get(req.group, GroupRecord())
+        if req.fence != fence:
+            return DecideMapReply(accepted=False, record=record)
+        changed = change_record(record, req.change)
+        if changed is None:
+            accepted = _stands(record, req.change)
+            return DecideMapReply(accepted=accepted, record=record)
+        self.records[req.group] = changed
+        return DecideMapReply(accepted=True, record=changed)
 
     def read(self, group: str) -> DecideMapReply:
-        """Return the latest decision, if any."""
-        standing = self.decisions.get(group)
-        return DecideMapReply(accepted=False, standing=standing)
-
-
-def _follows(req: MapDecision, standing: MapDecision | None) -> bool:
-    if standing is None:
-        return True
-    if req.rank <= standing.rank:
-        return False
-    return req.incarnation > standing.incarnation or req.step > standing.step
+        """Return the record of a group."""
+        record = self.records.get(group, GroupRecord())
+        return DecideMapReply(accepted=False, record=record)
+
+
+def _stands(record: GroupRecord, change: RecordChange) -> bool:
+    """Tell whether a change that no longer applies was made before."""
+    match change:
+        case Decide(decision):
+            return record.decision == decision
+        case Abort(map_version):
+            return _was_aborted(record, map_version)
+        case Bump(incarnation):
+            return record.incarnation == incarnation
+
+
+def _was_aborted(record: GroupRecord, map_version: int) -> bool:
+    decision = record.decision
+    decided = decision.stamp.map_version if decision else 0
+    return map_version != decided and map_version <= record.settled
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -10,6 +10,13 @@
 from hypothesis import strategies as st
 
 from snipebend.console.demo_fleet import FLEET
+from snipebend.experts.switch_messages import (
+    Abort,
+    Bump,
+    Decide,
+    MapStamp,
+    SwitchDecision,
+)
 from snipebend.state import configuration
 from snipebend.state.claims import (
     ClaimRequest,
@@ -243,7 +250,12 @@
             return machine.execute(TakeFence(req, at))
 
         def decide(version: int, fence: int, digest: str = 'd') -> bool:
-            req = MapDecision('g', 1, version, version * 10, digest, fence)
+            stamp = MapStamp(1, version)
+            decision = SwitchDecision(stamp, version * 10, digest, ('r',))
+            return change(fence, Decide(decision))
+
+        def change(fence: int, wanted: Decide | Abort | Bump) -> bool:
+            req = MapDecision('g', fence, wanted)
             reply: Any = machine.execute(DecideExpertMap(req, 1))
             return bool(reply.accepted)
 
@@ -252,6 +264,8 @@
         self.assertEqual(take('a', 12, 6, renews=1).fence, 1)
         restarted = take('a', 14, 7)
         self.assertEqual((restarted.fence, restarted.not_before), (2, 12))
+        self.assertFalse(decide(1, 2), 'the incarnation has not begun')
+        self.assertTrue(change(2, Bump(1, 0)))
         self.assertTrue(decide(1, 2))
         self.assertTrue(decide(1, 2))
         self.assertFalse(decide(1, 2, 'other'))
@@ -261,7 +275,11 @@
             (taken.granted, taken.fence, taken.not_before), (True, 3, 14)
         )
         self.assertFalse(decide(2, 2))
-        self.assertTrue(decide(2, 3))
+        self.assertTrue(change(3, Abort(2)))
+        self.assertFalse(decide(2, 3), 'an aborted version stays so')
+        self.assertTrue(decide(3, 3))
+        self.assertFalse(change(3, Abort(3)), 'a decided version stays so')
+        self.assertEqual(machine.state.maps.read('g').record.settled, 3)
 
 
 _COMMANDS = st.one_of(
