Fence orders at the agent and wait out the former lease

Trial: a schedule in which the same holder restarts shows why the wait is needed; with it 300 schedules keep the engine's order of fences, without it the same search finds an old order obeyed after a new one.

--- /dev/null
+++ b/src/snipebend/orders/issuer.py
@@ -0,0 +1,110 @@
+"""The holder's side of fenced orders: take, renew, wait out, write (pure)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from msgspec.structs import replace
+from result import Err, Ok, Result
+
+from snipebend.errors.hierarchy import UnavailableError
+from snipebend.state.fences import FenceReply, FenceRequest
+
+if TYPE_CHECKING:
+    from snipebend.fleet.model import Fencing
+    from snipebend.orders.messages import EngineOrder
+
+_STEP = 'write order'
+
+
+class IssuerConfig(NamedTuple):
+    """Spans in seconds.
+
+    A lease is taken for ``lease_s`` and renewed once ``renew_s`` are left. An
+    order is valid for ``order_s`` at most. ``drift_s`` is the largest
+    difference between two VMs' clocks.
+    """
+
+    lease_s: float = 6.0
+    renew_s: float = 3.0
+    order_s: float = 2.0
+    drift_s: float = 0.5
+
+
+class OrderIssuer:
+    """One holder of one group's fence; all times are wall time."""
+
+    def __init__(self, cfg: IssuerConfig, group: str, holder: str) -> None:
+        """Begin without a fence; ``holder`` differs for each process life."""
+        self._cfg = cfg
+        self._group = group
+        self._holder = holder
+        self._held: FenceReply | None = None
+
+    @property
+    def fence(self) -> int:
+        """Return the fence held last, or 0."""
+        return self._held.fence if self._held else 0
+
+    def holds(self, now: float) -> bool:
+        """Tell whether the lease surely runs, by any VM's clock."""
+        return self._held is not None and now < self._trusted_until(self._held)
+
+    def needs_renewal(self, now: float) -> bool:
+        """Tell whether the fence should be taken or renewed."""
+        held = self._held
+        return held is None or held.lease_until - now <= self._cfg.renew_s
+
+    def request(self, now: float) -> FenceRequest:
+        """Ask for the fence, or for more time with the one held."""
+        return FenceRequest(
+            self._group,
+            self._holder,
+            now + self._cfg.lease_s,
+            renews=self.fence,
+        )
+
+    def note(self, reply: FenceReply) -> bool:
+        """Take the answer; return whether a fence is held that is new."""
+        before = self.fence
+        self._held = reply if reply.granted else None
+        return reply.granted and reply.fence != before
+
+    def ready_at(self, fencing: Fencing) -> float:
+        """Return the time from which an engine may be given orders.
+
+        An engine that ignores fences may still execute the former holder's
+        last order until its lease, which bounds all its deadlines, has ended
+        by every clock.
+        """
+        if self._held is None:
+            return float('inf')
+        if fencing == 'checked':
+            return 0
+        return self._held.not_before + self._cfg.drift_s
+
+    def write(
+        self,
+        draft: EngineOrder,
+        fencing: Fencing,
+        now: float,
+    ) -> Result[EngineOrder, UnavailableError]:
+        """Put fence and deadline on an order, or tell why it must wait."""
+        held = self._held
+        if held is None or not self.holds(now):
+            return Err(UnavailableError('no fence is held', step=_STEP))
+        if now < self.ready_at(fencing):
+            text = f'the former lease runs until {held.not_before}'
+            return Err(UnavailableError(text, step=_STEP))
+        latest = min(now + self._cfg.order_s, self._trusted_until(held))
+        return Ok(
+            replace(
+                draft,
+                group=self._group,
+                fence=held.fence,
+                deadline_at=latest,
+            ),
+        )
+
+    def _trusted_until(self, held: FenceReply) -> float:
+        return held.lease_until - self._cfg.drift_s
--- /dev/null
+++ b/tests/orders/test_fencing.py
@@ -0,0 +1,140 @@
+"""Fenced orders: the agent's gate and the holder's waits."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from msgspec.structs import replace
+
+from snipebend.errors.hierarchy import ConflictError, UnavailableError
+from snipebend.orders.fencing import FenceGate
+from snipebend.orders.issuer import IssuerConfig, OrderIssuer
+from snipebend.orders.messages import EngineOrder
+from snipebend.state.fence_book import FenceBook
+
+CFG = IssuerConfig()
+DRAFT = EngineOrder('load', 'g', 0, 0)
+SCHEDULES = 300
+
+
+class FenceGateTest(unittest.TestCase):
+    def test_restart_stale_fence_and_deadline(self) -> None:
+        gate = FenceGate()
+        order = EngineOrder('load', 'g', 4, deadline_at=10)
+        unread = gate.admit(order, 1).unwrap_err()
+        self.assertIsInstance(unread, UnavailableError)
+        gate.learn('g', 3)
+        self.assertTrue(gate.admit(order, 1).is_ok())
+        stale = gate.admit(replace(order, fence=3), 1).unwrap_err()
+        self.assertIsInstance(stale, ConflictError)
+        self.assertTrue(gate.admit(order, 10).is_err())
+        gate.learn('g', 2)
+        self.assertEqual(gate.fence('g'), 4)
+
+
+class IssuerTest(unittest.TestCase):
+    def test_waits_for_engines_that_ignore_fences(self) -> None:
+        book = FenceBook()
+        old = OrderIssuer(CFG, 'g', 'old')
+        new = OrderIssuer(CFG, 'g', 'new')
+        old.note(book.take(old.request(0), 0))
+        last = old.write(DRAFT, 'ignored', 5).unwrap()
+        self.assertLessEqual(last.deadline_at, 6 - CFG.drift_s)
+        self.assertTrue(old.write(DRAFT, 'ignored', 5.9).is_err())
+        self.assertFalse(new.note(book.take(new.request(5.9), 5.9)))
+        self.assertTrue(new.note(book.take(new.request(6), 6)))
+        self.assertTrue(new.write(DRAFT, 'checked', 6).is_ok())
+        self.assertTrue(new.write(DRAFT, 'ignored', 6.1).is_err())
+        self.assertTrue(new.write(DRAFT, 'ignored', 6.5).is_ok())
+        self.assertFalse(new.note(book.take(new.request(9), 9)))
+        self.assertEqual(new.fence, 2)
+
+    def test_no_order_of_an_old_holder_after_one_of_the_new(self) -> None:
+        """Orders come late, clocks differ, engines ignore fences."""
+        executed = 0
+        for seed in range(SCHEDULES):
+            fences = Orders(seed, OrderIssuer).run()
+            executed += len(fences)
+            self.assertEqual(fences, sorted(fences), seed)
+        self.assertGreater(executed, SCHEDULES * 10)
+
+    def test_a_holder_that_does_not_wait_is_found(self) -> None:
+        runs = (Orders(seed, HastyIssuer).run() for seed in range(SCHEDULES))
+        self.assertTrue(any(fences != sorted(fences) for fences in runs))
+
+
+class HastyIssuer(OrderIssuer):
+    """Does not wait out the former lease."""
+
+    def ready_at(self, fencing: str) -> float:
+        return 0
+
+
+class Orders:
+    """Two holders, an agent that restarts, an engine that takes its time."""
+
+    def __init__(self, seed: int, issuer: type[OrderIssuer]) -> None:
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.book = FenceBook()
+        self.kind = issuer
+        self.issuers = [issuer(CFG, 'g', str(number)) for number in range(2)]
+        # The leader's clock, which judges leases, is the true one.
+        half = CFG.drift_s / 2
+        self.skews = [self.rng.uniform(-half, half) for _ in range(3)]
+        self.late: list[EngineOrder] = []
+        self.executions: list[tuple[float, int]] = []
+        self.restart_agent()
+
+    def run(self) -> list[int]:
+        """Return the fences in the order in which the engine obeyed them."""
+        acts = (
+            self.take,
+            self.write,
+            self.arrive,
+            self.restart_agent,
+            self.restart_holder,
+        )
+        for act in self.rng.choices(acts, (6, 12, 12, 2, 1), k=400):
+            self.now += self.rng.uniform(0, 0.2)
+            act()
+        return [fence for _, fence in sorted(self.executions)]
+
+    def restart_agent(self) -> None:
+        self.gate = FenceGate()
+        self.gate.learn('g', self.book.read('g').fence)
+
+    def restart_holder(self) -> None:
+        """Forget the fence; the name stays, the orders are on their way."""
+        number = self.rng.randrange(2)
+        self.issuers[number] = self.kind(CFG, 'g', str(number))
+
+    def take(self) -> None:
+        number = self.rng.randrange(2)
+        issuer = self.issuers[number]
+        local = self.now + self.skews[number]
+        if issuer.needs_renewal(local):
+            issuer.note(self.book.take(issuer.request(local), self.now))
+
+    def write(self) -> None:
+        number = self.rng.randrange(2)
+        local = self.now + self.skews[number]
+        draft = self.issuers[number].write(DRAFT, 'ignored', local)
+        if draft.is_ok():
+            self.late.append(draft.unwrap())
+
+    def arrive(self) -> None:
+        """Pass an order on; the agent breaks off at its deadline."""
+        if not self.late:
+            return
+        order = self.late.pop(self.rng.randrange(len(self.late)))
+        local = self.now + self.skews[-1]
+        if self.gate.admit(order, local).is_ok():
+            left = order.deadline_at - local
+            moment = self.now + self.rng.uniform(0, left)
+            self.executions.append((moment, order.fence))
+
+
+if __name__ == '__main__':
+    unittest.main()
