--- a/src/snipebend/experts/switch_promise.py
+++ b/src/snipebend/experts/switch_promise.py
@@ -15,7 +15,8 @@
 
     ``hold_step`` is the first step that must not be entered. It outlives the
     promise when the incarnation has ended: then only the decision of a newer
-    one lets the rank go on.
+    one lets the rank go on. ``fetched`` names the maps whose weights are in
+    the rank's memory.
     """
 
     def __init__(self) -> None:
@@ -26,7 +27,7 @@
         self.fetching: Prepare | None = None
         self.too_late = MapStamp()
         self.hold_step: int | None = None
-        self._fetched: set[str] = set()
+        self.fetched: set[str] = set()
 
     @property
     def prepared(self) -> MapStamp:
@@ -55,17 +56,13 @@
             self._release()
         self.promised = None
         self.fetching = order
-        return order.decision.digest not in self._fetched
-
-    def note_fetched(self, digest: str) -> None:
-        """Remember that a map's weights are in memory."""
-        self._fetched.add(digest)
+        return order.decision.digest not in self.fetched
 
     def is_fetched(self) -> bool:
         """Tell whether the weights of the map being prepared are there."""
         return (
             self.fetching is not None
-            and self.fetching.decision.digest in self._fetched
+            and self.fetching.decision.digest in self.fetched
         )
 
     def promise(self, next_step: int) -> None:
@@ -85,7 +82,7 @@
         decision = record.decision
         if decision is not None and decision == self.promised:
             self._install(decision)
-        elif self._was_aborted(record):
+        elif self._taken_version() <= record.settled:
             self._drop(record.incarnation)
         if decision is not None and _is_ahead(decision, self.installed):
             self.stop_at(next_step)
@@ -93,12 +90,12 @@
     def _install(self, decision: SwitchDecision) -> None:
         self.installed = decision.stamp
         self.pending = decision
-        self._fetched &= {decision.digest}
+        self.fetched &= {decision.digest}
         self._release()
 
-    def _was_aborted(self, record: GroupRecord) -> bool:
+    def _taken_version(self) -> float:
         taken = self.fetching.decision if self.fetching else self.promised
-        return taken is not None and record.settled >= taken.stamp.map_version
+        return taken.stamp.map_version if taken else float('inf')
 
     def _drop(self, incarnation: int) -> None:
         if self.installed.incarnation == incarnation:
--- a/src/snipebend/experts/switch_rank.py
+++ b/src/snipebend/experts/switch_rank.py
@@ -45,13 +45,19 @@
 class RankGuard:
     """One life of one rank; a restart makes a new guard with a higher life."""
 
-    def __init__(self, rank: str, life: int, fence: int) -> None:
+    def __init__(
+        self,
+        rank: str,
+        life: int,
+        fence: int,
+        runner: type[StepRunner] = StepRunner,
+    ) -> None:
         """Begin without a map; ``fence`` was read from a quorum."""
         self.rank = rank
         self.life = life
         self.fence = fence
         self.promise = RankPromise()
-        self.runner = StepRunner(rank, self.promise)
+        self.runner = runner(rank, self.promise)
         self._sequence = 0
         self._ask_at = float('-inf')
 
@@ -99,7 +105,7 @@
             case OrderArrived(order):
                 return self._take_order(order)
             case WeightsFetched(digest):
-                self.promise.note_fetched(digest)
+                self.promise.fetched.add(digest)
                 return self._try_promise()
             case BarrierSeen(entry):
                 return self.runner.note_entry(entry)
--- a/src/snipebend/orders/fencing.py
+++ b/src/snipebend/orders/fencing.py
@@ -39,6 +39,10 @@
         """Return the highest fence known of a group, 0 if none."""
         return self._fences.get(group, 0)
 
+    def fences(self) -> dict[str, int]:
+        """Return the highest fences known, by group."""
+        return dict(self._fences)
+
     def learn(self, group: str, fence: int) -> None:
         """Note a fence that a quorum has confirmed."""
         self._fences[group] = max(fence, self.fence(group))
--- a/tests/experts/test_switch_search.py
+++ b/tests/experts/test_switch_search.py
@@ -64,9 +64,7 @@
 
 def with_runner(runner):
     def make(rank, life, fence):
-        guard = RankGuard(rank, life, fence)
-        guard.runner = runner(rank, guard.promise)
-        return guard
+        return RankGuard(rank, life, fence, runner)
 
     return make
 
