Send configurations as deltas under a lease

A watcher gets the delta from its revision with a checksum, or the whole text when its base is older than the last 32 texts or a delta didn't fit. Once a second it is told that nothing is new, which renews its lease: counted from when the watch was opened plus the time that the sender says has passed, less the age of the sender's own confirmation by a quorum, so that a late message brings no longer lease.

A process's confirmation counts for one lease; then it is named as lapsed.

--- a/src/snipebend/transport/control_api.py
+++ b/src/snipebend/transport/control_api.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 
 from loguru import logger
+from msgspec import structs
 
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
+from snipebend.membership.confirmations import Confirmations
 from snipebend.state.commands import ApplyFleet
 from snipebend.state.configuration import ConfigurationState
+from snipebend.state.configuration_feed import ConfigurationFeed
 from snipebend.state.messages import (
     ApplyReply,
     ApplyRequest,
@@ -19,17 +23,24 @@
     WatchRequest,
 )
 from snipebend.transport.methods import APPLY, SHOW, WATCH
-from snipebend.transport.rpc import Endpoint, RpcServer
 from snipebend.transport.replicated_state import ReplicatedState
+from snipebend.transport.rpc import Endpoint, RpcServer
+
+#: Seconds between two messages to a watcher for whom nothing is new.
+KEEPALIVE_S = 1.0
+
+#: Seconds after which a watch ends, so that the times in it stay exact and
+#: the watchers spread over the daemons again.
+WATCH_LIFE_S = 60.0
 
 
 class ConfigurationKeeper(Service):
-    """Holds the configuration and tells its watchers of each new one."""
+    """Tells watchers of each new configuration, and who has it in force."""
 
     def __init__(self, name: str, server: RpcServer) -> None:
         """Add the endpoints to the server."""
         super().__init__(name)
-        self._confirmed: dict[str, int] = {}
+        self._feed = ConfigurationFeed()
         self._stopping = False
         server.add(
             Endpoint(APPLY, self.apply),
@@ -37,9 +48,15 @@
             Endpoint(WATCH, self.watch),
         )
 
+    async def start(self, registry: Registry) -> None:
+        """Find the state."""
+        self._clock = registry.clock
+        self._store = registry.find('state', ReplicatedState)
+        self._confirmations = Confirmations(self._clock.now(), self._lease_s)
+
     @property
     def revision(self) -> int:
-        """Return the revision in force."""
+        """Return the revision in force, as this daemon has it."""
         return self._state.revision
 
     async def apply(self, req: ApplyRequest) -> ApplyReply:
@@ -59,24 +76,33 @@
         """Return what is in force."""
         machine = await self._store.read()
         configuration = machine.state.configuration
+        now = self._clock.now()
         return ShowReply(
             configuration.revision,
             configuration.text,
-            dict(self._confirmed),
+            self._confirmations.fresh(now),
+            self._confirmations.lapsed(now),
+            self._confirmations.complete(now),
         )
 
     async def watch(self, req: WatchRequest) -> AsyncIterator[Configuration]:
-        """Yield each configuration newer than what the watcher has."""
-        known = req.revision
+        """Yield what is newer than the watcher's, and that nothing is."""
+        opened_at = self._clock.now()
+        known = None if req.full else req.revision
         while not self._stopping:
-            if self._state.revision > known:
-                known = self._state.revision
-                yield Configuration(known, self._state.text)
+            message = self._feed.next_after(self._state, known)
+            now = self._clock.now()
+            yield self._date(message, now - opened_at)
+            known = max(message.revision, known or 0)
+            if now > opened_at + WATCH_LIFE_S:
+                return
             await self._wait_for_newer(known)
 
     def confirm(self, process: str, revision: int) -> None:
         """Note the revision that a process has in force."""
-        self._confirmed[process] = revision
+        if process:
+            now = self._clock.now()
+            self._confirmations.note(process, revision, now, self._lease_s)
 
     async def stop(self) -> None:
         """End the watchers' streams."""
@@ -86,21 +112,35 @@
 
     def dump(self) -> Mapping[str, object]:
         """Return the revision and who has confirmed which."""
+        now = self._clock.now()
         return {
             'revision': self._state.revision,
-            'confirmed': dict(self._confirmed),
+            'confirmed': self._confirmations.fresh(now),
+            'lapsed': self._confirmations.lapsed(now),
         }
 
-    async def start(self, registry: Registry) -> None:
-        """Find the state."""
-        self._store = registry.find('state', ReplicatedState)
-
     @property
     def _state(self) -> ConfigurationState:
         return self._store.machine.state.configuration
 
+    @property
+    def _lease_s(self) -> float:
+        return self._state.routing.config_lease_s
+
+    def _date(self, message: Configuration, elapsed_s: float) -> Configuration:
+        group = self._store.group
+        ago = group.confirmed_ago if group else None
+        return structs.replace(
+            message,
+            elapsed_s=elapsed_s,
+            confirmed_ago_s=-1 if ago is None else ago,
+        )
+
     async def _wait_for_newer(self, known: int) -> None:
-        async with self._store.changed:
-            await self._store.changed.wait_for(
-                lambda: self._stopping or self._state.revision > known,
-            )
+        try:
+            async with asyncio.timeout(KEEPALIVE_S), self._store.changed:
+                await self._store.changed.wait_for(
+                    lambda: self._stopping or self._state.revision > known,
+                )
+        except TimeoutError:
+            return
--- a/src/snipebend/transport/rpc.py
+++ b/src/snipebend/transport/rpc.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+)
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from grpclib.client import (
@@ -212,7 +218,7 @@
         peer: str,
         method: Method[Request, Reply],
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncGenerator[Reply, None]:
         """Yield replies until the peer ends or the connection breaks.
 
         Raises:
--- /dev/null
+++ b/tests/state/test_followed.py
@@ -0,0 +1,126 @@
+"""From the state through the feed to a process's copy, and its lease."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import msgpack, structs
+
+from snipebend.console.demo_fleet import FLEET
+from snipebend.fleet.rendering import render_fleet
+from snipebend.membership.confirmations import Confirmations
+from snipebend.state.configuration import KEEP_TEXTS, ConfigurationState
+from snipebend.state.configuration_feed import ConfigurationFeed
+from snipebend.state.followed import FollowedConfiguration, Taken
+from snipebend.state.messages import ApplyRequest, Configuration
+
+
+def apply(state: ConfigurationState, number: int) -> None:
+    limit = f'queue_limit = {number + 1}'
+    text = FLEET.replace('queue_limit = 100', limit)
+    state.apply(ApplyRequest(f'c-{state.revision}', state.revision, text))
+
+
+def over_the_wire(message: Configuration) -> Configuration:
+    return msgpack.decode(msgpack.encode(message), type=Configuration)
+
+
+class FollowedTest(unittest.TestCase):
+    """A copy is the state's fleet or is known to be missing something."""
+
+    def setUp(self) -> None:
+        self.state = ConfigurationState()
+        self.feed = ConfigurationFeed()
+        self.copy = FollowedConfiguration()
+
+    def take(self, *, full: bool = False) -> Taken:
+        base = None if full else self.copy.revision
+        message = self.feed.next_after(self.state, base)
+        return self.copy.take(over_the_wire(message), 0)
+
+    def text(self) -> str:
+        return render_fleet(self.copy.index.fleet) if self.copy.index else ''
+
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(st.lists(st.integers(0, 9), min_size=1, max_size=50), st.data())
+    def test_any_pace_leads_to_the_text_in_force(
+        self, numbers: list[int], data: st.DataObject
+    ) -> None:
+        self.setUp()
+        for number in numbers:
+            apply(self.state, number)
+            if data.draw(st.integers(0, 3)):
+                continue
+            self.assertIs(self.take(), Taken.NEWER)
+            self.assertEqual(self.text(), self.state.text)
+            self.assertEqual(self.copy.revision, self.state.revision)
+
+    def test_small_change_is_a_small_delta_and_an_old_base_gets_the_text(
+        self,
+    ) -> None:
+        apply(self.state, 0)
+        self.take()
+        apply(self.state, 1)
+        message = self.feed.next_after(self.state, 1)
+        self.assertEqual((message.text, message.base), ('', 1))
+        for number in range(KEEP_TEXTS):
+            apply(self.state, number)
+        restarted = ConfigurationFeed()
+        message = restarted.next_after(self.state, 1)
+        self.assertEqual(message.text, self.state.text)
+
+    def test_a_wrong_delta_is_noticed_and_mended(self) -> None:
+        apply(self.state, 0)
+        self.take()
+        apply(self.state, 1)
+        message = self.feed.next_after(self.state, 1)
+        wrong = structs.replace(message, checksum=message.checksum ^ 1)
+        self.assertIs(self.copy.take(wrong, 0), Taken.MISSED)
+        other_base = structs.replace(message, base=0)
+        self.assertIs(self.copy.take(other_base, 0), Taken.MISSED)
+        self.assertEqual(self.copy.revision, 1)
+        self.assertIs(self.take(full=True), Taken.NEWER)
+        self.assertEqual(self.text(), self.state.text)
+
+    def test_revisions_never_go_back(self) -> None:
+        apply(self.state, 0)
+        apply(self.state, 1)
+        self.take()
+        older = ConfigurationState()
+        apply(older, 5)
+        stale = ConfigurationFeed().next_after(older, None)
+        self.assertIs(self.copy.take(stale, 0), Taken.SAME)
+        self.assertEqual(self.text(), self.state.text)
+
+    def test_lease_counts_from_the_confirmation_not_the_arrival(self) -> None:
+        apply(self.state, 0)
+        message = self.feed.next_after(self.state, None)
+        unconfirmed = structs.replace(message, elapsed_s=9)
+        self.copy.take(unconfirmed, opened_at=100)
+        self.assertTrue(self.copy.lapsed(100))
+        dated = structs.replace(message, elapsed_s=9, confirmed_ago_s=2)
+        self.copy.take(dated, opened_at=100)
+        self.assertEqual(self.copy.lease_until, 112)
+        late = structs.replace(message, elapsed_s=3, confirmed_ago_s=0)
+        self.copy.take(late, opened_at=100)
+        self.assertEqual(self.copy.lease_until, 112)
+        self.assertFalse(self.copy.lapsed(111))
+        self.assertTrue(self.copy.lapsed(112))
+
+
+class ConfirmationsTest(unittest.TestCase):
+    """Only processes that may still trust their copy count."""
+
+    def test_silent_processes_lapse_and_are_forgotten(self) -> None:
+        heard = Confirmations(0, 5)
+        heard.note('a', 3, 1, 5)
+        heard.note('b', 4, 4, 5)
+        heard.note('b', 2, 5, 5)
+        self.assertFalse(heard.complete(4))
+        self.assertTrue(heard.complete(5))
+        self.assertEqual(heard.fresh(5), {'a': 3, 'b': 4})
+        self.assertEqual(heard.fresh(6), {'b': 4})
+        self.assertEqual(heard.lapsed(6), ('a',))
+        self.assertEqual(heard.lapsed(61), ('b',))
