--- /dev/null
+++ b/bench/routing_runs.py
@@ -0,0 +1,317 @@
+"""Runs a policy against the queueing model and reads the figures off."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+from bench.queueing import (
+    FULL_RATE,
+    TARGET,
+    WORKSPACES,
+    Engine,
+    Job,
+    Snapshot,
+    Workload,
+)
+from bench.routing_policies import (
+    WEIGHTS,
+    Ours,
+    Policy,
+    fingerprint_of_job,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REPORT_EVERY = 20
+#: Steps until membership has dropped a dead upstream (5 s).
+LEASE = 200
+#: Steps until a dead upstream is back.
+RESTART = 400
+MOST_ATTEMPTS = 3
+MOST_RESENDS = 20
+
+
+class Scenario(NamedTuple):
+    """One run; ``lag`` is the age of the load reports in steps."""
+
+    load: float = 0.9
+    engines: int = 16
+    entries: int = 1
+    lag: int = 20
+    steps: int = 1200
+    warm_up: int = 300
+    kill_at: int = 0
+    poison_at: int = 0
+    seed: int = 7
+
+
+class Outcome(NamedTuple):
+    """What a run leaves to be read."""
+
+    scenario: Scenario
+    jobs: list[Job]
+    gaps: Counter[int]
+    spread: list[float]
+    lost: int
+    failed_after_death: list[int]
+
+
+class Run:
+    """One scenario under one policy."""
+
+    def __init__(
+        self, scenario: Scenario, make: Callable[[Random, int, int], Policy]
+    ) -> None:
+        """Build engines, entries and workload."""
+        rng = Random(scenario.seed)
+        self.scenario = scenario
+        self.engines = [Engine(number) for number in range(scenario.engines)]
+        self.entries = [
+            make(Random(scenario.seed + number), scenario.engines,
+                 scenario.entries)
+            for number in range(scenario.entries)
+        ]
+        rate = scenario.load * FULL_RATE * scenario.engines / 16
+        self.work = Workload(rng, rate, scenario.entries)
+        self.history: deque[list[Snapshot]] = deque(
+            maxlen=max(1, scenario.lag + 1)
+        )
+        self.jobs: list[Job] = []
+        self.waiting: list[tuple[Job, frozenset[int]]] = []
+        self.retries: list[tuple[Job, frozenset[int]]] = []
+        self.dead_since: dict[int, int] = {}
+        self.deaths: Counter[str] = Counter()
+        self.spread: list[float] = []
+        self.failed_after_death: list[int] = []
+        self.lost = 0
+
+    def run(self) -> Outcome:
+        """Run all steps."""
+        for now in range(self.scenario.steps):
+            self._report(now)
+            self._events(now)
+            self._arrive(now)
+            for engine in self.engines:
+                if engine.alive:
+                    for job in engine.step(now):
+                        self._end(job, now)
+            self._release(now)
+            loads = [one.load for one in self.engines if one.alive]
+            if now >= self.scenario.warm_up:
+                mean = sum(loads) / len(loads)
+                self.spread.append(max(loads) / mean if mean else 1)
+        gaps: Counter[int] = Counter()
+        for engine in self.engines:
+            gaps.update(engine.gaps)
+        return Outcome(
+            self.scenario,
+            self.jobs,
+            gaps,
+            self.spread,
+            self.lost,
+            self.failed_after_death,
+        )
+
+    def _report(self, now: int) -> None:
+        self.history.append(
+            [
+                Snapshot(len(one.running), len(one.waiting), now)
+                for one in self.engines
+            ]
+        )
+        if now % REPORT_EVERY:
+            return
+        shown = [
+            one
+            for one in self.engines
+            if one.alive or now - self.dead_since[one.number] < LEASE
+        ]
+        for entry in self.entries:
+            entry.report(shown, self.history[0], now)
+            entry.suspect(self.deaths, now)
+
+    def _events(self, now: int) -> None:
+        if self.scenario.kill_at and now == self.scenario.kill_at:
+            self._crash(self.engines[0], now)
+        if self.scenario.poison_at and now == self.scenario.poison_at:
+            self._poison(now, 0)
+        for engine in self.engines:
+            if engine.alive:
+                self._check_poison(engine, now)
+            elif now - self.dead_since[engine.number] >= RESTART:
+                engine.alive = True
+                engine.incarnation += 1
+
+    def _check_poison(self, engine: Engine, now: int) -> None:
+        for _, _, job in engine.running:
+            if job.poison and now - job.started >= 5:
+                self.lost += 1
+                self._crash(engine, now)
+                return
+
+    def _poison(self, now: int, resends: int) -> None:
+        chain = (1, 2, 3, 4)
+        number = -1 - resends
+        entry = resends % self.scenario.entries
+        job = Job(number, 0, 0, chain, 30, now, entry, poison=True)
+        self._enter(job, now)
+
+    def _arrive(self, now: int) -> None:
+        pending, self.waiting = self.waiting + self.retries, []
+        self.retries = []
+        for job, exclude in pending:
+            self._dispatch(job, exclude, now)
+        for job in self.work.arrivals(now):
+            self.jobs.append(job)
+            self._enter(job, now)
+
+    def _enter(self, job: Job, now: int) -> None:
+        if self.entries[job.entry].admit(job, now):
+            self._dispatch(job, frozenset(), now)
+
+    def _release(self, now: int) -> None:
+        for entry in self.entries:
+            for job in entry.released(now):
+                if not job.refused:
+                    self._dispatch(job, frozenset(), now)
+
+    def _dispatch(self, job: Job, exclude: frozenset[int], now: int) -> None:
+        entry = self.entries[job.entry]
+        number = entry.pick(job, exclude, now)
+        if number is None:
+            self.waiting.append((job, exclude))
+            return
+        job.engine = number
+        job.started = now
+        job.attempts += 1
+        entry.start(job, now)
+        if self.engines[number].alive:
+            self.engines[number].submit(job)
+            return
+        self.failed_after_death.append(now - self.dead_since[number])
+        self._fail(job, exclude, now, crashed=False)
+
+    def _end(self, job: Job, now: int) -> None:
+        entry = self.entries[job.entry]
+        entry.end(job, now)
+        entry.close(job, now)
+
+    def _crash(self, engine: Engine, now: int) -> None:
+        self.dead_since[engine.number] = now
+        for job in engine.crash():
+            if job.first >= 0 or job.poison or job.chain:
+                self.deaths[fingerprint_of_job(job)] += 1
+            job.first = -1
+            self._fail(job, frozenset(), now, crashed=True)
+
+    def _fail(
+        self, job: Job, exclude: frozenset[int], now: int, *, crashed: bool
+    ) -> None:
+        entry = self.entries[job.entry]
+        entry.fail(job, now, crashed=crashed)
+        if job.poison:
+            entry.close(job, now)
+            if -job.number < MOST_RESENDS:
+                self._poison(now, -job.number)
+        elif job.attempts < MOST_ATTEMPTS and entry.may_retry(now):
+            self.retries.append((job, exclude | {job.engine}))
+        else:
+            entry.close(job, now)
+
+
+def run_ours(scenario: Scenario, **options: object) -> Outcome:
+    """Run the router under test."""
+    return Run(
+        scenario,
+        lambda rng, engines, entries: Ours(
+            rng, engines, entries=entries, **options
+        ),
+    ).run()
+
+
+def run_baseline(scenario: Scenario, kind: type[Policy]) -> Outcome:
+    """Run one of the baselines."""
+    return Run(scenario, lambda rng, engines, _: kind(rng, engines)).run()
+
+
+def percentile(ordered: list[int], share: float) -> float:
+    """Return the value at a share of an ordered list."""
+    if not ordered:
+        return 0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def read_figures(outcome: Outcome) -> dict[str, float]:
+    """Return the figures of one run, of the jobs after the warm-up."""
+    scenario = outcome.scenario
+    jobs = [
+        job
+        for job in outcome.jobs
+        if scenario.warm_up <= job.arrived < scenario.steps - 100
+    ]
+    served = [job for job in jobs if job.first >= 0]
+    waits = sorted(job.first - job.arrived + 1 for job in served)
+    good = [job for job in served if job.first - job.arrived < TARGET]
+    gaps = sorted(outcome.gaps.elements())
+    blocks = sum(len(job.chain) for job in served) or 1
+    span = scenario.steps - 100 - scenario.warm_up
+    return {
+        'ttft_p50': percentile(waits, 0.5),
+        'ttft_p95': percentile(waits, 0.95),
+        'ttft_p99': percentile(waits, 0.99),
+        'gap_p50': percentile(gaps, 0.5),
+        'gap_p95': percentile(gaps, 0.95),
+        'gap_p99': percentile(gaps, 0.99),
+        'hits': sum(job.cached for job in served) / blocks,
+        'served_per_step': len(served) / span,
+        'good_per_step': len(good) / span,
+        'refused': sum(job.refused for job in jobs) / max(1, len(jobs)),
+        'fairness': fairness(jobs, good),
+        'spread': sum(outcome.spread) / max(1, len(outcome.spread)),
+    }
+
+
+def fairness(jobs: list[Job], good: list[Job]) -> float:
+    """Return Jain's index of what workspaces got over what they may have.
+
+    What they may have is the weighted max-min share of the whole goodput;
+    priorities share by weight, the workspaces of a priority equally.
+    """
+    asked = Counter(job.workspace for job in jobs)
+    got = Counter(job.workspace for job in good)
+    peers = Counter(number % 3 for number in range(WORKSPACES))
+    weights = {
+        number: WEIGHTS[number % 3] / peers[number % 3]
+        for number in range(WORKSPACES)
+    }
+    due = _max_min(asked, weights, len(good))
+    ratios = [
+        min(1, got[number] / due[number]) for number in asked if due[number]
+    ]
+    squares = sum(ratio * ratio for ratio in ratios)
+    return sum(ratios) ** 2 / (len(ratios) * squares) if squares else 0
+
+
+def _max_min(
+    asked: Counter[int], weights: dict[int, float], total: float
+) -> dict[int, float]:
+    due = dict.fromkeys(asked, 0.0)
+    hungry = set(asked)
+    while hungry and total > 1e-6:
+        level = total / sum(weights[one] for one in hungry)
+        full = {
+            one
+            for one in hungry
+            if asked[one] - due[one] <= level * weights[one]
+        }
+        for one in full or hungry:
+            given = asked[one] - due[one] if full else level * weights[one]
+            due[one] += given
+            total -= given
+        if not full:
+            break
+        hungry -= full
+    return due
--- a/src/snipebend/routing/admission.py
+++ b/src/snipebend/routing/admission.py
@@ -27,6 +27,10 @@
 
 #: Deadlines of tickets already gone that a gate may still hold.
 MAX_PAST_DEADLINES = 64
+#: A request may wait this share of the mean time that requests are held ...
+WAIT_SHARE = 1.0
+#: ... and this long in any case.
+LEAST_WAIT_S = 0.5
 
 
 class Place(NamedTuple):
@@ -63,7 +67,7 @@
         if refusal is not None:
             return refusal
         self.queue.push(ticket, place.weights)
-        entry = (ticket.req.deadline_at, ticket.number)
+        entry = (self._start_by(ticket), ticket.number)
         heappush(self._deadlines, entry)
         return Queued(ticket)
 
@@ -104,12 +108,21 @@
     ) -> Refused | None:
         backlog = self.backlog_s(now)
         wait = min(backlog, self._flow_wait_s(ticket, place, now))
-        if now + wait > ticket.req.deadline_at:
+        if now + wait > self._start_by(ticket):
             return Refused(RefusalReason.DEADLINE, retry_after(backlog, rng))
         if self._has_room(ticket, place):
             return None
         return Refused(RefusalReason.QUEUE_FULL, retry_after(backlog, rng))
 
+    def _start_by(self, ticket: Ticket) -> float:
+        """Return the moment up to which waiting makes sense.
+
+        Under lasting overload a long queue serves no more requests than a
+        short one, it only serves all of them late.
+        """
+        longest = max(LEAST_WAIT_S, WAIT_SHARE * self.drain.hold_s)
+        return min(ticket.req.deadline_at, ticket.taken_at + longest)
+
     def _flow_wait_s(self, ticket: Ticket, place: Place, now: float) -> float:
         drain = self.drain.per_s(self.admitted, now)
         if not drain:
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -40,14 +40,19 @@
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
         self.capacity: float = 0
-        self.others = 0
+        self.reported = 0
 
     def update(
         self,
         views: Sequence[tuple[UpstreamView, UpstreamPolicy]],
         now: float,
+        memory_s: float,
     ) -> None:
-        """Replace the candidates by the views of them."""
+        """Replace the candidates by the views of them.
+
+        ``memory_s`` is the time after which a load report says nothing any
+        more of the differences between upstreams.
+        """
         before = self.members
         self.members = {
             view.name: self._renew(before.get(view.name), view, policy)
@@ -60,6 +65,7 @@
         self._ring = sorted((weigh(name, _RING), name) for name in names)
         self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
+        self._discount(serving, memory_s, now)
         self._count(serving, now)
 
     def serving(self) -> list[UpstreamState]:
@@ -117,7 +123,7 @@
                 'phase': state.view.phase,
                 'incarnation': state.view.incarnation,
                 'own': state.own.current,
-                'others': state.others,
+                'others': round(state.others, 1),
                 'limit': round(state.limit.limit, 1),
                 'latency_s': round(state.latency_s, 3),
                 'ejected': str(name in ejected).lower(),
@@ -154,16 +160,29 @@
         remote = [state for state in states if not self.is_local(state)]
         return Tiers(tuple(local), tuple(remote))
 
+    def _discount(
+        self, serving: list[UpstreamState], memory_s: float, now: float
+    ) -> None:
+        if not serving:
+            return
+        mean = sum(state.reported_others for state in serving) / len(serving)
+        for state in serving:
+            state.discount(mean, memory_s, now)
+
     def _count(self, serving: list[UpstreamState], now: float) -> None:
         counted = [
             state
             for state in serving
             if self.ejector.standing(state.view.name, now) != 'out'
         ]
+        # When all start at once, the slow start spares nobody.
+        full = max((state.ramp(now) for state in counted), default=1)
         self.capacity = sum(
-            state.limit.limit * state.ramp(now) for state in counted
+            state.limit.limit * state.ramp(now) / full for state in counted
+        )
+        self.reported = sum(
+            state.reported_others + state.own.current for state in counted
         )
-        self.others = sum(state.others for state in counted)
 
 
 def _has(state: UpstreamState, adapter: str) -> bool:
--- a/src/snipebend/routing/pools.py
+++ b/src/snipebend/routing/pools.py
@@ -16,6 +16,9 @@
     from snipebend.routing.messages import Target
     from snipebend.routing.views import UpstreamView
 
+#: Time that requests are held, until it is measured.
+DEFAULT_MEMORY_S = 1.0
+
 
 @dataclass(slots=True)
 class Pool:
@@ -25,15 +28,23 @@
     candidates: CandidateSet
     gate: PoolGate = field(default_factory=PoolGate)
 
+    @property
+    def memory_s(self) -> float:
+        """Return how long a load report tells upstreams apart."""
+        return self.gate.drain.hold_s or DEFAULT_MEMORY_S
+
     def open_slots(self, entries: int) -> None:
         """Set how many requests this entry may have at the upstreams.
 
-        What the others leave, and in any case the entry's own share: with
-        late reports alone the entries would stop and start all together.
+        An equal share of the capacity, or what the entry has now and its
+        share of what is free. The slots of all entries add up to about the
+        capacity however late the reports are: entries that each took all
+        that seemed free would stop and start together.
         """
         capacity = self.candidates.capacity
-        left = capacity - self.candidates.others
-        self.gate.slots = max(capacity / entries, left)
+        free = capacity - self.candidates.reported
+        taken = self.gate.admitted + free / entries
+        self.gate.slots = max(capacity / entries, taken)
 
 
 def pool_key(policy: UpstreamPolicy) -> str:
--- a/src/snipebend/routing/upstream_state.py
+++ b/src/snipebend/routing/upstream_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import exp
 from typing import TYPE_CHECKING
 
 from snipebend.routing.concurrency import AdaptiveLimit
@@ -28,21 +29,23 @@
 class UpstreamState:
     """One incarnation of an upstream.
 
-    ``others`` are the requests of other entries in the last report: all that
-    it counted less what this entry had outstanding at that moment.
+    ``reported_others`` are the requests of other entries in the last report:
+    all that it counted less what this entry had outstanding at that moment.
+    ``others`` is what is left of that knowledge now.
     """
 
     view: UpstreamView
     policy: UpstreamPolicy
     limit: AdaptiveLimit
     own: OutstandingCount = field(default_factory=OutstandingCount)
-    others: int = 0
+    reported_others: int = 0
+    others: float = 0
     latency_s: float = 0
     samples: int = 0
     ramp_from: float = 0
 
     @property
-    def load(self) -> int:
+    def load(self) -> float:
         """Return the requests thought to be there now."""
         return self.others + self.own.current
 
@@ -51,7 +54,19 @@
         self.view = view
         report = view.load
         reported = report.running + report.queued
-        self.others = max(0, reported - self.own.at(report.taken_at))
+        own_then = self.own.at(report.taken_at)
+        self.reported_others = max(0, reported - own_then)
+        self.others = self.reported_others
+
+    def discount(self, mean: float, memory_s: float, now: float) -> None:
+        """Trust an old report less: what it says fades towards the mean.
+
+        After the time for which requests are held, the others' work there is
+        other work (compare Dahlin, Interpreting stale load information, 1999).
+        """
+        age = max(0, now - self.view.load.taken_at)
+        trust = exp(-age / memory_s)
+        self.others = mean + (self.reported_others - mean) * trust
 
     def ramp(self, now: float) -> float:
         """Return the share of the limit that the slow start allows."""
