--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -7,11 +7,15 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
-from typing import NamedTuple
+from typing import Literal, NamedTuple
+
+from snipebend.routing.prefix_index import CacheEventView
+
+Kind = Literal['stored', 'evicted']
 
 STEP_S = 0.025
 BATCH = 16
@@ -57,6 +61,13 @@
     taken: int
 
 
+class CacheChange(NamedTuple):
+    """A change of an engine's cache at a step."""
+
+    step: int
+    event: CacheEventView
+
+
 @dataclass(slots=True)
 class Engine:
     """A batch, a queue by priority and a prefix cache."""
@@ -73,6 +84,8 @@
     running: list[tuple[int, int, Job]] = field(default_factory=list)
     fresh: list[Job] = field(default_factory=list)
     gaps: Counter[int] = field(default_factory=Counter)
+    log: deque[CacheChange] = field(default_factory=deque)
+    last_change: int = 0
 
     @property
     def load(self) -> int:
@@ -114,6 +127,8 @@
         self.running.clear()
         self.fresh.clear()
         self.cache.clear()
+        self.log.clear()
+        self.last_change = 0
         self.stall = 0
         return lost
 
@@ -127,7 +142,7 @@
             job.cached = self._count_cached(job.chain)
             uncached = len(job.chain) - job.cached
             self.stall += uncached / PREFILL_BLOCKS_PER_STEP
-            self._store(job.chain)
+            self._store(job.chain, now)
             end = self.decodes + job.tokens
             heappush(self.running, (end, job.number, job))
             self.fresh.append(job)
@@ -139,12 +154,20 @@
                 return place
         return len(chain)
 
-    def _store(self, chain: tuple[int, ...]) -> None:
+    def _store(self, chain: tuple[int, ...], now: int) -> None:
+        for block in chain:
+            if block not in self.cache:
+                self._log('stored', block, now)
         for block in reversed(chain):
             self.cache[block] = None
             self.cache.move_to_end(block)
         while len(self.cache) > CACHE_BLOCKS:
-            self.cache.popitem(last=False)
+            self._log('evicted', self.cache.popitem(last=False)[0], now)
+
+    def _log(self, kind: Kind, block: int, now: int) -> None:
+        self.last_change += 1
+        event = CacheEventView(self.last_change, kind, block)
+        self.log.append(CacheChange(now, event))
 
 
 class Workload:
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -25,6 +25,7 @@
     from random import Random
 
     from bench.queueing import Snapshot
+    from snipebend.routing.prefix_index import CacheEventView
 
 PRIORITIES = ('high', 'middle', 'low')
 WEIGHTS = (8, 3, 1)
@@ -122,6 +123,11 @@
     def suspect(self, deaths: Counter[str], now: int) -> None:
         """Take the shared list of suspects."""
 
+    def cache_events(
+        self, engine: Engine, events: Sequence[CacheEventView]
+    ) -> None:
+        """Take late cache events of an engine."""
+
 
 class RoundRobin(Policy):
     """One after the other."""
@@ -291,6 +297,14 @@
         ]
         self.router.update_upstreams(views, now * STEP_S)
 
+    def cache_events(
+        self, engine: Engine, events: Sequence[CacheEventView]
+    ) -> None:
+        """Feed the prefix index."""
+        self.router.prefixes.apply(
+            str(engine.number), engine.incarnation, events
+        )
+
     def suspect(self, deaths: Counter[str], now: int) -> None:
         """Show the router the suspects; two deaths are the limit."""
         self.router.update_suspects(
--- a/bench/routing_runs.py
+++ b/bench/routing_runs.py
@@ -45,6 +45,7 @@
     warm_up: int = 300
     kill_at: int = 0
     poison_at: int = 0
+    events: bool = False
     seed: int = 7
 
 
@@ -132,6 +133,16 @@
         for entry in self.entries:
             entry.report(shown, self.history[0], now)
             entry.suspect(self.deaths, now)
+        for engine in self.engines:
+            self._tell_cache(engine, now)
+
+    def _tell_cache(self, engine: Engine, now: int) -> None:
+        events = []
+        while engine.log and engine.log[0].step <= now - self.scenario.lag:
+            events.append(engine.log.popleft().event)
+        if events and self.scenario.events:
+            for entry in self.entries:
+                entry.cache_events(engine, events)
 
     def _events(self, now: int) -> None:
         if self.scenario.kill_at and now == self.scenario.kill_at:
--- a/src/snipebend/routing/admission.py
+++ b/src/snipebend/routing/admission.py
@@ -28,9 +28,9 @@
 #: Deadlines of tickets already gone that a gate may still hold.
 MAX_PAST_DEADLINES = 64
 #: A request may wait this share of the mean time that requests are held ...
-WAIT_SHARE = 1.0
+WAIT_SHARE = 0.25
 #: ... and this long in any case.
-LEAST_WAIT_S = 0.5
+LEAST_WAIT_S = 0.25
 
 
 class Place(NamedTuple):
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -9,7 +9,11 @@
 from snipebend.routing.messages import AttemptOutcome
 from snipebend.routing.quarantine import choose_lanes
 from snipebend.routing.rendezvous import weigh
-from snipebend.routing.upstream_state import LEAST_SAMPLES, open_upstream
+from snipebend.routing.upstream_state import (
+    LEAST_SAMPLES,
+    UsualLoad,
+    open_upstream,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -19,6 +23,8 @@
     from snipebend.routing.views import UpstreamView
 
 _RING = 'ring'
+#: Time that requests are held, until it is measured.
+DEFAULT_MEMORY_S = 1.0
 
 
 class Tiers(NamedTuple):
@@ -40,18 +46,19 @@
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
         self.capacity: float = 0
-        self.reported = 0
+        self.others = 0
+        self.own_then = 0
 
     def update(
         self,
         views: Sequence[tuple[UpstreamView, UpstreamPolicy]],
         now: float,
-        memory_s: float,
+        entries: int = 1,
+        memory_s: float = DEFAULT_MEMORY_S,
     ) -> None:
         """Replace the candidates by the views of them.
 
-        ``memory_s`` is the time after which a load report says nothing any
-        more of the differences between upstreams.
+        ``memory_s`` is the time for which requests are held.
         """
         before = self.members
         self.members = {
@@ -65,7 +72,9 @@
         self._ring = sorted((weigh(name, _RING), name) for name in names)
         self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
-        self._discount(serving, memory_s, now)
+        usual = _usual_load(serving, memory_s)
+        for state in serving:
+            state.discount(usual, entries, now)
         self._count(serving, now)
 
     def serving(self) -> list[UpstreamState]:
@@ -160,15 +169,6 @@
         remote = [state for state in states if not self.is_local(state)]
         return Tiers(tuple(local), tuple(remote))
 
-    def _discount(
-        self, serving: list[UpstreamState], memory_s: float, now: float
-    ) -> None:
-        if not serving:
-            return
-        mean = sum(state.reported_others for state in serving) / len(serving)
-        for state in serving:
-            state.discount(mean, memory_s, now)
-
     def _count(self, serving: list[UpstreamState], now: float) -> None:
         counted = [
             state
@@ -180,10 +180,18 @@
         self.capacity = sum(
             state.limit.limit * state.ramp(now) / full for state in counted
         )
-        self.reported = sum(
-            state.reported_others + state.own.current for state in counted
-        )
+        self.others = sum(state.reported_others for state in counted)
+        self.own_then = sum(state.own_then for state in counted)
 
 
 def _has(state: UpstreamState, adapter: str) -> bool:
     return adapter in state.view.resident
+
+
+def _usual_load(serving: list[UpstreamState], memory_s: float) -> UsualLoad:
+    count = max(1, len(serving))
+    return UsualLoad(
+        sum(state.own.current for state in serving) / count,
+        sum(state.reported_others for state in serving) / count,
+        memory_s,
+    )
--- a/src/snipebend/routing/concurrency.py
+++ b/src/snipebend/routing/concurrency.py
@@ -39,7 +39,7 @@
         self.ceiling = float(ceiling)
         self.limit = min(self.limit, self.ceiling)
 
-    def observe(self, latency_s: float, outstanding: int) -> None:
+    def observe(self, latency_s: float, outstanding: float) -> None:
         """Take the latency of one attempt served in."""
         if latency_s <= 0:
             return
@@ -57,7 +57,7 @@
         """Lower the limit after a refusal or a timeout."""
         self.limit = max(1.0, self.limit * OVERLOAD_FACTOR)
 
-    def _move(self, outstanding: int) -> None:
+    def _move(self, outstanding: float) -> None:
         ratio = TOLERANCE * self._usual / self._recent
         gradient = max(_LEAST_GRADIENT, min(1.0, ratio))
         if gradient == 1 and outstanding < self.limit / 2:
--- a/src/snipebend/routing/controller.py
+++ b/src/snipebend/routing/controller.py
@@ -70,7 +70,7 @@
         for key, members in self._table.group(views).items():
             pool = self.pools[key]
             before = pool.candidates.members.keys()
-            pool.candidates.update(members, now, pool.memory_s)
+            pool.candidates.update(members, now, self._entries, pool.memory_s)
             pool.open_slots(self._entries)
             gone.extend(before - pool.candidates.members.keys())
         return gone
--- a/src/snipebend/routing/pools.py
+++ b/src/snipebend/routing/pools.py
@@ -6,19 +6,16 @@
 from typing import TYPE_CHECKING
 
 from snipebend.routing.admission import PoolGate
+from snipebend.routing.candidates import DEFAULT_MEMORY_S, CandidateSet
 from snipebend.routing.messages import ModelTarget, ServiceTarget
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from snipebend.fleet.model import Fleet, UpstreamPolicy
-    from snipebend.routing.candidates import CandidateSet
     from snipebend.routing.messages import Target
     from snipebend.routing.views import UpstreamView
 
-#: Time that requests are held, until it is measured.
-DEFAULT_MEMORY_S = 1.0
-
 
 @dataclass(slots=True)
 class Pool:
@@ -36,15 +33,16 @@
     def open_slots(self, entries: int) -> None:
         """Set how many requests this entry may have at the upstreams.
 
-        An equal share of the capacity, or what the entry has now and its
-        share of what is free. The slots of all entries add up to about the
-        capacity however late the reports are: entries that each took all
-        that seemed free would stop and start together.
+        An equal share of the capacity, or what the entry had when the load
+        reports were taken and its share of what was free then. The slots of
+        all entries add up to about the capacity however late the reports
+        are: entries that each took all that seems free would stop and start
+        together.
         """
-        capacity = self.candidates.capacity
-        free = capacity - self.candidates.reported
-        taken = self.gate.admitted + free / entries
-        self.gate.slots = max(capacity / entries, taken)
+        known = self.candidates
+        free = known.capacity - known.others - known.own_then
+        share = known.own_then + free / entries
+        self.gate.slots = max(known.capacity / entries, share)
 
 
 def pool_key(policy: UpstreamPolicy) -> str:
--- a/src/snipebend/routing/upstream_state.py
+++ b/src/snipebend/routing/upstream_state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from math import exp
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.routing.concurrency import AdaptiveLimit
 from snipebend.routing.outstanding import OutstandingCount
@@ -25,21 +25,36 @@
 LATENCY_WEIGHT = 0.2
 
 
+class UsualLoad(NamedTuple):
+    """Means over the upstreams of a pool.
+
+    ``memory_s`` is the time after which a report says nothing any more of
+    the differences between them.
+    """
+
+    own: float
+    others: float
+    memory_s: float
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """One incarnation of an upstream.
 
-    ``reported_others`` are the requests of other entries in the last report:
-    all that it counted less what this entry had outstanding at that moment.
-    ``others`` is what is left of that knowledge now.
+    ``own_then`` is this entry's own work when the last report was taken,
+    ``reported_others`` the rest of what it counted, and ``others`` what that
+    still says now.
     """
 
     view: UpstreamView
     policy: UpstreamPolicy
     limit: AdaptiveLimit
     own: OutstandingCount = field(default_factory=OutstandingCount)
+    own_then: int = 0
     reported_others: int = 0
     others: float = 0
+    echo: float = 0
+    own_mean: float = 0
     latency_s: float = 0
     samples: int = 0
     ramp_from: float = 0
@@ -47,26 +62,32 @@
     @property
     def load(self) -> float:
         """Return the requests thought to be there now."""
-        return self.others + self.own.current
+        own = self.own.current
+        return max(own, self.others + own + self.echo * (own - self.own_mean))
 
     def take_report(self, view: UpstreamView) -> None:
         """Take a newer view of the same incarnation in."""
         self.view = view
         report = view.load
         reported = report.running + report.queued
-        own_then = self.own.at(report.taken_at)
-        self.reported_others = max(0, reported - own_then)
+        self.own_then = self.own.at(report.taken_at)
+        self.reported_others = max(0, reported - self.own_then)
         self.others = self.reported_others
 
-    def discount(self, mean: float, memory_s: float, now: float) -> None:
-        """Trust an old report less: what it says fades towards the mean.
+    def discount(self, usual: UsualLoad, entries: int, now: float) -> None:
+        """Trust an old report less: what it says fades.
 
         After the time for which requests are held, the others' work there is
         other work (compare Dahlin, Interpreting stale load information, 1999).
+        The best guess is then that the other entries, who see the same
+        reports and prefixes, lean as this one does.
         """
         age = max(0, now - self.view.load.taken_at)
-        trust = exp(-age / memory_s)
-        self.others = mean + (self.reported_others - mean) * trust
+        trust = exp(-age / usual.memory_s)
+        difference = self.reported_others - usual.others
+        self.others = usual.others + difference * trust
+        self.echo = (entries - 1) * (1 - trust)
+        self.own_mean = usual.own
 
     def ramp(self, now: float) -> float:
         """Return the share of the limit that the slow start allows."""
