--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -205,9 +205,7 @@
     ) -> None:
         """Build a router over the bench's fleet."""
         super().__init__(rng, engines)
-        cfg = RouterSettings(
-            'entry', 'zone', entries, rules or ScoringRules()
-        )
+        cfg = RouterSettings('entry', 'zone', entries, rules or ScoringRules())
         self.router = Router(cfg)
         self.router.update_fleet(bench_fleet())
         self._jobs: dict[int, Job] = {}
--- a/bench/routing_runs.py
+++ b/bench/routing_runs.py
@@ -71,8 +71,11 @@
         self.scenario = scenario
         self.engines = [Engine(number) for number in range(scenario.engines)]
         self.entries = [
-            make(Random(scenario.seed + number), scenario.engines,
-                 scenario.entries)
+            make(
+                Random(scenario.seed + number),
+                scenario.engines,
+                scenario.entries,
+            )
             for number in range(scenario.entries)
         ]
         rate = scenario.load * FULL_RATE * scenario.engines / 16
@@ -207,14 +210,15 @@
 
     def _end(self, job: Job, now: int) -> None:
         entry = self.entries[job.entry]
+        if job.first >= 0:
+            self.deaths.pop(fingerprint_of_job(job), None)
         entry.end(job, now)
         entry.close(job, now)
 
     def _crash(self, engine: Engine, now: int) -> None:
         self.dead_since[engine.number] = now
         for job in engine.crash():
-            if job.first >= 0 or job.poison or job.chain:
-                self.deaths[fingerprint_of_job(job)] += 1
+            self.deaths[fingerprint_of_job(job)] += 1
             job.first = -1
             self._fail(job, frozenset(), now, crashed=True)
 
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.routing.ejection import Ejector
 from snipebend.routing.messages import AttemptOutcome
 from snipebend.routing.quarantine import choose_lanes
-from snipebend.routing.rendezvous import weigh
 from snipebend.routing.upstream_state import (
     LEAST_SAMPLES,
     UsualLoad,
@@ -22,7 +20,6 @@
     from snipebend.routing.upstream_state import UpstreamState
     from snipebend.routing.views import UpstreamView
 
-_RING = 'ring'
 #: Time that requests are held, until it is measured.
 DEFAULT_MEMORY_S = 1.0
 
@@ -41,7 +38,6 @@
         """Start empty."""
         self._data_center = data_center
         self._tiers: dict[str, Tiers] = {}
-        self._ring: list[tuple[int, str]] = []
         self.members: dict[str, UpstreamState] = {}
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
@@ -69,7 +65,6 @@
         names = [state.view.name for state in serving]
         self.ejector.watch(names)
         self._judge(serving, now)
-        self._ring = sorted((weigh(name, _RING), name) for name in names)
         self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
         usual = _usual_load(serving, memory_s)
@@ -99,13 +94,6 @@
             self._tiers[adapter] = tiers
         return tiers
 
-    def ring_owner(self, key: int) -> UpstreamState | None:
-        """Return the upstream that a hash falls to (consistent hashing)."""
-        if not self._ring:
-            return None
-        place = bisect_left(self._ring, (key, '')) % len(self._ring)
-        return self.members[self._ring[place][1]]
-
     def note_failure(
         self, state: UpstreamState, outcome: AttemptOutcome, now: float
     ) -> None:
--- a/src/snipebend/routing/chooser.py
+++ b/src/snipebend/routing/chooser.py
@@ -20,6 +20,7 @@
     from snipebend.routing.messages import RoutingRequest, Selection, Ticket
     from snipebend.routing.prefix_index import PrefixIndex
     from snipebend.routing.scoring import ScoringRules
+    from snipebend.routing.upstream_state import UpstreamState
 
 
 class Chooser:
@@ -41,36 +42,31 @@
     ) -> Selection:
         """Choose the upstream of the next attempt."""
         if self.quarantine.is_suspect(ticket.req.fingerprint):
-            return self._choose_alone(pool, ticket, exclude, rng)
-        need = self._need(pool, ticket.req, exclude)
-        choice = Selector(pool, self._rules, now, rng).choose(need)
+            return self._choose_alone(pool, ticket, exclude, now, rng)
+        selector = Selector(pool, self._rules, now, rng)
+        barred = exclude.union(self.quarantine.reserved)
+        held = self.quarantine.holds_lanes(now)
+        lanes = pool.lanes if held else frozenset()
+        choice = selector.choose(self._need(ticket.req, barred | lanes))
+        if choice is None and lanes:
+            choice = selector.choose(self._need(ticket.req, barred))
         if choice is None:
             return _shortage(bool(pool.serving()), rng)
         return choice
 
-    def _need(
-        self,
-        pool: CandidateSet,
-        req: RoutingRequest,
-        exclude: frozenset[str],
-    ) -> Need:
+    def _need(self, req: RoutingRequest, barred: frozenset[str]) -> Need:
         adapter = ''
         if isinstance(req.target, ModelTarget):
             adapter = req.target.adapter
-        reserved = self.quarantine.reserved
-        return Need(
-            adapter,
-            req.chain,
-            self._prefixes.find(req.chain),
-            exclude.union(reserved) if reserved else exclude,
-            pool.lanes if self.quarantine.has_suspects else frozenset(),
-        )
+        matches = self._prefixes.find(req.chain)
+        return Need(adapter, req.chain, matches, barred)
 
     def _choose_alone(
         self,
         pool: CandidateSet,
         ticket: Ticket,
         exclude: frozenset[str],
+        now: float,
         rng: Random,
     ) -> Selection:
         states = {
@@ -79,12 +75,19 @@
             if state.view.name not in exclude
         }
         lane = self.quarantine.reserve(
-            ticket.number, ticket.req.fingerprint, tuple(states)
+            ticket.number, ticket.req.fingerprint, tuple(states), now
         )
-        if lane is None or states[lane].load:
+        if lane is None or self._is_taken(lane, states[lane], now):
             return _shortage(bool(states), rng)
         return Choice(lane, states[lane].view.incarnation, alone=True)
 
+    def _is_taken(self, lane: str, state: UpstreamState, now: float) -> bool:
+        if state.own.current:
+            return True
+        return bool(state.reported_others) and self.quarantine.is_patient(
+            lane, now
+        )
+
 
 def _shortage(wait: bool, rng: Random) -> NoUpstream:
     span = BUSY_RETRY_S if wait else NO_UPSTREAM_RETRY_S
--- a/src/snipebend/routing/quarantine.py
+++ b/src/snipebend/routing/quarantine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from xxhash import xxh3_128
 
@@ -22,10 +22,22 @@
 #: Suspects that an entry remembers on its own evidence.
 MAX_LOCAL = 4096
 #: One in this many upstreams is set aside for suspects, while there are any.
-LANE_SHARE = 4
+LANE_SHARE = 8
+#: Time after a death for which all entries keep other work off the lanes.
+LANE_HOLD_S = 10.0
+#: Time that a suspect waits for others' work to leave its upstream; from then
+#: on only the agent, which is told to run it alone, can keep it apart.
+LANE_PATIENCE_S = 2.0
 _LANES = 'suspect-lanes'
 
 
+class Reservation(NamedTuple):
+    """The ticket that has an upstream for itself, since a moment."""
+
+    ticket: int
+    since: float
+
+
 def fingerprint_of(workspace: str, path: str, body: bytes) -> str:
     """Hash what makes a resend the same request, in 32 hexadecimal digits.
 
@@ -40,7 +52,7 @@
 
 
 def choose_lanes(names: Sequence[str]) -> list[str]:
-    """Return the upstreams that suspects run on: a quarter, at least one."""
+    """Return the upstreams that suspects run on: an eighth, at least one."""
     return heaviest(names, _LANES, max(1, len(names) // LANE_SHARE))
 
 
@@ -52,18 +64,15 @@
         self._shared: dict[str, SuspectView] = {}
         self._local: OrderedDict[str, None] = OrderedDict()
         self._cleared: OrderedDict[str, int] = OrderedDict()
-        self._reserved: dict[str, int] = {}
+        self._reserved: dict[str, Reservation] = {}
+        self._hold_until = float('-inf')
+        self._news = False
 
     @property
-    def reserved(self) -> dict[str, int]:
+    def reserved(self) -> dict[str, Reservation]:
         """Return the ticket that has an upstream for itself, by upstream."""
         return self._reserved
 
-    @property
-    def has_suspects(self) -> bool:
-        """Tell whether any request may have to run alone."""
-        return bool(self._shared or self._local)
-
     @property
     def suspects(self) -> dict[str, float]:
         """Return each suspect with the end of its quarantine, or zero."""
@@ -74,10 +83,16 @@
 
     def update(self, suspects: Iterable[SuspectView]) -> None:
         """Replace the suspects that the control daemons share."""
+        before = self._shared
         self._shared = {one.fingerprint: one for one in suspects}
+        self._news = self._news or any(
+            one.deaths > _deaths(before.get(one.fingerprint))
+            for one in self._shared.values()
+        )
 
     def accuse(self, fingerprints: Iterable[str]) -> None:
         """Suspect what ran on an upstream that this entry saw die."""
+        self._news = True
         for fingerprint in fingerprints:
             self._local[fingerprint] = None
             self._cleared.pop(fingerprint, None)
@@ -111,22 +126,44 @@
             return None
         return shared.quarantined_until
 
+    def holds_lanes(self, now: float) -> bool:
+        """Tell whether other work has to stay off the lanes."""
+        if self._news:
+            self._news = False
+            self._hold_until = now + LANE_HOLD_S
+        return now < self._hold_until
+
     def reserve(
-        self, ticket: int, fingerprint: str, names: Sequence[str]
+        self,
+        ticket: int,
+        fingerprint: str,
+        names: Sequence[str],
+        now: float,
     ) -> str | None:
         """Return the upstream for a suspect, or None while it is taken."""
         if not names:
             return None
-        self.release(ticket)
+        since = self.release(ticket)
         lane = heaviest(choose_lanes(names), fingerprint, 1)[0]
         if lane in self._reserved:
             return None
-        self._reserved[lane] = ticket
+        self._reserved[lane] = Reservation(
+            ticket, now if since is None else since
+        )
         return lane
 
-    def release(self, ticket: int) -> None:
-        """Give the upstream that a ticket reserved back."""
+    def is_patient(self, lane: str, now: float) -> bool:
+        """Tell whether a lane's suspect waits for others' work to leave."""
+        return now < self._reserved[lane].since + LANE_PATIENCE_S
+
+    def release(self, ticket: int) -> float | None:
+        """Give a ticket's upstream back; return since when it had it."""
         for upstream, holder in self._reserved.items():
-            if holder == ticket:
+            if holder.ticket == ticket:
                 self._reserved.pop(upstream)
-                return
+                return holder.since
+        return None
+
+
+def _deaths(suspect: SuspectView | None) -> int:
+    return suspect.deaths if suspect else 0
--- a/src/snipebend/routing/scoring.py
+++ b/src/snipebend/routing/scoring.py
@@ -12,18 +12,15 @@
     up to ``scan`` candidates are all looked at instead. ``locality`` is what
     a wholly cached prompt is worth; a holder of the prefix is taken only
     below ``guard_ratio`` times the least loaded one drawn, plus
-    ``guard_slack``. ``remote`` is what leaving the data centre costs and
-    ``lane`` what the upstreams set aside for suspects do.
+    ``guard_slack``. ``remote`` is what leaving the data centre costs.
     """
 
     choices: int = 2
     scan: int = 0
-    locality: float = 0.5
+    locality: float = 2
     guard_ratio: float = 1.25
     guard_slack: float = 0.25
     remote: float = 0.25
-    lane: float = 0.5
-    ring: bool = True
 
     def guard(self, least: float) -> float:
         """Return the utilisation up to which locality may decide."""
--- a/src/snipebend/routing/selection.py
+++ b/src/snipebend/routing/selection.py
@@ -17,8 +17,6 @@
 
 #: Draws for each upstream wanted, before all candidates are looked at.
 DRAWS = 3
-#: A prompt without known holders goes by the hash of this many blocks.
-RING_DEPTH = 4
 
 
 class Need(NamedTuple):
@@ -28,7 +26,6 @@
     chain: tuple[int, ...]
     matches: Sequence[PrefixMatch]
     barred: Container[str]
-    avoid: Container[str]
 
 
 class _Option(NamedTuple):
@@ -103,18 +100,6 @@
             state = self._pool.members.get(match.upstream)
             if state is not None and self._may_take(state, need.barred):
                 yield self._option(state, need, match.blocks)
-        if self._rules.ring and need.chain:
-            yield from self._ring_option(need)
-
-    def _ring_option(self, need: Need) -> Iterator[_Option]:
-        """Entries that share no index still send a prefix to one place."""
-        depth = min(RING_DEPTH, len(need.chain))
-        known = max((match.blocks for match in need.matches), default=0)
-        if known >= depth:
-            return
-        state = self._pool.ring_owner(need.chain[depth - 1])
-        if state is not None and self._may_take(state, need.barred):
-            yield self._option(state, need, depth)
 
     def _may_take(self, state: UpstreamState, barred: Container[str]) -> bool:
         name = state.view.name
@@ -124,8 +109,6 @@
 
     def _option(self, state: UpstreamState, need: Need, blocks: int) -> _Option:
         utilisation = state.utilisation(self._now)
-        if state.view.name in need.avoid:
-            utilisation += self._rules.lane
         cached_share = blocks / len(need.chain) if need.chain else 0
         score = self._rules.score(utilisation, cached_share)
         if not self._pool.is_local(state):
--- a/src/snipebend/routing/upstream_state.py
+++ b/src/snipebend/routing/upstream_state.py
@@ -19,6 +19,8 @@
 KV_PRESSURE = 0.9
 #: Utilisation that a full KV cache adds.
 KV_PENALTY = 1.0
+#: How much the other entries are thought to lean as this one does.
+ECHO_SHARE = 0.5
 #: Latencies taken in before an upstream can be called a straggler.
 LEAST_SAMPLES = 8
 #: Weight of one more latency in the mean.
@@ -86,7 +88,7 @@
         trust = exp(-age / usual.memory_s)
         difference = self.reported_others - usual.others
         self.others = usual.others + difference * trust
-        self.echo = (entries - 1) * (1 - trust)
+        self.echo = ECHO_SHARE * (entries - 1) * (1 - trust)
         self.own_mean = usual.own
 
     def ramp(self, now: float) -> float:
