--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -27,6 +27,8 @@
 TARGET = 19
 WORKSPACES = 10
 SESSIONS = 30
+#: Chance that a request begins a new session.
+NEW_SESSION = 0.1
 #: Requests a step that 16 engines carry when most prefixes are cached.
 FULL_RATE = 6.0
 
@@ -52,6 +54,11 @@
     refused: bool = False
     ticket: object = None
 
+    @property
+    def is_good(self) -> bool:
+        """Tell whether the first token came in time."""
+        return self.first >= 0 and self.first - self.arrived < TARGET
+
 
 class Snapshot(NamedTuple):
     """A load report of one engine."""
@@ -110,8 +117,8 @@
         self.decodes += 1
         self.gaps[self.gap] += len(self.running)
         self.gap = 1
-        for job in self.fresh:
-            job.first = now
+        for begun in self.fresh:
+            begun.first = now
         self.fresh.clear()
         while self.running and self.running[0][0] <= self.decodes:
             job = heappop(self.running)[-1]
@@ -198,7 +205,7 @@
         workspace = rng.choices(range(WORKSPACES), self._shares)[0]
         sessions = self._sessions[workspace]
         place = rng.randrange(SESSIONS)
-        if len(sessions[place]) > 30 or rng.random() < 0.1:
+        if len(sessions[place]) > 30 or rng.random() < NEW_SESSION:
             sessions[place] = self._heads[workspace]
         sessions[place] += self._blocks(3)
         self._count += 1
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -232,11 +232,11 @@
     def released(self, now: int) -> list[Job]:
         """Dispatch; late ones are marked as refused."""
         gone = self.router.dispatch(now * STEP_S, self.rng)
-        for late in gone.refused:
-            self._jobs[late.ticket.number].refused = True
         tickets = [late.ticket for late in gone.refused]
+        for ticket in tickets:
+            self._jobs[ticket.number].refused = True
         tickets += gone.admitted
-        return [self._jobs[ticket.number] for ticket in tickets]
+        return [self._jobs[one.number] for one in tickets]
 
     def pick(self, job: Job, exclude: frozenset[int], now: int) -> int | None:
         """Choose by the router."""
--- a/bench/routing_runs.py
+++ b/bench/routing_runs.py
@@ -8,7 +8,6 @@
 
 from bench.queueing import (
     FULL_RATE,
-    TARGET,
     WORKSPACES,
     Engine,
     Job,
@@ -31,7 +30,13 @@
 #: Steps until a dead upstream is back.
 RESTART = 400
 MOST_ATTEMPTS = 3
+#: Shares below this are rounding errors.
+LEAST_SHARE = 1e-6
 MOST_RESENDS = 20
+#: Steps between two updates of the shared suspects, and until a caller whose
+#: request crashed an engine sends it again.
+SHARE_EVERY = 4
+RESEND_AFTER = 10
 
 
 class Scenario(NamedTuple):
@@ -49,6 +54,13 @@
     seed: int = 7
 
 
+class Resend(NamedTuple):
+    """The poison request's caller sends again at a step."""
+
+    at: int
+    count: int
+
+
 class Outcome(NamedTuple):
     """What a run leaves to be read."""
 
@@ -79,17 +91,18 @@
             for number in range(scenario.entries)
         ]
         rate = scenario.load * FULL_RATE * scenario.engines / 16
-        self.work = Workload(rng, rate, scenario.entries)
-        self.history: deque[list[Snapshot]] = deque(
+        self._work = Workload(rng, rate, scenario.entries)
+        self._history: deque[list[Snapshot]] = deque(
             maxlen=max(1, scenario.lag + 1)
         )
         self.jobs: list[Job] = []
-        self.waiting: list[tuple[Job, frozenset[int]]] = []
-        self.retries: list[tuple[Job, frozenset[int]]] = []
-        self.dead_since: dict[int, int] = {}
-        self.deaths: Counter[str] = Counter()
+        self._waiting: list[tuple[Job, frozenset[int]]] = []
+        self._retries: list[tuple[Job, frozenset[int]]] = []
+        self._dead_since: dict[int, int] = {}
+        self._deaths: Counter[str] = Counter()
         self.spread: list[float] = []
         self.failed_after_death: list[int] = []
+        self._resends: deque[Resend] = deque()
         self.lost = 0
 
     def run(self) -> Outcome:
@@ -100,8 +113,7 @@
             self._arrive(now)
             for engine in self.engines:
                 if engine.alive:
-                    for job in engine.step(now):
-                        self._end(job, now)
+                    self._end_all(engine.step(now), now)
             self._release(now)
             loads = [one.load for one in self.engines if one.alive]
             if now >= self.scenario.warm_up:
@@ -120,22 +132,24 @@
         )
 
     def _report(self, now: int) -> None:
-        self.history.append(
+        self._history.append(
             [
                 Snapshot(len(one.running), len(one.waiting), now)
                 for one in self.engines
             ]
         )
+        if not now % SHARE_EVERY:
+            for entry in self.entries:
+                entry.suspect(self._deaths, now)
         if now % REPORT_EVERY:
             return
         shown = [
             one
             for one in self.engines
-            if one.alive or now - self.dead_since[one.number] < LEASE
+            if one.alive or now - self._dead_since[one.number] < LEASE
         ]
         for entry in self.entries:
-            entry.report(shown, self.history[0], now)
-            entry.suspect(self.deaths, now)
+            entry.report(shown, self._history[0], now)
         for engine in self.engines:
             self._tell_cache(engine, now)
 
@@ -151,11 +165,14 @@
         if self.scenario.kill_at and now == self.scenario.kill_at:
             self._crash(self.engines[0], now)
         if self.scenario.poison_at and now == self.scenario.poison_at:
-            self._poison(now, 0)
+            self._enter(make_poison(self.scenario, now, 0), now)
+        if self._resends and self._resends[0].at <= now:
+            count = self._resends.popleft().count
+            self._enter(make_poison(self.scenario, now, count), now)
         for engine in self.engines:
             if engine.alive:
                 self._check_poison(engine, now)
-            elif now - self.dead_since[engine.number] >= RESTART:
+            elif now - self._dead_since[engine.number] >= RESTART:
                 engine.alive = True
                 engine.incarnation += 1
 
@@ -166,19 +183,13 @@
                 self._crash(engine, now)
                 return
 
-    def _poison(self, now: int, resends: int) -> None:
-        chain = (1, 2, 3, 4)
-        number = -1 - resends
-        entry = resends % self.scenario.entries
-        job = Job(number, 0, 0, chain, 30, now, entry, poison=True)
-        self._enter(job, now)
-
     def _arrive(self, now: int) -> None:
-        pending, self.waiting = self.waiting + self.retries, []
-        self.retries = []
+        pending = self._waiting + self._retries
+        self._waiting = []
+        self._retries = []
         for job, exclude in pending:
             self._dispatch(job, exclude, now)
-        for job in self.work.arrivals(now):
+        for job in self._work.arrivals(now):
             self.jobs.append(job)
             self._enter(job, now)
 
@@ -196,7 +207,7 @@
         entry = self.entries[job.entry]
         number = entry.pick(job, exclude, now)
         if number is None:
-            self.waiting.append((job, exclude))
+            self._waiting.append((job, exclude))
             return
         job.engine = number
         job.started = now
@@ -205,20 +216,24 @@
         if self.engines[number].alive:
             self.engines[number].submit(job)
             return
-        self.failed_after_death.append(now - self.dead_since[number])
+        self.failed_after_death.append(now - self._dead_since[number])
         self._fail(job, exclude, now, crashed=False)
 
+    def _end_all(self, ended: list[Job], now: int) -> None:
+        for job in ended:
+            self._end(job, now)
+
     def _end(self, job: Job, now: int) -> None:
         entry = self.entries[job.entry]
         if job.first >= 0:
-            self.deaths.pop(fingerprint_of_job(job), None)
+            self._deaths.pop(fingerprint_of_job(job), None)
         entry.end(job, now)
         entry.close(job, now)
 
     def _crash(self, engine: Engine, now: int) -> None:
-        self.dead_since[engine.number] = now
+        self._dead_since[engine.number] = now
         for job in engine.crash():
-            self.deaths[fingerprint_of_job(job)] += 1
+            self._deaths[fingerprint_of_job(job)] += 1
             job.first = -1
             self._fail(job, frozenset(), now, crashed=True)
 
@@ -230,13 +245,20 @@
         if job.poison:
             entry.close(job, now)
             if -job.number < MOST_RESENDS:
-                self._poison(now, -job.number)
+                self._resends.append(Resend(now + RESEND_AFTER, -job.number))
         elif job.attempts < MOST_ATTEMPTS and entry.may_retry(now):
-            self.retries.append((job, exclude | {job.engine}))
+            self._retries.append((job, exclude | {job.engine}))
         else:
             entry.close(job, now)
 
 
+def make_poison(scenario: Scenario, now: int, resends: int) -> Job:
+    """Return the poison request; its caller goes from entry to entry."""
+    entry = resends % scenario.entries
+    chain = (1, 2, 3, 4)
+    return Job(-1 - resends, 0, 0, chain, 30, now, entry, poison=True)
+
+
 def run_ours(scenario: Scenario, **options: object) -> Outcome:
     """Run the router under test."""
     return Run(
@@ -269,7 +291,7 @@
     ]
     served = [job for job in jobs if job.first >= 0]
     waits = sorted(job.first - job.arrived + 1 for job in served)
-    good = [job for job in served if job.first - job.arrived < TARGET]
+    good = [job for job in served if job.is_good]
     gaps = sorted(outcome.gaps.elements())
     blocks = sum(len(job.chain) for job in served) or 1
     span = scenario.steps - 100 - scenario.warm_up
@@ -313,9 +335,9 @@
 def _max_min(
     asked: Counter[int], weights: dict[int, float], total: float
 ) -> dict[int, float]:
-    due = dict.fromkeys(asked, 0.0)
+    due: dict[int, float] = dict.fromkeys(asked, 0)
     hungry = set(asked)
-    while hungry and total > 1e-6:
+    while hungry and total > LEAST_SHARE:
         level = total / sum(weights[one] for one in hungry)
         full = {
             one
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -38,6 +38,7 @@
         """Start empty."""
         self._data_center = data_center
         self._tiers: dict[str, Tiers] = {}
+        self._updated_at: float = 0
         self.members: dict[str, UpstreamState] = {}
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
@@ -68,8 +69,11 @@
         self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
         usual = _usual_load(serving, memory_s)
+        # The reports will be this much older before the next ones come.
+        next_at = now + now - self._updated_at
         for state in serving:
-            state.discount(usual, entries, now)
+            state.discount(usual, entries, next_at)
+        self._updated_at = now
         self._count(serving, now)
 
     def serving(self) -> list[UpstreamState]:
--- a/src/snipebend/routing/upstream_state.py
+++ b/src/snipebend/routing/upstream_state.py
@@ -20,7 +20,7 @@
 #: Utilisation that a full KV cache adds.
 KV_PENALTY = 1.0
 #: How much the other entries are thought to lean as this one does.
-ECHO_SHARE = 0.5
+ECHO_SHARE = 0.25
 #: Latencies taken in before an upstream can be called a straggler.
 LEAST_SAMPLES = 8
 #: Weight of one more latency in the mean.
@@ -76,7 +76,7 @@
         self.reported_others = max(0, reported - self.own_then)
         self.others = self.reported_others
 
-    def discount(self, usual: UsualLoad, entries: int, now: float) -> None:
+    def discount(self, usual: UsualLoad, entries: int, at: float) -> None:
         """Trust an old report less: what it says fades.
 
         After the time for which requests are held, the others' work there is
@@ -84,7 +84,7 @@
         The best guess is then that the other entries, who see the same
         reports and prefixes, lean as this one does.
         """
-        age = max(0, now - self.view.load.taken_at)
+        age = max(0, at - self.view.load.taken_at)
         trust = exp(-age / usual.memory_s)
         difference = self.reported_others - usual.others
         self.others = usual.others + difference * trust
