--- /dev/null
+++ b/src/snipebend/hashing/__init__.py
@@ -0,0 +1,1 @@
+"""Hashes by which processes agree without talking."""
--- a/src/snipebend/membership/directory.py
+++ b/src/snipebend/membership/directory.py
@@ -1,18 +1,43 @@
-"""The directory of upstreams, made from their announcements (pure)."""
+"""The directory of upstreams, made from their announcements (pure).
+
+An upstream is listed while its lease holds and suspected when it has missed
+an announcement. News of an incarnation that has left, that was replaced or
+whose lease has ended long ago never brings it back.
+"""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-from snipebend.membership.messages import Announcement
+from msgspec.structs import replace
+
+from snipebend.membership.messages import Announcement, Phase
+from snipebend.membership.wheel import DeadlineWheel
 
 #: Seconds after which an upstream that said nothing is dropped.
 ANNOUNCEMENT_LEASE_S = 5.0
+#: Seconds after which it is suspected: it takes new work only if no other can.
+SUSPICION_S = 2.5
+#: Seconds for which the last word of a dropped upstream is remembered, so
+#: that a late copy can't bring it back.
+TOMBSTONE_S = 60.0
+_TICK_S = 0.25
+
 
+class Member(NamedTuple):
+    """An upstream's latest announcement.
+
+    ``heard_at`` is when it came in, ``joined_at`` when this incarnation was
+    first heard of.
+    """
 
-class _Entry(NamedTuple):
     announcement: Announcement
-    expires_at: float
+    heard_at: float
+    joined_at: float
+
+    def is_suspected(self, now: float) -> bool:
+        """Tell whether an announcement is overdue."""
+        return now >= self.heard_at + SUSPICION_S
 
 
 class UpstreamDirectory:
@@ -20,31 +45,44 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._entries: dict[str, _Entry] = {}
+        self._members: dict[str, Member] = {}
+        self._leases = DeadlineWheel(_TICK_S)
+        self._last_words: dict[str, Announcement] = {}
+        self._tombstones = DeadlineWheel(_TICK_S)
 
     def record(self, announcement: Announcement, now: float) -> bool:
         """Keep an announcement; return False for a late or repeated copy."""
-        known = self._entries.get(announcement.upstream)
-        if known is not None and not _is_newer(
-            announcement, known.announcement
-        ):
+        name = announcement.upstream
+        self._expire(now)
+        known = self._members.get(name)
+        last = known.announcement if known else self._last_words.get(name)
+        if last is not None and not _is_newer(announcement, last):
             return False
-        self._entries[announcement.upstream] = _Entry(
-            announcement,
-            now + ANNOUNCEMENT_LEASE_S,
-        )
+        joined_at = now
+        if last is not None and last.incarnation == announcement.incarnation:
+            announcement = _keep_leaving(announcement, last)
+            joined_at = known.joined_at if known else now
+        self._members[name] = Member(announcement, now, joined_at)
+        self._leases.renew(name, now + ANNOUNCEMENT_LEASE_S)
+        self._last_words.pop(name, None)
+        self._tombstones.drop(name)
         return True
 
+    def members(self, now: float) -> tuple[Member, ...]:
+        """Return the members whose lease holds; drop the others."""
+        self._expire(now)
+        return tuple(self._members.values())
+
     def fresh(self, now: float) -> tuple[Announcement, ...]:
         """Return the announcements whose lease holds; drop the others."""
-        expired = [
-            name
-            for name, entry in self._entries.items()
-            if entry.expires_at <= now
-        ]
-        for name in expired:
-            self._entries.pop(name)
-        return tuple(entry.announcement for entry in self._entries.values())
+        return tuple(member.announcement for member in self.members(now))
+
+    def _expire(self, now: float) -> None:
+        for name in self._leases.due(now):
+            self._last_words[name] = self._members.pop(name).announcement
+            self._tombstones.renew(name, now + TOMBSTONE_S)
+        for forgotten in self._tombstones.due(now):
+            self._last_words.pop(forgotten)
 
 
 def _is_newer(announcement: Announcement, known: Announcement) -> bool:
@@ -52,3 +90,10 @@
         known.incarnation,
         known.sequence,
     )
+
+
+def _keep_leaving(news: Announcement, last: Announcement) -> Announcement:
+    """Who is leaving stays so: only a new incarnation serves again."""
+    if last.phase is Phase.LEAVING:
+        return replace(news, phase=Phase.LEAVING)
+    return news
--- a/src/snipebend/routing/quarantine.py
+++ b/src/snipebend/routing/quarantine.py
@@ -12,7 +12,7 @@
 
 from xxhash import xxh3_128
 
-from snipebend.routing.rendezvous import heaviest
+from snipebend.hashing.rendezvous import heaviest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
