--- a/src/snipebend/membership/directory_delta.py
+++ b/src/snipebend/membership/directory_delta.py
@@ -13,6 +13,10 @@
 
 from snipebend.membership.messages import Announcement, Phase
 
+#: A count is told again once it has moved by more than this share of what was
+#: told last, so that what a watcher knows is never further off.
+CHANGE_SHARE = 0.1
+
 
 class Joined(Struct, frozen=True, array_like=True):
     """An upstream that is new or changed, under its number in this watch."""
@@ -162,8 +166,14 @@
     )
 
 
-def _same_load(one: Announcement, other: Announcement) -> bool:
-    return (one.running, one.queued) == (other.running, other.queued)
+def _same_load(told: Announcement, news: Announcement) -> bool:
+    return _is_near(told.running, news.running) and _is_near(
+        told.queued, news.queued
+    )
+
+
+def _is_near(told: int, news: int) -> bool:
+    return abs(news - told) <= CHANGE_SHARE * told
 
 
 def _load_change(number: int, announcement: Announcement) -> LoadChange:
--- a/tests/membership/test_directory_delta.py
+++ b/tests/membership/test_directory_delta.py
@@ -63,6 +63,20 @@
         self.assertEqual(len(busy.loads), 1)
         self.assertEqual(busy.joined, ())
 
+    def test_a_told_load_is_never_far_off(self) -> None:
+        view = WatcherView()
+        copy = DirectoryCopy()
+        told = 0
+        for running in (40, 41, 43, 44, 45, 47, 30, 1, 0, 1):
+            delta = view.advance(
+                (_announcement('a', Phase.SERVING, running),), 1
+            )
+            told += bool(delta.loads)
+            copy.apply(delta)
+            known = copy.upstreams()[0].running
+            self.assertLessEqual(abs(known - running), 0.1 * known)
+        self.assertEqual(told, 5)
+
 
 def _seen(
     upstreams: tuple[Announcement, ...],
