--- a/src/snipebend/routing/pools.py
+++ b/src/snipebend/routing/pools.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from snipebend.routing.admission import PoolGate
+from snipebend.routing.candidates import DEFAULT_MEMORY_S, CandidateSet
 from snipebend.routing.messages import ModelTarget, ServiceTarget
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from snipebend.fleet.model import Fleet, UpstreamPolicy
-    from snipebend.routing.candidates import CandidateSet
     from snipebend.routing.messages import Target
     from snipebend.routing.views import UpstreamView
 
@@ -25,15 +25,24 @@
     candidates: CandidateSet
     gate: PoolGate = field(default_factory=PoolGate)
 
+    @property
+    def memory_s(self) -> float:
+        """Return how long a load report tells upstreams apart."""
+        return self.gate.drain.hold_s or DEFAULT_MEMORY_S
+
     def open_slots(self, entries: int) -> None:
         """Set how many requests this entry may have at the upstreams.
 
-        What the others leave, and in any case the entry's own share: with
-        late reports alone the entries would stop and start all together.
+        An equal share of the capacity, or what the entry had when the load
+        reports were taken and its share of what was free then. The slots of
+        all entries add up to about the capacity however late the reports
+        are: entries that each took all that seems free would stop and start
+        together.
         """
-        capacity = self.candidates.capacity
-        left = capacity - self.candidates.others
-        self.gate.slots = max(capacity / entries, left)
+        known = self.candidates
+        free = known.capacity - known.others - known.own_then
+        share = known.own_then + free / entries
+        self.gate.slots = max(known.capacity / entries, share)
 
 
 def pool_key(policy: UpstreamPolicy) -> str:
