Keep the search from undoing a detour before it pays

Cause: after a hot expert was copied onto a rank that became the hottest, the next change overwrote the copy again, so the detour led nowhere. The copy now stays until the layer reaches a new best or its search ends.

--- a/src/snipebend/experts/search.py
+++ b/src/snipebend/experts/search.py
@@ -22,7 +22,7 @@
     choose,
     detour_copy,
 )
-from snipebend.experts.view import take_view
+from snipebend.experts.view import BARRED, take_view
 
 if TYPE_CHECKING:
     from numpy.typing import NDArray
@@ -121,18 +121,21 @@
         """Start with full patience."""
         self._best = view.hot.load
         self._patience = np.full(len(view.rows), _PATIENCE)
+        self._taken = np.zeros(view.flat.shape, dtype=np.bool_)
 
     def note_progress(self, view: View) -> None:
         """Renew the patience of layers that reached a new best."""
         improved = view.hot.load < self._best - _LEAST_GAIN
         self._best = np.minimum(self._best, view.hot.load)
         self._patience = np.where(improved, _PATIENCE, self._patience)
+        self._taken[improved] = False
 
     def best_change(self, view: View, min_gain: float) -> MapChange:
         """Return the change of each layer that gains most for each load.
 
         Layers in which nothing gains detour, or get a change without slots.
         """
+        view = self._protect(view)
         kinds = [best_swap(view), best_copy(view), best_overwrite(view)]
         gains = np.array(
             [
@@ -144,10 +147,24 @@
         detour = detour_copy(view)
         detouring = ~gaining & self._may_detour(view, detour, min_gain)
         self._patience = self._patience - detouring
+        self._note_detours(detour, detouring)
         choice = np.where(detouring, len(kinds), gains.argmax(axis=0))
         change = choose([*kinds, detour], choice)
         return change.only(gaining | detouring)
 
+    def _protect(self, view: View) -> View:
+        """Bar what would undo a detour before it led to a new best."""
+        after_drop = np.where(self._taken, BARRED, view.after_drop)
+        return view._replace(after_drop=after_drop)
+
+    def _note_detours(
+        self,
+        detour: MapChange,
+        layers: NDArray[np.bool_],
+    ) -> None:
+        rows = np.flatnonzero(layers)
+        self._taken[rows, detour.slots[rows, 0]] = True
+
     def _may_detour(
         self,
         view: View,
