Plan for the long run while current gains do not last

Cause: a load that flips back every two intervals taught the policy nothing: losses counted as zero, so trust never fell far, and a test that asked for fewer moves in the second half failed (557 moves after 449).

--- a/bench/experts/players.py
+++ b/bench/experts/players.py
@@ -21,7 +21,7 @@
 
     from snipebend.experts.estimate import ExpertReport
     from snipebend.experts.model import GroupShape
-    from snipebend.experts.policy import PolicySettings
+    from snipebend.experts.planner import PolicySettings
     from snipebend.fleet.model import Weights
 
 POLISH_ROUNDS = 256
--- a/src/snipebend/experts/drift.py
+++ b/src/snipebend/experts/drift.py
@@ -39,7 +39,7 @@
         if self._shares is None or self._variances is None:
             self._shares = estimate.shares.copy()
             self._variances = estimate.variances.copy()
-        unknown = (self._variances >= _UNKNOWN).all(axis=1)
+        unknown = np.equal(self._variances.min(axis=1), _UNKNOWN)
         self.rebase(unknown, estimate)
         squares = (estimate.shares - self._shares) ** 2
         spread = estimate.variances + self._variances
@@ -51,7 +51,8 @@
         )
         experts = squares.shape[1]
         excess = terms.sum(axis=1) - experts
-        return np.greater(excess, self._limit * np.sqrt(2 * experts))
+        found: NDArray[np.bool_] = excess > self._limit * np.sqrt(2 * experts)
+        return found
 
     def rebase(
         self,
--- a/src/snipebend/experts/estimate.py
+++ b/src/snipebend/experts/estimate.py
@@ -25,8 +25,10 @@
 
 #: Reports older than this many half-lives weigh under 1/256 and are dropped.
 _OLDEST_HALF_LIVES = 8
-#: A recent mean forgets this many times faster than the estimate.
+#: The recent mean forgets this many times faster than the estimate, and the
+#: long run's this many times slower.
 _RECENT_FACTOR = 4
+_LONG_FACTOR = 8
 
 
 class ExpertReport(NamedTuple):
@@ -46,15 +48,25 @@
     """Each expert's share of its layer's tokens, with variances.
 
     ``shares``, ``variances`` and ``recent`` are layers by experts; ``recent``
-    holds the shares over a shorter span, ``step`` is the newest step heard
-    of (-1: none). Layers without a report are even, with variance 1.
+    holds the shares over a shorter span, the ``long`` ones those over a
+    longer one, ``step`` is the newest step heard of (-1: none). Layers
+    without a report are even, with variance 1.
     """
 
     shares: NDArray[np.float64]
     variances: NDArray[np.float64]
     recent: NDArray[np.float64]
+    long_shares: NDArray[np.float64]
+    long_variances: NDArray[np.float64]
     step: int
 
+    def long_run(self) -> LoadEstimate:
+        """Return the same with the long run's shares and variances."""
+        return self._replace(
+            shares=self.long_shares,
+            variances=self.long_variances,
+        )
+
 
 class LoadEstimator:
     """Collects the reports of one incarnation of a group."""
@@ -65,6 +77,7 @@
         self._oldest = _OLDEST_HALF_LIVES * half_life_steps
         self._slow = _DecayedSums(shape, half_life_steps)
         self._recent = _DecayedSums(shape, half_life_steps / _RECENT_FACTOR)
+        self._long = _DecayedSums(shape, half_life_steps * _LONG_FACTOR)
         self._seen: dict[tuple[int, int], NDArray[np.bool_]] = {}
         self._step = -1
 
@@ -81,8 +94,8 @@
             return Ok(False)
         fresh = self._take_unseen(report)
         age = self._step - report.step
-        self._slow.add(report.layers[fresh], report.counts[fresh], age)
-        self._recent.add(report.layers[fresh], report.counts[fresh], age)
+        for sums in (self._slow, self._recent, self._long):
+            sums.add(report.layers[fresh], report.counts[fresh], age)
         return Ok(bool(fresh.any()))
 
     def estimate(self) -> LoadEstimate:
@@ -94,6 +107,7 @@
             blend.shares,
             blend.variances,
             recent.shares,
+            *_measure(self._long),
             self._step,
         )
 
@@ -101,8 +115,8 @@
         if step <= self._step:
             return
         elapsed = step - self._step if self._step >= 0 else 0
-        self._slow.decay(elapsed)
-        self._recent.decay(elapsed)
+        for sums in (self._slow, self._recent, self._long):
+            sums.decay(elapsed)
         self._step = step
         oldest = step - self._oldest
         self._seen = {
--- a/src/snipebend/experts/significance.py
+++ b/src/snipebend/experts/significance.py
@@ -24,9 +24,10 @@
     """Return each layer's gain in skew; 0 where it may be noise.
 
     A gain must exceed its layer's entry of ``limits`` in standard deviations
-    (a one-sided z-test). Its variance follows from those of the experts' shares by the delta method
-    (L. Wasserman, "All of statistics", section 9.9): near the estimate, a
-    layer's skew is the sum of the shares on its hottest rank.
+    (a one-sided z-test). Its variance follows from those of the experts'
+    shares by the delta method (L. Wasserman, "All of statistics", section
+    9.9): near the estimate, a layer's skew is the sum of the shares on its
+    hottest rank.
     """
     ranks = before.shape[1]
     loads = relative_loads(estimate.shares, ranks)
--- a/src/snipebend/experts/trials.py
+++ b/src/snipebend/experts/trials.py
@@ -1,7 +1,7 @@
 """Trials: how much of the predicted gains really came.
 
 Each change that was considered, made or not, is scored against the load that
-follows it. The share of the predicted gain that lasted over the horizon is
+follows it. The share of the predicted gains that lasted over the horizon is
 the trust in the next prediction. Load that flips back soon after each change
 teaches the policy to stay put; trials of changes not made win trust back.
 """
@@ -16,10 +16,10 @@
     import numpy as np
     from numpy.typing import NDArray
 
-#: Trust before any trial has ended.
+#: Trust before any trial has ended; it weighs as much as the first trial.
 _FIRST_TRUST = 0.5
-#: The weight of one ended trial in the trust.
-_LEARNING_RATE = 0.3
+#: What is left of the earlier trials' weight when another one ends.
+_MEMORY = 0.8
 #: Trials open at once; more change nothing about what is learnt.
 _MOST_OPEN = 8
 
@@ -35,34 +35,39 @@
         end_step: int,
     ) -> None:
         """Start without any gain seen."""
+        self.predicted = predicted
         self.end_step = end_step
         self._before = before
         self._after = after
-        self._predicted = predicted
-        self._seen = float(0)
-        self._count = 0
+        self._seen: list[float] = []
 
     def observe(self, loads: NDArray[np.float64]) -> None:
         """Count the gain under the recent loads."""
         before = step_skew(self._before, loads)
-        self._seen += before - step_skew(self._after, loads)
-        self._count += 1
+        self._seen.append(before - step_skew(self._after, loads))
 
-    def kept_share(self) -> float:
-        """Return the share of the predicted gain that came, 0 to 1."""
-        mean = self._seen / max(self._count, 1)
-        return min(max(mean / self._predicted, 0), 1)
+    def mean_gain(self) -> float:
+        """Return the mean gain that came, or the loss as a negative."""
+        return sum(self._seen) / max(len(self._seen), 1)
 
 
 class TrialBook:
-    """The open trials of one group and the trust learnt from ended ones."""
+    """The open trials of one way to predict and the trust learnt from them."""
 
     def __init__(self, horizon_steps: int) -> None:
         """Start with a middling trust; a trial runs ``horizon_steps``."""
-        self.trust = _FIRST_TRUST
         self._horizon = horizon_steps
         self._open: list[_Trial] = []
         self._scored_step = -1
+        self._predicted = float(0)
+        self._gained = float(0)
+
+    @property
+    def trust(self) -> float:
+        """The share of predicted gains that came, from 0 to 1."""
+        if self._predicted <= 0:
+            return _FIRST_TRUST
+        return min(max(self._gained / self._predicted, 0), 1)
 
     def open(
         self,
@@ -86,7 +91,14 @@
         self._scored_step = step
         for trial in self._open:
             trial.observe(loads)
-        ended_ones = [one for one in self._open if one.end_step <= step]
-        for ended in ended_ones:
-            self._open.remove(ended)
-            self.trust += _LEARNING_RATE * (ended.kept_share() - self.trust)
+        ended = [one for one in self._open if one.end_step <= step]
+        self._open = [one for one in self._open if one.end_step > step]
+        for trial in ended:
+            self._learn(trial)
+
+    def _learn(self, trial: _Trial) -> None:
+        if self._predicted <= 0:
+            self._predicted = trial.predicted
+            self._gained = _FIRST_TRUST * trial.predicted
+        self._predicted = _MEMORY * self._predicted + trial.predicted
+        self._gained = _MEMORY * self._gained + trial.mean_gain()
