--- a/bench/experts/players.py
+++ b/bench/experts/players.py
@@ -4,37 +4,35 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+import numpy as np
+
 from snipebend.experts.cost import CostModel, StoreBudget
-from snipebend.experts.estimate import LoadEstimator
 from snipebend.experts.model import ExpertMap
-from snipebend.experts.moves import align_slots
+from snipebend.experts.moves import align_slots, replay
 from snipebend.experts.placement import place_from_scratch
 from snipebend.experts.policy import Change, Facts, Policy
 from snipebend.experts.search import SearchLimits, search
-from snipebend.experts.moves import replay
 from snipebend.experts.skew import relative_loads
 
-import numpy as np
-
 if TYPE_CHECKING:
     from numpy.typing import NDArray
 
-    from snipebend.experts.estimate import ExpertReport
+    from snipebend.experts.estimate import LoadEstimate
     from snipebend.experts.model import GroupShape
     from snipebend.experts.planner import PolicySettings
     from snipebend.fleet.model import Weights
 
 POLISH_ROUNDS = 256
-#: One interval of the workloads.
-HALF_LIFE_STEPS = 6000
+#: A change so long ago that it holds nothing up.
+NEVER_CHANGED = -1_000_000
 
 
 class Moment(NamedTuple):
-    """The end of an interval: its reports and the next interval's truth."""
+    """The end of an interval: what is known, and the next one's truth."""
 
     step: int
     now: float
-    reports: list[ExpertReport]
+    estimate: LoadEstimate
     following: NDArray[np.float64]
 
 
@@ -84,14 +82,10 @@
 
     def __init__(self, shape: GroupShape) -> None:
         self._shape = shape
-        self._estimator = LoadEstimator(shape, HALF_LIFE_STEPS)
 
     def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
         """Place for the estimate."""
-        for report in moment.reports:
-            self._estimator.record(report).unwrap()
-        shares = self._estimator.estimate().shares
-        loads = relative_loads(shares, self._shape.ranks)
+        loads = relative_loads(moment.estimate.shares, self._shape.ranks)
         target = place_from_scratch(self._shape, loads, current.version + 1)
         aligned = align_slots(current.placement, target.placement)
         return ExpertMap(target.version, aligned)
@@ -110,7 +104,6 @@
         settings: PolicySettings | None = None,
         utilisation: float = 0.6,
     ) -> None:
-        self._estimator = LoadEstimator(shape, HALF_LIFE_STEPS)
         self._policy = Policy(
             shape,
             weights,
@@ -119,14 +112,12 @@
             settings=settings,
         )
         self._store = StoreBudget(store_bytes_per_s)
-        self._changed_at = -INTERVAL_FAR
+        self._changed_at = NEVER_CHANGED
         self._utilisation = utilisation
         self.reasons: list[str] = []
 
     def turn(self, moment: Moment, current: ExpertMap) -> ExpertMap:
         """Ask the policy."""
-        for report in moment.reports:
-            self._estimator.record(report).unwrap()
         facts = Facts(
             moment.step,
             self._changed_at,
@@ -134,7 +125,7 @@
             self._store,
         )
         decision = self._policy.decide(
-            self._estimator.estimate(),
+            moment.estimate,
             current,
             facts,
             moment.now,
@@ -145,6 +136,3 @@
         self._store = decision.store
         self._changed_at = moment.step
         return decision.expert_map
-
-
-INTERVAL_FAR = 1_000_000
--- a/bench/experts/run.py
+++ b/bench/experts/run.py
@@ -8,6 +8,7 @@
 
 from bench.experts.players import Moment, polished
 from bench.experts.workloads import INTERVAL_STEPS, draw_reports
+from snipebend.experts.estimate import LoadEstimator
 from snipebend.experts.skew import relative_loads, step_skew
 
 if TYPE_CHECKING:
@@ -37,10 +38,12 @@
 ) -> dict[str, Outcome]:
     """Score each player's map of an interval on that interval's true shares.
 
-    All start on the map that is best for the first interval; a map chosen at
-    an interval's end serves the next one.
+    All read one estimate, whose weights halve in each interval, and start on
+    the map that is best for the first interval; a map chosen at an interval's
+    end serves the next one.
     """
     rng = np.random.default_rng(seed)
+    estimator = LoadEstimator(shape, INTERVAL_STEPS)
     first = polished(shape, workload.shares[0], 1)
     maps = dict.fromkeys(players, first)
     skews: dict[str, list[float]] = {name: [] for name in players}
@@ -49,7 +52,10 @@
         step = (turn + 1) * INTERVAL_STEPS
         following = workload.shares[turn + 1]
         reports = draw_reports(shape, shares, step, traffic, rng)
-        moment = Moment(step, step * STEP_S, reports, following)
+        for report in reports:
+            estimator.record(report).unwrap()
+        estimate = estimator.estimate()
+        moment = Moment(step, step * STEP_S, estimate, following)
         truth = relative_loads(following, shape.ranks)
         for name, player in players.items():
             chosen = player.turn(moment, maps[name])
--- a/bench/experts/workloads.py
+++ b/bench/experts/workloads.py
@@ -20,9 +20,9 @@
 INTERVAL_STEPS = 6000
 
 
-#: Intervals of four hours and of one day.
+#: Intervals of four and of twelve hours.
 FOUR_HOURS = 48
-ONE_DAY = 288
+TWELVE_HOURS = 144
 
 
 class Workload(NamedTuple):
@@ -96,9 +96,9 @@
 def two_regions(
     shape: GroupShape,
     seed: int,
-    intervals: int = ONE_DAY,
+    intervals: int = TWELVE_HOURS,
 ) -> Workload:
-    """Two regions that follow the sun: opposite waves over one day."""
+    """Two regions that follow the sun: opposite waves, twice a day's speed."""
     rng = np.random.default_rng(seed)
     east, west = draw_shares(shape, rng), draw_shares(shape, rng)
     turns = np.arange(intervals) / intervals
