--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -4,7 +4,13 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    model_validator,
+)
 
 MAX_PORT = 65535
 MAX_SPAN_S = 3600.0
@@ -50,6 +56,9 @@
     admin_port: Port = 0
     #: Where to write the chosen ports as JSON, for scripts; empty: nowhere.
     ports_file: str = ''
+    #: Seconds of a graceful stop in which peers learn of it: an entry still
+    #: takes new work meanwhile, an agent refuses it.
+    grace_s: Annotated[float, Field(ge=0, le=MAX_SPAN_S)] = 1.0
 
 
 class LogSection(Section):
@@ -72,10 +81,19 @@
     addresses: Annotated[list[Address], Field(min_length=1)]
 
 
+class ConnectionsSection(Section):
+    """The health of an entry's connections to agents."""
+
+    #: Seconds without a byte after which a connection is given up; agents
+    #: beat more often than that.
+    silent_after_s: Seconds = 2.0
+
+
 class EntrySettings(DaemonSettings):
     """The settings of ``snipebend-entry``."""
 
     control: ControlSection
+    connections: ConnectionsSection = ConnectionsSection()
 
 
 class UpstreamSection(Section):
@@ -87,6 +105,10 @@
     address: Address
     #: Seconds between two announcements and load reports.
     report_every_s: Seconds = 1.0
+    #: Seconds between two signs of life while the upstream is quiet.
+    beat_s: Seconds = 0.5
+    #: Attempts at once, beyond which the agent refuses.
+    max_running: Annotated[int, Field(ge=1)] = 1024
 
 
 class AgentSettings(DaemonSettings):
@@ -128,3 +150,14 @@
     election: ElectionSection = ElectionSection()
     #: The first members, the same list on each; empty: a group of one.
     members: list[MemberSection] = []
+
+    @model_validator(mode='after')
+    def check_members(self) -> ControlSettings:
+        """Refuse a list that repeats a member or lacks this one."""
+        names = [member.name for member in self.members]
+        addresses = {member.address for member in self.members}
+        if len(set(names)) < len(names) or len(addresses) < len(names):
+            raise ValueError('members must have distinct names and addresses')
+        if names and self.process.name not in names:
+            raise ValueError(f'members must include {self.process.name!r}')
+        return self
