Wait until a change is in force, and show the group's members

Entries confirm a new revision at once instead of within a second. status lists each member with its role and whether it is caught up: a repair is done once the new identity is a voter and caught up.

--- a/src/snipebend/console/apply.py
+++ b/src/snipebend/console/apply.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
 from uuid import uuid4
 
 from result import Err
 
-from snipebend.console.connection import add_control_option, call_control
+from snipebend.console.connection import (
+    add_control_option,
+    call_control,
+    find_control,
+)
 from snipebend.console.exit_codes import ExitCode
 from snipebend.console.fleet_file import read_fleet_file
+from snipebend.console.in_force import InForce, wait_in_force
 from snipebend.console.output import fail, print_json, print_line
 from snipebend.state.messages import (
     ApplyOutcome,
@@ -39,6 +46,13 @@
         '--change-id',
         help='repeat it to resend safely after a lost answer',
     )
+    parser.add_argument(
+        '--wait',
+        type=float,
+        metavar='SECONDS',
+        help='return once the change is in force everywhere, or name who '
+        + 'has not confirmed it (exit code 1)',
+    )
     parser.add_argument('--json', action='store_true', help='print JSON')
     add_control_option(parser)
 
@@ -61,14 +75,29 @@
             print_line(f'resend with --change-id {change_id}')
             return fail(exc)
         case applied:
-            return _report(args, applied.unwrap())
+            return _finish(args, applied.unwrap())
+
+
+def _finish(args: Namespace, reply: ApplyReply) -> int:
+    """Wait if asked to, then report."""
+    if args.wait is None or reply.outcome is not ApplyOutcome.ACCEPTED:
+        return _report(args, reply)
+    deadline = time.monotonic() + args.wait
+    addresses = find_control(args).unwrap()
+    found = asyncio.run(wait_in_force(addresses, reply.revision, deadline))
+    code = _report(args, reply, found)
+    return code if found.everywhere else ExitCode.FAILED
 
 
-def _report(args: Namespace, reply: ApplyReply) -> int:
+def _report(
+    args: Namespace, reply: ApplyReply, found: InForce | None = None
+) -> int:
     if args.json:
-        print_json({'outcome': reply.outcome.value, 'revision': reply.revision})
+        _print_document(reply, found)
     else:
         print_line(f'{reply.outcome.value}: revision {reply.revision}')
+        if found is not None:
+            _print_in_force(found)
     if reply.message:
         print_line(reply.message)
     match reply.outcome:
@@ -79,3 +108,29 @@
             return ExitCode.CONFLICT
         case ApplyOutcome.INVALID:
             return ExitCode.BAD_INPUT
+
+
+def _print_document(reply: ApplyReply, found: InForce | None) -> None:
+    document: dict[str, object] = {
+        'outcome': reply.outcome.value,
+        'revision': reply.revision,
+    }
+    if found is not None:
+        document['in_force_everywhere'] = found.everywhere
+        document['not_confirmed'] = found.behind
+        document['lapsed'] = found.lapsed
+        document['unreachable'] = found.unreachable
+    print_json(document)
+
+
+def _print_in_force(found: InForce) -> None:
+    if found.everywhere:
+        print_line(f'in force everywhere: {found.processes} processes')
+    elif not found.complete:
+        print_line('no daemon has been up long enough to know everybody')
+    for process, revision in sorted(found.behind.items()):
+        print_line(f'not confirmed: {process} has revision {revision}')
+    for process in found.lapsed:
+        print_line(f'silent, its lease is over: {process}')
+    for address in found.unreachable:
+        print_line(f'control daemon did not answer: {address}')
--- a/src/snipebend/console/connection.py
+++ b/src/snipebend/console/connection.py
@@ -97,3 +97,25 @@
     finally:
         clients.close()
     return Err(failure)
+
+
+async def call_each(
+    addresses: list[str],
+    method: Method[Request, Reply],
+    req: Request,
+    *,
+    timeout: float = CALL_TIMEOUT_S,
+) -> dict[str, Reply | None]:
+    """Ask all addresses at once; ``None`` stands for no answer."""
+    clients = RpcClients()
+    try:
+        answers = await asyncio.gather(
+            *(
+                clients.call(peer, method, req, timeout=timeout)
+                for peer in addresses
+            ),
+        )
+    finally:
+        clients.close()
+    replies = [answer.unwrap_or(None) for answer in answers]
+    return dict(zip(addresses, replies, strict=True))
--- a/src/snipebend/console/status.py
+++ b/src/snipebend/console/status.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from argparse import ArgumentParser, Namespace
 
-from snipebend.console.connection import add_control_option, call_control
+from snipebend.console.connection import (
+    add_control_option,
+    call_control,
+    call_each,
+    find_control,
+)
 from snipebend.console.exit_codes import ExitCode
+from snipebend.console.group_status import MemberStatus, list_members
 from snipebend.console.output import fail, print_json, print_line
 from snipebend.membership.messages import Directory, DirectoryRequest
 from snipebend.state.messages import ShowReply, ShowRequest
-from snipebend.transport.methods import DIRECTORY, SHOW
+from snipebend.transport.group_messages import GroupQuery
+from snipebend.transport.methods import DIRECTORY, GROUP, SHOW
 
 HELP = 'show daemons, upstreams and groups'
 EXAMPLES = 'example: snipebend status --json'
@@ -26,6 +34,13 @@
 
 def run(args: Namespace) -> int:
     """Print what control knows."""
+    found = find_control(args)
+    if found.is_err():
+        return fail(found.unwrap_err())
+    views = asyncio.run(call_each(found.unwrap(), GROUP, GroupQuery()))
+    members = list_members(views)
+    if not args.json:
+        _print_members(members)
     shown = call_control(args, SHOW, ShowRequest())
     if shown.is_err():
         return fail(shown.unwrap_err())
@@ -33,16 +48,30 @@
     if listed.is_err():
         return fail(listed.unwrap_err())
     if args.json:
-        print_json(_document(shown.unwrap(), listed.unwrap()))
+        document = _document(shown.unwrap(), listed.unwrap())
+        print_json({**document, 'members': [one._asdict() for one in members]})
     else:
         _print_text(shown.unwrap(), listed.unwrap())
     return ExitCode.DONE
 
 
+def _print_members(members: tuple[MemberStatus, ...]) -> None:
+    for member in members:
+        caught_up = 'yes' if member.caught_up else 'no'
+        line = (
+            f'member {member.name} role={member.role} '
+            + f'caught_up={caught_up} '
+            + f'address={member.address} id={member.member_id}'
+        )
+        error = member.storage_error
+        print_line(f'{line} storage={error!r}' if error else line)
+
+
 def _document(shown: ShowReply, listed: Directory) -> dict[str, object]:
     return {
         'revision': shown.revision,
         'confirmed': shown.confirmed,
+        'lapsed': shown.lapsed,
         'upstreams': {
             upstream.upstream: {
                 'policy': upstream.policy,
@@ -59,6 +88,8 @@
     print_line(f'revision {shown.revision}')
     for process, revision in sorted(shown.confirmed.items()):
         print_line(f'process {process} revision={revision}')
+    for process in shown.lapsed:
+        print_line(f'process {process} silent, its lease is over')
     for upstream in sorted(listed.upstreams, key=lambda one: one.upstream):
         print_line(
             f'upstream {upstream.upstream} policy={upstream.policy} '
--- a/src/snipebend/transport/directory_follower.py
+++ b/src/snipebend/transport/directory_follower.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
 
-#: Seconds between two words on the revision in force here.
+#: Seconds between two words on the revision in force here; a new one is told
+#: at once.
 CONFIRM_EVERY_S = 1.0
 
 
@@ -97,8 +98,6 @@
 
     async def _confirmations(self) -> AsyncIterator[DirectoryRequest]:
         while True:
-            yield DirectoryRequest(
-                self._process_name,
-                self._configuration.revision,
-            )
-            await asyncio.sleep(CONFIRM_EVERY_S)
+            revision = self._configuration.revision
+            yield DirectoryRequest(self._process_name, revision)
+            await self._configuration.wait_newer(revision, CONFIRM_EVERY_S)
--- a/src/snipebend/transport/followers.py
+++ b/src/snipebend/transport/followers.py
@@ -42,6 +42,7 @@
         super().__init__(name)
         self._copy = FollowedConfiguration()
         self._needs_full = False
+        self._changed = asyncio.Event()
         self._process_name = process_name
         self._control = tuple(control)
         self._clients = clients
@@ -68,6 +69,16 @@
         """
         return self._copy.lapsed(now)
 
+    async def wait_newer(self, revision: int, span_s: float) -> None:
+        """Wait until a newer revision is in force here, or for the span."""
+        changed = self._changed
+        if self.revision > revision:
+            return
+        try:
+            await asyncio.wait_for(changed.wait(), span_s)
+        except asyncio.TimeoutError:
+            return
+
     def ready(self) -> bool:
         """Tell whether a configuration is in force here under a lease."""
         return not self.lapsed(self._clock.now())
@@ -110,6 +121,8 @@
         taken = self._copy.take(message, opened_at)
         self._needs_full = taken is Taken.MISSED
         if taken is Taken.NEWER:
+            self._changed.set()
+            self._changed = asyncio.Event()
             logger.info('event=configuration revision={}', self.revision)
         if taken is Taken.MISSED:
             logger.warning('event=delta_missed revision={}', message.revision)
--- /dev/null
+++ b/tests/daemons/test_in_force.py
@@ -0,0 +1,73 @@
+"""``apply --wait`` and ``status`` against processes under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import signal
+import tempfile
+import unittest
+from contextlib import AsyncExitStack, redirect_stdout
+from pathlib import Path
+
+from snipebend.console.application import main
+from tests.daemons.control_group import NAMES, control_group, fleet_text
+from tests.programs import Program, entry_toml, start_daemon
+
+
+async def console(*arguments: str) -> tuple[int, str]:
+    """Run a command in a thread; return its code and what it printed."""
+    out = io.StringIO()
+
+    def run() -> int:
+        with redirect_stdout(out):
+            return main(list(arguments))
+
+    code = await asyncio.to_thread(run)
+    return code, out.getvalue()
+
+
+class InForceTest(unittest.IsolatedAsyncioTestCase):
+    """Entries confirm; one that is stopped is named, until its lease ends."""
+
+    async def asyncSetUp(self) -> None:
+        stack = AsyncExitStack()
+        self.addAsyncCleanup(stack.aclose)
+        name = stack.enter_context(tempfile.TemporaryDirectory())
+        self.folder = Path(name)
+        group = await stack.enter_async_context(control_group(self.folder))
+        self.control = ','.join(group.addresses())
+        self.entries: list[Program] = []
+        for name in ('e-1', 'e-2'):
+            toml = entry_toml(name, self.control)
+            entry = await start_daemon('entry', self.folder, name, toml)
+            stack.push_async_callback(entry.kill)
+            self.entries.append(entry)
+
+    async def apply(self, number: int, wait_s: str) -> tuple[int, str]:
+        path = self.folder / 'fleet.toml'
+        lease = '[routing]\nconfig_lease_s = 3.0'
+        path.write_text(f'{fleet_text(number)}\n{lease}\n', 'utf-8')
+        options = ('--control', self.control, '--wait', wait_s)
+        return await console('apply', str(path), *options)
+
+    async def test_wait_names_who_has_not_confirmed(self) -> None:
+        code, printed = await self.apply(0, '15')
+        self.assertEqual(code, 0, printed)
+        self.assertIn('in force everywhere: 2 processes', printed)
+        self.entries[0].send(signal.SIGSTOP)
+        code, printed = await self.apply(1, '1')
+        self.assertEqual(code, 1)
+        self.assertIn('not confirmed: e-1 has revision 1', printed)
+        self.assertNotIn('e-2', printed)
+        code, printed = await self.apply(2, '15')
+        self.assertEqual(code, 0, printed)
+        self.assertIn('in force everywhere: 1 processes', printed)
+        self.assertIn('silent, its lease is over: e-1', printed)
+        self.entries[0].send(signal.SIGCONT)
+
+    async def test_status_shows_the_group(self) -> None:
+        code, printed = await console('status', '--control', self.control)
+        self.assertEqual(code, 0)
+        self.assertEqual(printed.count('caught_up=yes'), len(NAMES))
+        self.assertEqual(printed.count('role=leader'), 1)
