--- /dev/null
+++ b/bench/control_slopes.py
@@ -0,0 +1,177 @@
+"""What the replicated state costs: time to accept, to spread and to restart.
+
+Run by hand: ``python -m bench.control_slopes`` starts three control daemons
+and prints JSON. Times depend on the machine and on what else runs on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import quantiles
+from typing import Any
+from uuid import uuid4
+
+from snipebend.state.claims import ClaimRequest, Holder
+from snipebend.state.messages import WatchRequest
+from snipebend.transport.methods import CLAIM, WATCH
+from snipebend.transport.rpc import RpcClients
+from tests.daemons.control_group import (
+    NAMES,
+    ControlGroup,
+    control_group,
+    fleet_text,
+)
+
+APPLIES = 100
+WATCHERS = 30
+CLAIMS = 1500
+CLAIMERS = 32
+RESTARTS = (0, 200, 800)
+_TIMEOUT_S = 10.0
+_MILLI = 1000
+_NEVER = 1_000_000
+
+
+async def measure() -> dict[str, Any]:
+    """Return the figures by name."""
+    figures: dict[str, Any] = {}
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        async with control_group(
+            folder, wired=False, snapshot_every=1000
+        ) as group:
+            leader = await group.leader()
+            follower = next(one for one in NAMES if one != leader)
+            figures['apply_at_leader'] = await _time_applies(group, leader, 0)
+            figures['apply_at_follower'] = await _time_applies(
+                group, follower, APPLIES
+            )
+            figures['in_force'] = await _time_spread(group, 2 * APPLIES)
+            figures['claims'] = await _time_claims(group, leader)
+    figures['restart'] = [
+        await _time_restart(changes, snapshot_every)
+        for changes in RESTARTS
+        for snapshot_every in (_NEVER, 100)
+    ]
+    return figures
+
+
+async def _time_applies(
+    group: ControlGroup, name: str, start: int
+) -> dict[str, float]:
+    spans: list[float] = []
+    for number in range(start, start + APPLIES):
+        began = time.monotonic()
+        reply = await group.apply(name, number, fleet_text(number))
+        spans.append(time.monotonic() - began)
+        assert reply is not None and reply.revision == number + 1
+    return _summary(spans)
+
+
+async def _time_spread(group: ControlGroup, start: int) -> dict[str, float]:
+    """Time from the call to the last of the watchers having the revision."""
+    arrivals: dict[int, list[float]] = {}
+    clients = RpcClients()
+    watchers = [
+        asyncio.create_task(
+            _watch(clients, group.address(NAMES[number % 3]), start, arrivals),
+        )
+        for number in range(WATCHERS)
+    ]
+    spans: list[float] = []
+    for number in range(start, start + APPLIES // 2):
+        began = time.monotonic()
+        await group.apply(NAMES[0], number, fleet_text(number))
+        while len(arrivals.get(number + 1, ())) < WATCHERS:
+            await asyncio.sleep(0.001)
+        spans.append(max(arrivals[number + 1]) - began)
+    for watcher in watchers:
+        watcher.cancel()
+    await asyncio.gather(*watchers, return_exceptions=True)
+    clients.close()
+    return _summary(spans)
+
+
+async def _watch(
+    clients: RpcClients,
+    peer: str,
+    revision: int,
+    arrivals: dict[int, list[float]],
+) -> None:
+    req = WatchRequest('bench', revision)
+    known = revision
+    async for message in clients.stream(peer, WATCH, req):
+        if message.revision > known:
+            known = message.revision
+            arrivals.setdefault(known, []).append(time.monotonic())
+
+
+async def _time_claims(group: ControlGroup, name: str) -> dict[str, float]:
+    """Claim keys from many askers at once: what one leader takes."""
+    clients = RpcClients()
+    spans: list[float] = []
+    left = iter(range(CLAIMS))
+
+    async def claim_on() -> None:
+        for _ in left:
+            holder = Holder(uuid4().hex, 1, 'entry', 'u', '127.0.0.1:1', 1)
+            req = ClaimRequest('w', uuid4().hex, 'f', holder, time.time() + 600)
+            began = time.monotonic()
+            answer = await clients.call(
+                group.address(name), CLAIM, req, timeout=_TIMEOUT_S
+            )
+            answer.unwrap()
+            spans.append(time.monotonic() - began)
+
+    began = time.monotonic()
+    await asyncio.gather(*(claim_on() for _ in range(CLAIMERS)))
+    elapsed = time.monotonic() - began
+    clients.close()
+    return {**_summary(spans), 'per_s': round(CLAIMS / elapsed, 1)}
+
+
+async def _time_restart(changes: int, snapshot_every: int) -> dict[str, float]:
+    """Time a restart of all three to each answering with the last change."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        async with control_group(
+            folder, wired=False, snapshot_every=snapshot_every
+        ) as group:
+            leader = await group.leader()
+            for number in range(changes):
+                await group.apply(leader, number, fleet_text(number))
+            await group.kill(*NAMES)
+            log_bytes = sum(
+                path.stat().st_size for path in (folder / 'c-1').iterdir()
+            )
+            began = time.monotonic()
+            await group.start(*NAMES)
+            started_s = time.monotonic() - began
+            for one in NAMES:
+                assert await group.revision(one) == changes
+            return {
+                'changes': changes,
+                'snapshots': snapshot_every < _NEVER,
+                'folder_bytes': log_bytes,
+                'started_s': round(started_s, 2),
+                'current_s': round(time.monotonic() - began, 2),
+            }
+
+
+def _summary(spans: list[float]) -> dict[str, float]:
+    cuts = quantiles(spans, n=100)
+    return {
+        'p50_ms': round(cuts[49] * _MILLI, 2),
+        'p99_ms': round(cuts[98] * _MILLI, 2),
+        'mean_ms': round(sum(spans) / len(spans) * _MILLI, 2),
+        'count': len(spans),
+    }
+
+
+if __name__ == '__main__':
+    sys.stdout.write(json.dumps(asyncio.run(measure()), indent=2) + '\n')
--- a/tests/daemons/control_group.py
+++ b/tests/daemons/control_group.py
@@ -42,15 +42,23 @@
 class ControlGroup:
     """Starts, kills, wipes and asks the three daemons by name."""
 
-    def __init__(self, folder: Path, extra: str = '') -> None:
-        """Choose ports; ``extra`` goes to the end of the settings."""
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        wired: bool = True,
+        snapshot_every: int = 40,
+    ) -> None:
+        """Choose ports; ``wired`` lists those of the wires as members'."""
         self.folder = folder
         self.programs: dict[str, Program] = {}
         self.clients = RpcClients()
         self.wires = Wires(self._owner)
-        self._extra = extra
+        self._snapshot_every = snapshot_every
         self._ports = {name: free_port() for name in NAMES}
-        self._listed = {name: free_port() for name in NAMES}
+        self._listed = self._ports
+        if wired:
+            self._listed = {name: free_port() for name in NAMES}
 
     def address(self, name: str) -> str:
         """Return the daemon's own address, past the wires."""
@@ -171,7 +179,7 @@
         toml = (
             f'{head(name)}grpc_port = {self._ports[name]}\n'
             f'[storage]\nfolder = "{self.folder / name}"\n'
-            f'snapshot_every = 40\n{self._extra}\n{members}'
+            f'snapshot_every = {self._snapshot_every}\n{members}'
         )
         return await start_daemon('control', self.folder, name, toml)
 
@@ -187,12 +195,13 @@
 
 @asynccontextmanager
 async def control_group(
-    folder: Path, extra: str = ''
+    folder: Path, *, wired: bool = True, snapshot_every: int = 40
 ) -> AsyncIterator[ControlGroup]:
     """Run a founded group of three and end what still runs of it."""
-    group = ControlGroup(folder, extra)
+    group = ControlGroup(folder, wired=wired, snapshot_every=snapshot_every)
     try:
-        await group.open_wires()
+        if wired:
+            await group.open_wires()
         await group.start(*NAMES)
         await group.wait_voters(*NAMES)
         yield group
