Refuse a damaged folder in one line, and ask again to join

A daemon that can't read its folder, or finds it in use, ends with exit code 1 and the file and offset. A learner whose leader fell before its admission was committed asks again instead of waiting for ever; no test provokes that yet.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -120,7 +120,9 @@
     async def claim_on() -> None:
         for _ in left:
             holder = Holder(uuid4().hex, 1, 'entry', 'u', '127.0.0.1:1', 1)
-            req = ClaimRequest('w', uuid4().hex, 'f', holder, time.time() + 600)
+            key = uuid4().hex
+            until = time.time() + 600
+            req = ClaimRequest('w', key, 'f', holder, until)
             began = time.monotonic()
             answer = await clients.call(
                 group.address(name), CLAIM, req, timeout=_TIMEOUT_S
@@ -174,4 +176,4 @@
 
 
 if __name__ == '__main__':
-    sys.stdout.write(json.dumps(asyncio.run(measure()), indent=2) + '\n')
+    sys.stdout.write(f'{json.dumps(asyncio.run(measure()), indent=2)}\n')
--- a/src/snipebend/daemons/running.py
+++ b/src/snipebend/daemons/running.py
@@ -11,6 +11,7 @@
 
 import uvloop
 
+from snipebend.errors.hierarchy import SnipebendError
 from snipebend.kernel.process import Process
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
@@ -25,9 +26,12 @@
 
 _EPILOG = (
     'exit codes: 0 after a graceful stop (SIGTERM, SIGINT), '
-    + '2 when the settings are wrong'
+    + '1 when it cannot go on, 2 when the settings are wrong'
 )
 
+#: Exit code of a daemon that can't start or go on, for a damaged file say.
+EXIT_FAILED = 1
+
 
 class HasAddress(Protocol):
     """A server that knows where it listens."""
@@ -76,7 +80,11 @@
     cfg = loaded.unwrap()
     set_up_logs(cfg.process.name, cfg.log.level)
     set_up_metrics(cfg.process.name)
-    uvloop.run(build(cfg).run())
+    try:
+        uvloop.run(build(cfg).run())
+    except SnipebendError as exc:
+        sys.stderr.write(f'{program}: {exc}\n')
+        return EXIT_FAILED
     return 0
 
 
--- a/src/snipebend/transport/control_api.py
+++ b/src/snipebend/transport/control_api.py
@@ -42,6 +42,7 @@
         super().__init__(name)
         self._feed = ConfigurationFeed()
         self._stopping = False
+        self._started = False
         server.add(
             Endpoint(APPLY, self.apply),
             Endpoint(SHOW, self.show),
@@ -53,6 +54,7 @@
         self._clock = registry.clock
         self._store = registry.find('state', ReplicatedState)
         self._confirmations = Confirmations(self._clock.now(), self._lease_s)
+        self._started = True
 
     @property
     def revision(self) -> int:
@@ -107,6 +109,8 @@
     async def stop(self) -> None:
         """End the watchers' streams."""
         self._stopping = True
+        if not self._started:
+            return
         async with self._store.changed:
             self._store.changed.notify_all()
 
--- a/src/snipebend/transport/founding.py
+++ b/src/snipebend/transport/founding.py
@@ -60,12 +60,13 @@
     async def find(self) -> Members:
         """Return the members to begin with; none: wait for the leader's log."""
         while True:
-            found = await self._ask_round()
+            found = await self.ask_round()
             if found is not None:
                 return found
             await asyncio.sleep(ROUND_S)
 
-    async def _ask_round(self) -> Members | None:
+    async def ask_round(self) -> Members | None:
+        """Ask everybody once; nothing when that doesn't settle it."""
         others = [one for one in self._listed if one != self._own.address]
         asked = await asyncio.gather(*(self._ask(one) for one in others))
         replies = [reply for reply in asked if reply is not None]
--- a/src/snipebend/transport/group_start.py
+++ b/src/snipebend/transport/group_start.py
@@ -21,6 +21,10 @@
     from snipebend.settings.model import ControlSettings
 
 
+#: Seconds between two requests of a learner that got no log yet.
+REJOIN_EVERY_S = 2.0
+
+
 class GroupStart:
     """The data folder from its lock to its release."""
 
@@ -62,6 +66,16 @@
             notify,
         )
 
+    async def rejoin(self, group: Group) -> None:
+        """Ask again until the leader's log has come.
+
+        A leader may have fallen before the admission was committed.
+        """
+        while not group.replica.status.members.voters:
+            await asyncio.sleep(REJOIN_EVERY_S)
+            if not group.replica.status.members.voters:
+                await self._founding().ask_round()
+
     def close(self) -> None:
         """Close connections and give the folder back."""
         self._clients.close()
@@ -85,10 +99,12 @@
             members = Members((self._own,))
             await asyncio.to_thread(self._storage.found, members)
             return members
-        founding = Founding(
+        return await self._founding().find()
+
+    def _founding(self) -> Founding:
+        return Founding(
             self._own,
             [member.address for member in self._cfg.members],
             self._clients,
             self._storage.found,
         )
-        return await founding.find()
--- a/src/snipebend/transport/replicated_state.py
+++ b/src/snipebend/transport/replicated_state.py
@@ -111,10 +111,12 @@
     async def _live(self) -> None:
         """Find the group, then step its core until the end."""
         if self.group is None:
-            self.group = await self._start.enter(
-                self._registry, self._tell_changed
+            group = await self._start.enter(self._registry, self._tell_changed)
+            group.start()
+            self.group = group
+            self._registry.tasks.start(
+                'rejoin', lambda: self._start.rejoin(group)
             )
-            self.group.start()
         await self.group.replica.run()
 
     def _tell_changed(self) -> None:
--- a/tests/daemons/test_replicated_control.py
+++ b/tests/daemons/test_replicated_control.py
@@ -19,6 +19,7 @@
     fleet_text,
     until,
 )
+from tests.programs import control_toml, start_daemon
 
 #: Applies while the leader is killed; more by hand, fewer in CI.
 APPLIES = int(os.environ.get('SNIPEBEND_APPLIES', '60'))
@@ -201,3 +202,22 @@
                 return reply.revision
             await asyncio.sleep(0.05)
         raise TimeoutError
+
+
+class DamagedFolderTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon refuses a folder that it can't trust, and says why."""
+
+    async def test_damage_and_a_second_process_are_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            toml = control_toml('alone', folder)
+            first = await start_daemon('control', folder, 'alone', toml)
+            with self.assertRaisesRegex(RuntimeError, 'in use by another'):
+                await start_daemon('control', folder, 'alone', toml)
+            self.assertEqual(await first.terminate(), 0)
+            log = folder / 'alone' / 'log-00000001.seg'
+            raw = bytearray(log.read_bytes())
+            raw[20] ^= 1
+            log.write_bytes(raw)
+            with self.assertRaisesRegex(RuntimeError, 'damaged at offset 0'):
+                await start_daemon('control', folder, 'alone', toml)
