--- a/tests/daemons/test_in_force.py
+++ b/tests/daemons/test_in_force.py
@@ -10,8 +10,15 @@
 from contextlib import AsyncExitStack, redirect_stdout
 from pathlib import Path
 
+from aiohttp import ClientSession
+
 from snipebend.console.application import main
-from tests.daemons.control_group import NAMES, control_group, fleet_text
+from tests.daemons.control_group import (
+    NAMES,
+    control_group,
+    fleet_text,
+    until,
+)
 from tests.programs import Program, entry_toml, start_daemon
 
 
@@ -36,6 +43,7 @@
         name = stack.enter_context(tempfile.TemporaryDirectory())
         self.folder = Path(name)
         group = await stack.enter_async_context(control_group(self.folder))
+        self.group = group
         self.control = ','.join(group.addresses())
         self.entries: list[Program] = []
         for name in ('e-1', 'e-2'):
@@ -71,3 +79,23 @@
         self.assertEqual(code, 0)
         self.assertEqual(printed.count('caught_up=yes'), len(NAMES))
         self.assertEqual(printed.count('role=leader'), 1)
+
+    async def test_no_quorum_ends_the_lease_and_readiness(self) -> None:
+        code, printed = await self.apply(0, '15')
+        self.assertEqual(code, 0, printed)
+        await until(lambda: self.is_ready(expected=True))
+        leader = await self.group.leader()
+        others = [name for name in NAMES if name != leader]
+        await self.group.kill(*others)
+        await until(lambda: self.is_ready(expected=False))
+        await self.group.start(others[0])
+        await until(lambda: self.is_ready(expected=True))
+
+    async def is_ready(self, *, expected: bool) -> bool:
+        address = self.entries[0].addresses['admin']
+        async with ClientSession() as session:
+            async with session.get(f'http://{address}/dump') as resp:
+                dump = await resp.json()
+        lapsed = dump['configuration']['lease_left_s'] <= 0
+        self.assertFalse(lapsed and dump['ready'])
+        return bool(dump['ready'] is expected)
--- a/tests/daemons/wires.py
+++ b/tests/daemons/wires.py
@@ -31,6 +31,13 @@
         self.ends = ends
         self.silent = False
         self.tasks: list[asyncio.Task[None]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for writer in self.writers:
+            writer.close()
 
     async def pump(
         self, source: asyncio.StreamReader, target: asyncio.StreamWriter
@@ -85,8 +92,7 @@
         for server in self._servers:
             server.close()
         for wire in self._wires:
-            for task in wire.tasks:
-                task.cancel()
+            wire.close()
 
     async def _accept(
         self,
@@ -104,6 +110,7 @@
             writer.close()
             return
         self._wires.add(wire)
+        wire.writers += [writer, far[1]]
         for ends in ((reader, far[1]), (far[0], writer)):
             wire.tasks.append(asyncio.create_task(wire.pump(*ends)))
         await asyncio.gather(*wire.tasks, return_exceptions=True)
