--- a/src/snipebend/experts/switch_roster.py
+++ b/src/snipebend/experts/switch_roster.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from snipebend.experts.switch_messages import MapStamp
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -53,6 +55,14 @@
         """Return the lives of members, all of which must have reported."""
         return {rank: self._reports[rank].life for rank in members}
 
+    def fresh(self) -> frozenset[str]:
+        """Return the ranks that have installed no map in their life."""
+        return frozenset(
+            rank
+            for rank, report in self._reports.items()
+            if report.installed == MapStamp()
+        )
+
     def next_step(self) -> int:
         """Return the first step that no rank has entered."""
         steps = [report.next_step for report in self._reports.values()]
--- /dev/null
+++ b/src/snipebend/transport/expert_service.py
@@ -0,0 +1,221 @@
+"""The control leader's service for expert maps: one coordinator a group."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+from uuid import uuid4
+
+from snipebend.experts.switch_store import StoreSchedule
+from snipebend.kernel.service import Service
+from snipebend.orders.expert_load import GroupStatusQuery, GroupStatusReply
+from snipebend.orders.issuer import IssuerConfig
+from snipebend.transport.group_switch import GroupSwitch
+from snipebend.transport.map_planning import EvenPlanner, MapPlanner
+from snipebend.transport.rank_methods import GROUP_STATUS
+from snipebend.transport.rpc import Endpoint, RpcClients, RpcServer
+from snipebend.transport.switch_links import SwitchLinks
+
+if TYPE_CHECKING:
+    from asyncio import Task
+    from collections.abc import Iterable, Mapping
+
+    from snipebend.fleet.model import Fencing, Fleet, Group
+    from snipebend.kernel.registry import Registry
+    from snipebend.membership.messages import Announcement
+    from snipebend.transport.switch_links import DecisionStore, Leadership
+
+#: Seconds between two looks at leadership, fleet and directory.
+LOOK_EVERY_S = 0.2
+
+
+_DEFAULT_LEASE = IssuerConfig()
+
+
+class ExpertConfig(NamedTuple):
+    """Spans in seconds.
+
+    A new leader trusts the directory ``settle_s`` after it was elected.
+    Rebalancing is considered every ``rebalance_s``. The weight store's
+    schedule reaches ``horizon_s`` ahead, which a new leader waits out.
+    """
+
+    settle_s: float = 5.0
+    rebalance_s: float = 10.0
+    horizon_s: float = 30.0
+    lease: IssuerConfig = _DEFAULT_LEASE
+
+
+class FleetView(Protocol):
+    """What the service looks at in its process."""
+
+    def fleet(self) -> Fleet | None:
+        """Return the fleet in force."""
+
+    def upstreams(self) -> Iterable[Announcement]:
+        """Return the upstreams whose announcements are fresh."""
+
+
+PlannerFactory = Callable[['Group', 'Fleet'], MapPlanner]
+
+
+class _Driven(NamedTuple):
+    switch: GroupSwitch
+    tasks: tuple[Task[None], ...]
+
+
+class ExpertService(Service):
+    """Drives all groups' switches while this daemon leads."""
+
+    def __init__(
+        self,
+        name: str,
+        server: RpcServer,
+        store: DecisionStore,
+        leadership: Leadership,
+        view: FleetView,
+        planner: PlannerFactory | None = None,
+        cfg: ExpertConfig | None = None,
+    ) -> None:
+        """Add the status endpoint to the server."""
+        super().__init__(name)
+        self._store = store
+        self._leadership = leadership
+        self._view = view
+        self._planner = planner or _plan_evenly
+        self._cfg = cfg or ExpertConfig()
+        self._clients = RpcClients()
+        self._driven: dict[str, _Driven] = {}
+        self._led_since: float | None = None
+        server.add(Endpoint(GROUP_STATUS, self.group_status))
+
+    async def start(self, registry: Registry) -> None:
+        """Start to look for leadership and groups."""
+        self._clock = registry.clock
+        self._tasks = registry.tasks
+        self._tasks.start('expert-maps', self._look_for_ever)
+
+    async def stop(self) -> None:
+        """Stop all coordinators; the next leader takes over."""
+        self._stop_groups(tuple(self._driven))
+        self._clients.close()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return each group's phase, map version and last decision."""
+        return {
+            name: {
+                'phase': status.phase,
+                'incarnation': status.incarnation,
+                'map_version': status.map_version,
+                'last_decision': status.last_decision,
+                'reason': status.reason,
+            }
+            for name, driven in self._driven.items()
+            for status in (driven.switch.status(),)
+        }
+
+    async def group_status(self, req: GroupStatusQuery) -> GroupStatusReply:
+        """Return the status of all groups, if this daemon leads."""
+        groups = tuple(
+            driven.switch.status() for driven in self._driven.values()
+        )
+        return GroupStatusReply(self._leadership.leads, groups)
+
+    async def _look_for_ever(self) -> None:
+        while True:
+            self._look()
+            await asyncio.sleep(LOOK_EVERY_S)
+
+    def _look(self) -> None:
+        fleet = self._view.fleet()
+        if not self._leadership.leads or fleet is None:
+            self._led_since = None
+            self._stop_groups(tuple(self._driven))
+            return
+        if self._led_since is None:
+            self._led_since = self._clock.now()
+            self._schedule = self._plan_store(fleet)
+        self._follow_fleet(fleet)
+        if self._clock.now() >= self._led_since + self._cfg.settle_s:
+            self._announce_ranks()
+
+    def _follow_fleet(self, fleet: Fleet) -> None:
+        """Start what is new, restart what has changed, stop what is gone."""
+        wanted = {group.name: group for group in fleet.groups}
+        self._stop_groups(
+            [
+                name
+                for name, driven in self._driven.items()
+                if wanted.get(name) != driven.switch.group
+            ],
+        )
+        for name, group in wanted.items():
+            if name not in self._driven:
+                self._driven[name] = self._start_group(group, fleet)
+
+    def _start_group(self, group: Group, fleet: Fleet) -> _Driven:
+        links = SwitchLinks(
+            self._store,
+            self._clients,
+            self._clock,
+            self._tasks,
+            self._schedule,
+            uuid4().hex,
+        )
+        switch = GroupSwitch(
+            group,
+            _fencing_of(group, fleet),
+            links,
+            self._planner(group, fleet),
+            self._cfg.lease,
+        )
+        tasks = (
+            self._tasks.start(f'switch-{group.name}', switch.run),
+            self._tasks.start(
+                f'rebalance-{group.name}',
+                lambda: self._rebalance_for_ever(switch),
+            ),
+        )
+        return _Driven(switch, tasks)
+
+    async def _rebalance_for_ever(self, switch: GroupSwitch) -> None:
+        while True:
+            await asyncio.sleep(self._cfg.rebalance_s)
+            await switch.rebalance()
+
+    def _stop_groups(self, names: Iterable[str]) -> None:
+        for name in names:
+            for task in self._driven.pop(name).tasks:
+                task.cancel()
+
+    def _announce_ranks(self) -> None:
+        upstreams = tuple(self._view.upstreams())
+        for driven in self._driven.values():
+            policies = driven.switch.group.upstreams
+            ranks = {
+                one.upstream: one.grpc_address
+                for one in upstreams
+                if one.policy in policies
+            }
+            driven.switch.announce(ranks)
+
+    def _plan_store(self, fleet: Fleet) -> StoreSchedule:
+        """Plan for the slowest store that a group names, shared by all."""
+        rates = [group.store_bytes_per_s for group in fleet.groups]
+        return StoreSchedule(
+            min(rates, default=1),
+            horizon_s=self._cfg.horizon_s,
+            started_at=self._clock.wall(),
+        )
+
+
+def _plan_evenly(group: Group, fleet: Fleet) -> MapPlanner:
+    return EvenPlanner(group)
+
+
+def _fencing_of(group: Group, fleet: Fleet) -> Fencing:
+    """Return 'ignored' if any engine of the group ignores fences."""
+    policies = {policy.name: policy for policy in fleet.upstreams}
+    kinds = {policies[name].fencing for name in group.upstreams}
+    return 'ignored' if 'ignored' in kinds else 'checked'
--- /dev/null
+++ b/src/snipebend/transport/group_switch.py
@@ -0,0 +1,295 @@
+"""Drives the coordinator of one group while this daemon holds its fence."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+from loguru import logger
+
+from snipebend.experts.switch_coordinator import SwitchCoordinator
+from snipebend.experts.switch_cost import fetch_bytes, read_decision
+from snipebend.experts.switch_events import (
+    CoordinatorAction,
+    CoordinatorEvent,
+    MapProposed,
+    NeedMap,
+    PersistDecision,
+    RankReported,
+    RanksAnnounced,
+    RecordCommitted,
+    SendOrder,
+    SwitchEnded,
+    Tick,
+)
+from snipebend.experts.switch_messages import RecordChange
+from snipebend.experts.switch_states import CoordinatorConfig, Idle
+from snipebend.kernel.mailbox import Mailbox
+from snipebend.orders.expert_load import (
+    ExpertLoadQuery,
+    ExpertLoadReply,
+    GroupStatus,
+)
+from snipebend.orders.issuer import IssuerConfig, OrderIssuer
+from snipebend.state.expert_maps import MapDecision, MapQuery
+from snipebend.transport.rank_methods import EXPERT_LOAD
+from snipebend.transport.switch_links import RANK_TIMEOUT_S, call_rank
+from snipebend.transport.switch_log import SwitchLog
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from snipebend.fleet.model import Fencing, Group
+    from snipebend.transport.rpc import RpcClients
+    from snipebend.transport.map_planning import MapPlanner, Plan
+    from snipebend.transport.switch_links import SwitchLinks
+
+#: Seconds between two ticks of a coordinator.
+TICK_S = 0.1
+
+#: Steps that a switch leaves for the ranks' answers, beside the fetches.
+HOLD_MARGIN = 16
+
+#: Steps a second that the fetches' time is converted with; a hold step that
+#: comes too early is put off by the coordinator.
+STEPS_PER_S = 25
+
+
+class GroupSwitch:
+    """Owns one group's coordinator, its fence and its status."""
+
+    def __init__(
+        self,
+        group: Group,
+        fencing: Fencing,
+        links: SwitchLinks,
+        planner: MapPlanner,
+        lease: IssuerConfig,
+    ) -> None:
+        """Begin without a fence."""
+        self.group = group
+        self.coordinator: SwitchCoordinator | None = None
+        self.issuer = OrderIssuer(lease, group.name, links.holder)
+        self._fencing = fencing
+        self._links = links
+        self._planner = planner
+        self._addresses: dict[str, str] = {}
+        self._mailbox: Mailbox[CoordinatorEvent] = Mailbox()
+        self._rng = Random()
+        self._log = SwitchLog(group.name)
+
+    def status(self) -> GroupStatus:
+        """Return what ``snipebend status`` shows of the group."""
+        coordinator = self.coordinator
+        if coordinator is None:
+            return GroupStatus(self.group.name, 'waiting-for-fence')
+        decision = coordinator.record.decision
+        return GroupStatus(
+            group=self.group.name,
+            phase=type(coordinator.state).__name__.lower(),
+            incarnation=coordinator.record.incarnation,
+            map_version=decision.stamp.map_version if decision else 0,
+            step=decision.step if decision else 0,
+            members=decision.members if decision else (),
+            skew=self._log.skew,
+            moved_bytes=self._log.moved_bytes,
+            last_decision=self._log.last_decision,
+            reason=self._log.reason,
+        )
+
+    def announce(self, addresses: Mapping[str, str]) -> None:
+        """Take the ranks that are held for alive, by name to address."""
+        self._addresses = dict(addresses)
+        self._mailbox.post(RanksAnnounced(tuple(sorted(addresses))))
+
+    async def run(self) -> None:
+        """Hold the fence and drive the coordinator, for ever."""
+        while True:
+            await self._keep_fence()
+            try:
+                event = await asyncio.wait_for(self._mailbox.receive(), TICK_S)
+            except asyncio.TimeoutError:
+                event = Tick()
+            self._step(event)
+
+    async def rebalance(self) -> None:
+        """Collect the ranks' loads and switch if the planner wants to."""
+        coordinator = self.coordinator
+        if coordinator is None or not isinstance(coordinator.state, Idle):
+            return
+        in_force = read_decision(coordinator.record.decision)
+        if in_force is None:
+            return
+        loads = await _collect_loads(
+            self._links.clients,
+            dict(self._addresses),
+            self.group.name,
+        )
+        plan = self._planner.rebalance(
+            in_force,
+            loads,
+            self._links.clock.wall(),
+        )
+        self._log.note_plan(plan)
+        if plan.placed is not None:
+            incarnation = coordinator.record.incarnation
+            self._propose(coordinator, incarnation, plan)
+
+    async def _keep_fence(self) -> None:
+        """Take or renew the fence; without it nothing is driven."""
+        now = self._links.clock.wall()
+        if self.issuer.needs_renewal(now):
+            await self._take_fence(now)
+        now = self._links.clock.wall()
+        if not self.issuer.holds(now):
+            self.coordinator = None
+        elif (
+            self.coordinator is None
+            and self.issuer.ready_at(self._fencing) <= now
+        ):
+            await self._begin()
+
+    async def _take_fence(self, now: float) -> None:
+        try:
+            reply = await self._links.store.take_fence(
+                self.issuer.request(now),
+            )
+        except GRPCError as exc:
+            logger.warning(
+                'event=fence_not_taken group={} reason={!r}',
+                self.group.name,
+                exc.message,
+            )
+            return
+        if self.issuer.note(reply):
+            self.coordinator = None
+            logger.info(
+                'event=fence_taken group={} fence={}',
+                self.group.name,
+                reply.fence,
+            )
+
+    async def _begin(self) -> None:
+        try:
+            reply = await self._links.store.read_map(MapQuery(self.group.name))
+        except GRPCError:
+            # Asked again with the next tick.
+            return
+        self.coordinator = SwitchCoordinator(
+            CoordinatorConfig(self.group.name, self.group.ranks),
+            self.issuer.fence,
+            reply.record,
+            self._links.schedule,
+        )
+        if self._addresses:
+            self.announce(self._addresses)
+
+    def _step(self, event: CoordinatorEvent) -> None:
+        coordinator = self.coordinator
+        if coordinator is None:
+            return
+        now = self._links.clock.wall()
+        for action in coordinator.step(event, now, self._rng):
+            self._act(coordinator, action)
+
+    def _act(
+        self,
+        coordinator: SwitchCoordinator,
+        action: CoordinatorAction,
+    ) -> None:
+        match action:
+            case SendOrder():
+                self._links.tasks.once('rank-order', lambda: self._send(action))
+            case PersistDecision(change):
+                self._links.tasks.once(
+                    'persist-decision',
+                    lambda: self._persist(coordinator, change),
+                )
+            case NeedMap(incarnation, members):
+                self._place(coordinator, incarnation, members)
+            case SwitchEnded():
+                self._log.note_end(action, coordinator.record)
+
+    async def _send(self, action: SendOrder) -> None:
+        address = self._addresses.get(action.rank)
+        if address is None:
+            return
+        answer = await call_rank(self._links.clients, address, action.order)
+        if answer.is_ok():
+            self._mailbox.post(RankReported(answer.unwrap()))
+
+    async def _persist(
+        self,
+        coordinator: SwitchCoordinator,
+        change: RecordChange,
+    ) -> None:
+        decision = MapDecision(self.group.name, self.issuer.fence, change)
+        try:
+            reply = await self._links.store.decide_map(decision)
+        except GRPCError:
+            # The coordinator asks again until it knows.
+            return
+        if self.coordinator is coordinator:
+            self._mailbox.post(RecordCommitted(reply.record))
+
+    def _place(
+        self,
+        coordinator: SwitchCoordinator,
+        incarnation: int,
+        members: tuple[str, ...],
+    ) -> None:
+        plan = self._planner.place(members, coordinator.record.settled + 1)
+        self._log.note_plan(plan)
+        if plan.placed is not None:
+            self._propose(coordinator, incarnation, plan)
+
+    def _propose(
+        self,
+        coordinator: SwitchCoordinator,
+        incarnation: int,
+        plan: Plan,
+    ) -> None:
+        placed = plan.placed
+        if placed is None:
+            return
+        fresh = coordinator.roster.fresh()
+        before = read_decision(coordinator.record.decision)
+        sizes = fetch_bytes(before, placed, self.group.expert_bytes, fresh)
+        fetch_s = sum(sizes.values()) / self.group.store_bytes_per_s
+        digest = f'{placed.expert_map.digest():016x}'
+        self._log.note_proposal(digest, sum(sizes.values()))
+        self._mailbox.post(
+            MapProposed(
+                incarnation,
+                placed.members,
+                digest,
+                sizes,
+                HOLD_MARGIN + int(fetch_s * STEPS_PER_S),
+                placed.expert_map.encode(),
+            ),
+        )
+
+
+async def _collect_loads(
+    clients: RpcClients,
+    addresses: Mapping[str, str],
+    group: str,
+) -> dict[str, ExpertLoadReply]:
+    """Ask all ranks at once; those that don't answer are left out."""
+    calls = (
+        clients.call(
+            address,
+            EXPERT_LOAD,
+            ExpertLoadQuery(group),
+            timeout=RANK_TIMEOUT_S,
+        )
+        for address in addresses.values()
+    )
+    answers = await asyncio.gather(*calls)
+    return {
+        rank: answer.unwrap()
+        for rank, answer in zip(addresses, answers, strict=True)
+        if answer.is_ok()
+    }
