Hold the engine at a prepared map's step until its decision is known

The stand-in engine obeys the hold step of a prepared map and an abort, so that the promise of the agent's guard is kept by what runs the steps.

--- a/src/snipebend/orders/messages.py
+++ b/src/snipebend/orders/messages.py
@@ -15,7 +15,7 @@
     'role',
     'expert-map',
 ]
-MapAction = Literal['prepare', 'activate']
+MapAction = Literal['prepare', 'activate', 'abort']
 
 
 class EngineOrder(Struct, frozen=True, rename={'map_action': 'action'}):
@@ -23,8 +23,8 @@
 
     ``deadline_at`` is wall time in seconds past which nobody may pass the
     order on. ``target`` names the model, adapter, version or role;
-    ``at_step`` is the hold step of a prepared map, or the step at which a map
-    is activated.
+    ``at_step`` is the step that a prepared map holds at until it is activated
+    or aborted, or the step from which an activated one is in force.
     """
 
     kind: OrderKind
--- a/src/snipebend/standin/engine.py
+++ b/src/snipebend/standin/engine.py
@@ -122,7 +122,8 @@
                 await self._wake.wait()
             delay_s = self.clock.next_step_at - self.clock.now()
             await asyncio.sleep(max(delay_s, 0))
-            crashed = self._make_step()
+            if not self.clock.held:
+                crashed = self._make_step()
         self._on_crash()
 
     def _make_step(self) -> bool:
--- a/src/snipebend/standin/orders.py
+++ b/src/snipebend/standin/orders.py
@@ -14,11 +14,15 @@
 OrderKind = Literal[
     'load', 'unload', 'adapter', 'version', 'role', 'expert-map'
 ]
-MapAction = Literal['prepare', 'activate']
+MapAction = Literal['prepare', 'activate', 'abort']
 
 
 class Order(Struct, frozen=True, rename={'map_action': 'action'}):
-    """An order; the fields of the expert map matter to that kind alone."""
+    """An order; the fields of the expert map matter to that kind alone.
+
+    ``at_step`` is the step that a prepared map holds at until it is activated
+    or aborted, or the step from which an activated one is in force.
+    """
 
     kind: OrderKind
     group: str
@@ -52,6 +56,7 @@
         self._prepared: set[_MapId] = set()
         self._pending: list[Order] = []
         self._in_force = _MapId(0, 0)
+        self.hold_step: int | None = None
         self.executed: list[Raw] = []
 
     def execute(
@@ -75,12 +80,23 @@
             return Err(ConflictError(text, step=STEP_NAME))
         self._fences[order.group] = max(highest, order.fence)
         self.executed.append(body)
-        if _activates(order):
-            self._pending.append(order)
-        elif order.kind == 'expert-map':
-            self._prepared.add(map_id)
+        if order.kind == 'expert-map':
+            self._change_map(order, map_id, step)
         return Ok(self.rank_state(step))
 
+    def _change_map(self, order: Order, map_id: _MapId, step: int) -> None:
+        self.hold_step = None
+        match order.map_action:
+            case 'prepare':
+                self._prepared.add(map_id)
+                # A hold step that has passed is reported, not obeyed.
+                if order.at_step > step:
+                    self.hold_step = order.at_step
+            case 'activate':
+                self._pending.append(order)
+            case 'abort':
+                self._prepared.discard(map_id)
+
     def rank_state(self, step: int) -> RankState:
         """Return the rank's state once all due activations are done."""
         due = [order for order in self._pending if order.at_step <= step]
--- a/src/snipebend/standin/reading.py
+++ b/src/snipebend/standin/reading.py
@@ -83,6 +83,7 @@
         desk = self._engine.orders
         match desk.execute(order, Raw(raw), self._engine.clock.step):
             case Ok(rank):
+                self._engine.clock.hold_at(desk.hold_step)
                 send_json(resp, rank)
             case Err(error):
                 raise HTTPConflict(description=error.message)
--- a/src/snipebend/standin/step_clock.py
+++ b/src/snipebend/standin/step_clock.py
@@ -19,13 +19,32 @@
         self.now = now
         self._step_s = step_s
         self._started_at = now()
+        self._hold_step: int | None = None
 
     @property
     def step(self) -> int:
         """Return the number of the present step."""
-        return int((self.now() - self._started_at) / self._step_s)
+        if self._hold_step is None:
+            return self._due_step()
+        return min(self._due_step(), self._hold_step - 1)
+
+    @property
+    def held(self) -> bool:
+        """Tell whether the next step is due, but must not start."""
+        return self._due_step() > self.step
 
     @property
     def next_step_at(self) -> float:
-        """Return the time at which the next step starts."""
+        """Return the time at which the next step starts, at the earliest."""
+        if self.held:
+            return self.now() + self._step_s
         return self._started_at + (self.step + 1) * self._step_s
+
+    def hold_at(self, step: int | None) -> None:
+        """Start no step from this later one on; None goes on from there."""
+        lost = self._due_step() - self.step
+        self._started_at += lost * self._step_s
+        self._hold_step = step
+
+    def _due_step(self) -> int:
+        return int((self.now() - self._started_at) / self._step_s)
--- a/src/snipebend/transport/map_orders.py
+++ b/src/snipebend/transport/map_orders.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from snipebend.experts.switch_messages import SwitchDecision
     from snipebend.kernel.clock import Clock
+    from snipebend.transport.engine_client import EngineClient
     from snipebend.transport.orders_api import OrdersApi
 
 #: Seconds that an order about a map may take.
@@ -20,30 +21,40 @@
 
     def __init__(self, orders: OrdersApi, clock: Clock) -> None:
         """Keep the gate and the clock."""
+        self.clock = clock
         self._orders = orders
-        self._clock = clock
 
-    def write(
+    @property
+    def engine(self) -> EngineClient:
+        """Return the engine, for questions that need no fence."""
+        return self._orders.engine
+
+    def fence(self, group: str) -> int:
+        """Return the highest fence known."""
+        return self._orders.gate.fence(group)
+
+    def learn(self, group: str, fence: int) -> None:
+        """Note the fence of an order that the guard has taken."""
+        self._orders.gate.learn(group, fence)
+
+    async def give(
         self,
         group: str,
         fence: int,
         decision: SwitchDecision,
         action: MapAction,
-    ) -> EngineOrder:
-        """Write an order; the engine holds at, or switches at, its step."""
-        return EngineOrder(
+    ) -> bool:
+        """Give an order; return whether the engine executed it."""
+        order = EngineOrder(
             kind='expert-map',
             group=group,
             fence=fence,
-            deadline_at=self._clock.wall() + MAP_ORDER_S,
+            deadline_at=self.clock.wall() + MAP_ORDER_S,
             target=decision.digest,
             map_action=action,
             map_version=decision.stamp.map_version,
             incarnation=decision.stamp.incarnation,
             at_step=decision.step,
         )
-
-    async def tell(self, order: EngineOrder) -> bool:
-        """Give an order; return whether the engine executed it."""
         reply = await self._orders.order(order)
         return reply.outcome is OrderOutcome.EXECUTED
