--- a/src/snipebend/daemons/agent.py
+++ b/src/snipebend/daemons/agent.py
@@ -13,9 +13,12 @@
 from snipebend.kernel.process import Process
 from snipebend.settings.model import AgentSettings
 from snipebend.transport.announcer import Announcer
+from snipebend.transport.fence_reader import FenceReader
 from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.orders_api import OrdersApi
+from snipebend.transport.rank_api import RankApi
 from snipebend.transport.rpc import RpcClients, RpcServer
 from snipebend.transport.upstream_api import UpstreamRelay
 
@@ -26,6 +29,7 @@
     http = HttpServer('http', cfg.listen.host, cfg.listen.http_port)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     clients = RpcClients()
+    reader = FenceReader(cfg.control.addresses, clients)
     services = [
         HttpClient('client'),
         ConfigurationFollower(
@@ -35,6 +39,8 @@
             clients,
         ),
         UpstreamRelay('relay', cfg, http, grpc),
+        OrdersApi('orders', grpc, cfg.upstream.address, reader),
+        RankApi('ranks', grpc, cfg.process.name, reader),
         grpc,
         http,
         admin,
--- a/src/snipebend/daemons/control.py
+++ b/src/snipebend/daemons/control.py
@@ -14,6 +14,8 @@
 from snipebend.settings.model import ControlSettings
 from snipebend.transport.control_api import ConfigurationKeeper
 from snipebend.transport.directory_api import DirectoryKeeper
+from snipebend.transport.expert_service import ExpertService
+from snipebend.transport.replica_view import ReplicaView
 from snipebend.transport.rpc import RpcServer
 from snipebend.transport.state_api import StateApi
 from snipebend.transport.state_store import StateStore
@@ -23,11 +25,16 @@
     """Build the process from its settings."""
     admin = build_admin(cfg.listen)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
+    state = StateStore('state')
+    state_api = StateApi('state-api', grpc)
+    directory = DirectoryKeeper('directory', grpc)
+    view = ReplicaView(state, directory)
     services = [
-        StateStore('state'),
+        state,
         ConfigurationKeeper('configuration', grpc),
-        DirectoryKeeper('directory', grpc),
-        StateApi('state-api', grpc),
+        directory,
+        state_api,
+        ExpertService('experts', grpc, state_api, state, view),
         grpc,
         admin,
         PortsFile(cfg.listen.ports_file, {'grpc': grpc, 'admin': admin}),
--- a/src/snipebend/experts/switch_coordinator.py
+++ b/src/snipebend/experts/switch_coordinator.py
@@ -31,7 +31,9 @@
     check_promises,
     find_need,
     first_step,
+    fits,
     has_ended,
+    without_fetched,
     without_promise,
 )
 from snipebend.experts.switch_messages import (
@@ -63,10 +65,11 @@
 
     from snipebend.experts.switch_store import StoreSchedule
 
-#: A hold step that came too early is put off by this factor each time.
+#: A hold step that came too early is put off by this factor at each retry,
+#: for which the weights fetched so far need no fetching.
 HOLD_GROWTH = 2
 
-#: The growth ends here; a switch that needs more steps never succeeds.
+#: The retries end here; the policy may propose anew.
 MAX_HOLD_FACTOR = 1024
 
 _HALF = 0.5
@@ -101,6 +104,8 @@
         self._schedule = schedule
         self._resend_at = float('-inf')
         self._hold_factor = 1
+        self._again: MapProposed | None = None
+        self._activated = MapStamp()
 
     def step(
         self,
@@ -111,6 +116,31 @@
         """Handle one event and return what to do, in order."""
         if isinstance(self.state, Stopped):
             return []
+        actions = self._dispatch(event, now, rng)
+        if self._again is not None and isinstance(self.state, Idle):
+            proposal = self._again
+            self._again = None
+            actions += self._propose(proposal, now)
+        return actions
+
+    def decide(self, decision: SwitchDecision) -> list[CoordinatorAction]:
+        """Decide durably; nothing is activated before."""
+        return self._persist(Decide(decision), decision.stamp)
+
+    def bump(self) -> list[CoordinatorAction]:
+        """End the incarnation and settle whatever was being prepared."""
+        settled = self.record.settled
+        if isinstance(self.state, Preparing):
+            settled = self.state.decision.stamp.map_version
+        change = Bump(self.record.incarnation + 1, settled)
+        return self._persist(change, MapStamp(change.incarnation, settled))
+
+    def _dispatch(
+        self,
+        event: CoordinatorEvent,
+        now: float,
+        rng: Random,
+    ) -> list[CoordinatorAction]:
         match event:
             case Tick():
                 return self._tick(now, rng)
@@ -127,52 +157,35 @@
                 self.state = Stopped()
         return []
 
-    def decide(self, decision: SwitchDecision) -> list[CoordinatorAction]:
-        """Decide durably; nothing is activated before."""
-        return self._persist(Decide(decision), decision.stamp)
-
-    def bump(self) -> list[CoordinatorAction]:
-        """End the incarnation and settle whatever was being prepared."""
-        settled = self.record.settled
-        if isinstance(self.state, Preparing):
-            settled = self.state.decision.stamp.map_version
-        change = Bump(self.record.incarnation + 1, settled)
-        return self._persist(change, MapStamp(change.incarnation, settled))
-
     def _propose(
         self,
         event: MapProposed,
         now: float,
     ) -> list[CoordinatorAction]:
-        if not isinstance(self.state, Idle) or not self._fits(event):
+        fitting = fits(event, self.record, self.roster)
+        if not isinstance(self.state, Idle) or not fitting:
             return []
+        stamp = MapStamp(event.incarnation, self.record.settled + 1)
         starts = self._schedule.reserve(event.fetch_bytes, now)
         if starts is None:
-            return []
+            return [SwitchEnded(stamp, 'deferred')]
         hold_ahead = event.hold_ahead * self._hold_factor
         decision = SwitchDecision(
-            MapStamp(event.incarnation, self.record.settled + 1),
+            stamp,
             first_step(self.record, self.roster) + hold_ahead,
             event.digest,
             event.members,
             event.placement,
         )
         self.state = Preparing(
+            event,
             decision,
             base_stamp(self.record),
             self.roster.lives(event.members),
-            event.fetch_bytes,
             starts,
             now + self._cfg.prepare_s,
         )
-        return self._send_prepares(self.state)
-
-    def _fits(self, event: MapProposed) -> bool:
-        return (
-            self.roster.is_complete()
-            and event.incarnation == self.record.incarnation
-            and event.members == self.roster.announced
-        )
+        return _send_prepares(self._writer, self.state, self.roster)
 
     def _tick(self, now: float, rng: Random) -> list[CoordinatorAction]:
         if now < self._resend_at:
@@ -185,7 +198,7 @@
                         Abort(decision.stamp.map_version),
                         decision.stamp,
                     )
-                return self._send_prepares(self.state)
+                return _send_prepares(self._writer, self.state, self.roster)
             case Persisting(change=change):
                 return [PersistDecision(change)]
             case Activating(decision):
@@ -222,13 +235,20 @@
             case PromiseCheck.MEMBER_LOST:
                 return self.bump()
             case PromiseCheck.TOO_LATE:
-                grown = self._hold_factor * HOLD_GROWTH
-                self._hold_factor = min(grown, MAX_HOLD_FACTOR)
+                self._put_off(state)
                 return self._persist(Abort(stamp.map_version), stamp)
             case PromiseCheck.COMPLETE:
                 return self.decide(state.decision)
         return []
 
+    def _put_off(self, state: Preparing) -> None:
+        """Try the same map again with a later hold step."""
+        self._hold_factor *= HOLD_GROWTH
+        if self._hold_factor <= MAX_HOLD_FACTOR:
+            self._again = without_fetched(state, self.roster)
+        else:
+            self._hold_factor = 1
+
     def _check_activation(
         self,
         decision: SwitchDecision,
@@ -239,6 +259,7 @@
         if self.roster.to_activate(decision):
             return []
         self._hold_factor = 1
+        self._activated = decision.stamp
         self.state = Idle()
         ended = SwitchEnded(decision.stamp, 'activated')
         return [ended, *self._reconcile()]
@@ -261,25 +282,34 @@
         self.record = record
         told = _send(self.roster.announced or (), self._writer.activate(record))
         decision = record.decision
-        if decision is None or has_ended(record):
+        if (
+            decision is None
+            or has_ended(record)
+            or decision.stamp == self._activated
+        ):
             self.state = Idle()
-            return [*told, _name_end(state), *self._reconcile()]
-        self.state = Activating(decision)
-        if decision.stamp != state.stamp:
+        else:
+            self.state = Activating(decision)
+        if decision is None or decision.stamp != state.stamp:
             told.append(_name_end(state))
         return told + self._reconcile()
 
-    def _send_prepares(self, state: Preparing) -> list[CoordinatorAction]:
-        return [
-            SendOrder(rank, self._writer.prepare(rank, state))
-            for rank in without_promise(state.decision, self.roster)
-        ]
-
 
 def _send(ranks: Iterable[str], order: RankOrder) -> list[CoordinatorAction]:
     return [SendOrder(rank, order) for rank in ranks]
 
 
+def _send_prepares(
+    writer: OrderWriter,
+    state: Preparing,
+    roster: RankRoster,
+) -> list[CoordinatorAction]:
+    return [
+        SendOrder(rank, writer.prepare(rank, state))
+        for rank in without_promise(state.decision, roster)
+    ]
+
+
 def _name_end(state: Persisting) -> SwitchEnded:
     aborted = isinstance(state.change, Abort)
     outcome: Outcome = 'aborted' if aborted else 'interrupted'
--- a/src/snipebend/experts/switch_engine.py
+++ b/src/snipebend/experts/switch_engine.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from snipebend.experts.switch_messages import MapStamp
 from snipebend.experts.switch_runner import StepRunner
 
 if TYPE_CHECKING:
@@ -18,9 +19,14 @@
 class EngineSteps(StepRunner):
     """Follows the step that the engine reports."""
 
-    def observe(self, step: int) -> bool:
-        """Note the step in progress; return False if the engine restarted."""
-        if step + 1 < self.next_step:
+    def observe(self, step: int, stamp: MapStamp) -> bool:
+        """Note the step in progress and the engine's map.
+
+        Returns False if the engine has restarted: its steps have begun anew,
+        or the map that was in force is gone.
+        """
+        forgot = self.in_force is not None and stamp == MapStamp()
+        if forgot or step + 1 < self.next_step:
             return False
         self.next_step = step + 1
         return True
--- a/src/snipebend/experts/switch_events.py
+++ b/src/snipebend/experts/switch_events.py
@@ -85,7 +85,11 @@
 
 
 class SwitchEnded(NamedTuple):
-    """A switch has ended: ``activated``, ``aborted`` or ``interrupted``."""
+    """A switch has ended.
+
+    ``activated``, ``aborted``, ``interrupted`` by a change of members, or
+    ``deferred`` because the weight store is booked out.
+    """
 
     stamp: MapStamp
     outcome: str
--- a/src/snipebend/experts/switch_group.py
+++ b/src/snipebend/experts/switch_group.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from snipebend.experts.switch_events import MapProposed
     from snipebend.experts.switch_messages import RankOrder, SwitchDecision
     from snipebend.experts.switch_roster import RankRoster
     from snipebend.experts.switch_states import Preparing
@@ -77,6 +78,32 @@
     return GroupNeed.NOTHING
 
 
+def fits(
+    proposal: MapProposed,
+    record: GroupRecord,
+    roster: RankRoster,
+) -> bool:
+    """Tell whether a map was made for the live ranks and this incarnation."""
+    return (
+        roster.is_complete()
+        and proposal.incarnation == record.incarnation
+        and proposal.members == roster.announced
+    )
+
+
+def without_fetched(state: Preparing, roster: RankRoster) -> MapProposed:
+    """Return the proposal, but for the weights that members have by now."""
+    left = dict(state.proposal.fetch_bytes)
+    for rank in state.decision.members:
+        report = roster.find(rank)
+        if report is not None and state.decision.stamp in {
+            report.prepared,
+            report.too_late,
+        }:
+            left[rank] = 0
+    return state.proposal._replace(fetch_bytes=left)
+
+
 def check_promises(state: Preparing, roster: RankRoster) -> PromiseCheck:
     """Compare the members' reports with what is being prepared."""
     stamp = state.decision.stamp
@@ -115,7 +142,7 @@
             state.lives[rank],
             state.base,
             state.decision,
-            state.fetch_bytes.get(rank, 0),
+            state.proposal.fetch_bytes.get(rank, 0),
             state.fetch_at.get(rank, 0),
         )
 
--- a/src/snipebend/experts/switch_states.py
+++ b/src/snipebend/experts/switch_states.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from snipebend.experts.switch_events import MapProposed
 from snipebend.experts.switch_messages import (
     MapStamp,
     RecordChange,
@@ -30,12 +31,12 @@
 
 
 class Preparing(NamedTuple):
-    """Waiting for every member's promise."""
+    """Waiting for every member's promise to what was proposed."""
 
+    proposal: MapProposed
     decision: SwitchDecision
     base: MapStamp
     lives: dict[str, int]
-    fetch_bytes: dict[str, int]
     fetch_at: dict[str, float]
     deadline_at: float
 
--- a/src/snipebend/experts/switch_store.py
+++ b/src/snipebend/experts/switch_store.py
@@ -24,7 +24,7 @@
         ``started_at`` that far in the past if there was no predecessor.
         """
         self._bytes_per_s = bytes_per_s
-        self._horizon_s = horizon_s
+        self.horizon_s = horizon_s
         self.busy_until = started_at + horizon_s
 
     def reserve(
@@ -48,4 +48,4 @@
         return starts
 
     def _too_far(self, moment: float, now: float) -> bool:
-        return moment > now + self._horizon_s
+        return moment > now + self.horizon_s
--- a/src/snipebend/standin/orders.py
+++ b/src/snipebend/standin/orders.py
@@ -57,6 +57,7 @@
         self._pending: list[Order] = []
         self._in_force = _MapId(0, 0)
         self.hold_step: int | None = None
+        self._held_for = _MapId(0, 0)
         self.executed: list[Raw] = []
 
     def execute(
@@ -85,17 +86,24 @@
         return Ok(self.rank_state(step))
 
     def _change_map(self, order: Order, map_id: _MapId, step: int) -> None:
-        self.hold_step = None
         match order.map_action:
             case 'prepare':
                 self._prepared.add(map_id)
+                self._held_for = map_id
                 # A hold step that has passed is reported, not obeyed.
-                if order.at_step > step:
-                    self.hold_step = order.at_step
+                passed = order.at_step <= step
+                self.hold_step = None if passed else order.at_step
             case 'activate':
                 self._pending.append(order)
+                self._release(map_id)
             case 'abort':
                 self._prepared.discard(map_id)
+                self._release(map_id)
+
+    def _release(self, map_id: _MapId) -> None:
+        """End the hold for a map; that for a later one goes on."""
+        if self._held_for == map_id:
+            self.hold_step = None
 
     def rank_state(self, step: int) -> RankState:
         """Return the rank's state once all due activations are done."""
--- a/src/snipebend/transport/directory_api.py
+++ b/src/snipebend/transport/directory_api.py
@@ -92,7 +92,7 @@
 
     async def list_upstreams(self, req: DirectoryRequest) -> Directory:
         """Return the upstreams known right now, for an operator."""
-        return Directory(self._fresh(), self._keeper.revision)
+        return Directory(self.fresh(), self._keeper.revision)
 
     async def watch(
         self,
@@ -101,16 +101,17 @@
         """Yield the whole directory once, then each difference."""
         view = WatcherView()
         while not self._stopping:
-            delta = view.advance(self._fresh(), self._keeper.revision)
+            delta = view.advance(self.fresh(), self._keeper.revision)
             if not delta.is_empty():
                 yield delta
             await self._wait_for_change()
 
     def dump(self) -> Mapping[str, object]:
         """Return the upstreams and their phases."""
-        return {entry.upstream: entry.phase.value for entry in self._fresh()}
+        return {entry.upstream: entry.phase.value for entry in self.fresh()}
 
-    def _fresh(self) -> tuple[Announcement, ...]:
+    def fresh(self) -> tuple[Announcement, ...]:
+        """Return the announcements whose leases hold."""
         fresh = self._directory.fresh(self._clock.now())
         if len(fresh) < len(self._members):
             names = {announcement.upstream for announcement in fresh}
--- a/src/snipebend/transport/engine_client.py
+++ b/src/snipebend/transport/engine_client.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING, TypeVar
+from types import MappingProxyType
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import msgspec
-from aiohttp import ClientError, ClientTimeout
+from aiohttp import ClientError
 from result import Err, Ok, Result
 
 from snipebend.errors.hierarchy import UnavailableError
@@ -18,6 +19,7 @@
     OrderOutcome,
     OrderReply,
 )
+from snipebend.transport.forward import Outgoing
 
 if TYPE_CHECKING:
     from snipebend.transport.forward import HttpClient
@@ -28,6 +30,12 @@
 READ_TIMEOUT_S = 2.0
 
 _FAILURES = (ClientError, OSError, asyncio.TimeoutError)
+_JSON = MappingProxyType({'content-type': 'application/json'})
+
+
+class _Answered(NamedTuple):
+    status: int
+    body: bytes
 
 
 class EngineClient:
@@ -47,17 +55,16 @@
 
         No answer means that the order may have an effect.
         """
-        try:
-            async with self._http.session.post(
-                f'http://{self._address}/orders',
-                data=msgspec.json.encode(order),
-                headers={'content-type': 'application/json'},
-                timeout=ClientTimeout(total=timeout),
-            ) as resp:
-                return _read_reply(order, resp.status, await resp.read())
-        except _FAILURES as exc:
-            reason = str(exc) or type(exc).__name__
+        answer = await self._send(
+            'POST',
+            '/orders',
+            timeout,
+            msgspec.json.encode(order),
+        )
+        if answer.is_err():
+            reason = answer.unwrap_err().message
             return OrderReply(OrderOutcome.UNKNOWN, order.fence, reason)
+        return _read_reply(order, answer.unwrap())
 
     async def rank_state(self) -> Result[EngineState, UnavailableError]:
         """Return the map in force and the step in progress."""
@@ -69,26 +76,43 @@
 
     async def _read(
         self,
-        path: str,
+        uri: str,
         kind: type[Answer],
     ) -> Result[Answer, UnavailableError]:
+        answer = await self._send('GET', uri, READ_TIMEOUT_S)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        answered = answer.unwrap()
+        if answered.status != HTTPStatus.OK:
+            return Err(self._fail(uri, f'status {answered.status}'))
         try:
-            async with self._http.session.get(
-                f'http://{self._address}{path}',
-                timeout=ClientTimeout(total=READ_TIMEOUT_S),
-            ) as resp:
-                resp.raise_for_status()
-                body = await resp.read()
+            return Ok(msgspec.json.decode(answered.body, type=kind))
+        except msgspec.DecodeError as exc:
+            return Err(self._fail(uri, str(exc)))
+
+    async def _send(
+        self,
+        method: str,
+        uri: str,
+        timeout: float,
+        body: bytes = b'',
+    ) -> Result[_Answered, UnavailableError]:
+        outgoing = Outgoing(method, self._address, uri, _JSON, body)
+        try:
+            async with asyncio.timeout(timeout):
+                async with self._http.send(outgoing) as resp:
+                    return Ok(_Answered(resp.status, await resp.read()))
         except _FAILURES as exc:
-            reason = str(exc) or type(exc).__name__
-            peer = self._address
-            return Err(UnavailableError(reason, step=f'read {path}', peer=peer))
-        return Ok(msgspec.json.decode(body, type=kind))
+            self._http.retire(self._address)
+            return Err(self._fail(uri, str(exc) or type(exc).__name__))
+
+    def _fail(self, uri: str, reason: str) -> UnavailableError:
+        return UnavailableError(reason, step=uri, peer=self._address)
 
 
-def _read_reply(order: EngineOrder, status: int, body: bytes) -> OrderReply:
-    if status != HTTPStatus.OK:
-        reason = body.decode(errors='replace')
+def _read_reply(order: EngineOrder, answered: _Answered) -> OrderReply:
+    if answered.status != HTTPStatus.OK:
+        reason = answered.body.decode(errors='replace')
         return OrderReply(OrderOutcome.REFUSED, order.fence, reason)
-    state = msgspec.json.decode(body, type=EngineState)
+    state = msgspec.json.decode(answered.body, type=EngineState)
     return OrderReply(OrderOutcome.EXECUTED, order.fence, state=state)
--- a/src/snipebend/transport/expert_service.py
+++ b/src/snipebend/transport/expert_service.py
@@ -201,15 +201,25 @@
             driven.switch.announce(ranks)
 
     def _plan_store(self, fleet: Fleet) -> StoreSchedule:
-        """Plan for the slowest store that a group names, shared by all."""
+        """Plan for the slowest store that a group names, shared by all.
+
+        The schedule reaches far enough for the weights of any whole group.
+        """
         rates = [group.store_bytes_per_s for group in fleet.groups]
+        rate = min(rates, default=1)
+        longest_s = max(map(_weight_bytes, fleet.groups), default=0) / rate
         return StoreSchedule(
-            min(rates, default=1),
-            horizon_s=self._cfg.horizon_s,
+            rate,
+            horizon_s=max(self._cfg.horizon_s, 2 * longest_s),
             started_at=self._clock.wall(),
         )
 
 
+def _weight_bytes(group: Group) -> int:
+    slots = group.ranks * group.layers * group.experts_per_rank
+    return slots * group.expert_bytes
+
+
 def _plan_evenly(group: Group, fleet: Fleet) -> MapPlanner:
     return EvenPlanner(group)
 
--- a/src/snipebend/transport/group_switch.py
+++ b/src/snipebend/transport/group_switch.py
@@ -52,6 +52,9 @@
 #: Steps that a switch leaves for the ranks' answers, beside the fetches.
 HOLD_MARGIN = 16
 
+#: Seconds for the ranks' answers once the last fetch has ended.
+ANSWER_S = 30
+
 #: Steps a second that the fetches' time is converted with; a hold step that
 #: comes too early is put off by the coordinator.
 STEPS_PER_S = 25
@@ -178,7 +181,11 @@
             # Asked again with the next tick.
             return
         self.coordinator = SwitchCoordinator(
-            CoordinatorConfig(self.group.name, self.group.ranks),
+            CoordinatorConfig(
+                self.group.name,
+                self.group.ranks,
+                prepare_s=self._links.schedule.horizon_s + ANSWER_S,
+            ),
             self.issuer.fence,
             reply.record,
             self._links.schedule,
--- a/src/snipebend/transport/rank_switch.py
+++ b/src/snipebend/transport/rank_switch.py
@@ -61,6 +61,7 @@
         self._reader = reader
         self._tasks = tasks
         self._rng = Random()
+        self._observing = asyncio.Lock()
         self._begin_life()
 
     async def take_order(self, order: RankOrder) -> RankReport:
@@ -98,14 +99,20 @@
         self._activated = MapStamp()
 
     async def _observe(self) -> None:
-        """Follow the engine's step; a restarted engine begins a new life."""
-        state = await self._maps.engine.rank_state()
-        if state.is_err():
-            raise GRPCError(Status.UNAVAILABLE, str(state.unwrap_err()))
+        """Follow the engine's step; a restarted engine begins a new life.
+
+        Answers must not overtake each other: an older one looks like a restart.
+        """
+        async with self._observing:
+            answer = await self._maps.engine.rank_state()
+            if answer.is_err():
+                raise GRPCError(Status.UNAVAILABLE, str(answer.unwrap_err()))
+            state = answer.unwrap()
+        stamp = MapStamp(state.incarnation, state.map_version)
         steps = self.guard.runner
         if not isinstance(steps, EngineSteps):
             return
-        if not steps.observe(state.unwrap().step):
+        if not steps.observe(state.step, stamp):
             logger.warning('event=engine_restarted group={}', self._group)
             self._begin_life()
 
@@ -146,10 +153,10 @@
         Raises:
             GRPCError: when the engine did not take it; the order comes again.
         """
-        pending = self.guard.promise.pending
-        if pending is not None and self._activated != pending.stamp:
-            await self._tell(pending, *_SWITCH_ACTIONS)
-            self._activated = pending.stamp
+        decision = self.guard.promise.pending or self.guard.runner.in_force
+        if decision is not None and self._activated != decision.stamp:
+            await self._tell(decision, *_SWITCH_ACTIONS)
+            self._activated = decision.stamp
         if self._held is not None and self.guard.promise.hold_step is None:
             if self._held.stamp != self.guard.promise.installed:
                 await self._tell(self._held, 'abort')
--- /dev/null
+++ b/src/snipebend/transport/replica_view.py
@@ -0,0 +1,45 @@
+"""What the expert service looks at: this replica's fleet and directory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from snipebend.fleet.parsing import parse_fleet
+
+if TYPE_CHECKING:
+    from snipebend.fleet.model import Fleet
+    from snipebend.membership.messages import Announcement
+    from snipebend.state.machine import Machine
+    from snipebend.transport.directory_api import DirectoryKeeper
+
+
+class HasMachine(Protocol):
+    """Holds a replica of the state."""
+
+    @property
+    def machine(self) -> Machine:
+        """Return the replica, perhaps behind others."""
+
+
+class ReplicaView:
+    """Parses the configuration once for each revision."""
+
+    def __init__(self, state: HasMachine, directory: DirectoryKeeper) -> None:
+        """Keep where the state and the announcements are."""
+        self._state = state
+        self._directory = directory
+        self._revision = 0
+        self._fleet: Fleet | None = None
+
+    def fleet(self) -> Fleet | None:
+        """Return the fleet in force, or None before the first one."""
+        configuration = self._state.machine.state.configuration
+        if configuration.revision != self._revision:
+            parsed = parse_fleet(configuration.text, 'state')
+            self._fleet = parsed.unwrap() if parsed.is_ok() else None
+            self._revision = configuration.revision
+        return self._fleet
+
+    def upstreams(self) -> tuple[Announcement, ...]:
+        """Return the upstreams whose announcements are fresh."""
+        return self._directory.fresh()
--- a/src/snipebend/transport/state_store.py
+++ b/src/snipebend/transport/state_store.py
@@ -28,6 +28,11 @@
         """Keep the clock."""
         self._clock = registry.clock
 
+    @property
+    def leads(self) -> bool:
+        """Tell that a group of one leads itself."""
+        return True
+
     def wall(self) -> float:
         """Return the wall time that a command is to carry."""
         return self._clock.wall()
--- a/tests/standin/test_orders.py
+++ b/tests/standin/test_orders.py
@@ -13,6 +13,7 @@
 from snipebend.standin.prefix_cache import CacheChange
 from snipebend.standin.reports import CacheFeed, LoadHistory, LoadReport
 from snipebend.standin.settings import EngineConfig
+from snipebend.standin.step_clock import StepClock
 
 
 def give(desk: OrderDesk, order: Order) -> Result:
@@ -40,6 +41,25 @@
         self.assertEqual(desk.rank_state(29), RankState(0, 0, 29))
         self.assertEqual(desk.rank_state(30), RankState(4, 2, 30))
 
+    def test_hold_until_the_decision_on_that_map(self) -> None:
+        desk = OrderDesk(check_fence=True)
+        give(desk, Order('expert-map', 'g', 1, 'prepare', 1, 1, 30))
+        give(desk, Order('expert-map', 'g', 1, 'prepare', 2, 1, 40))
+        give(desk, Order('expert-map', 'g', 1, 'abort', 1, 1))
+        self.assertEqual(desk.hold_step, 40)
+        give(desk, Order('expert-map', 'g', 1, 'activate', 2, 1, 40))
+        self.assertIsNone(desk.hold_step)
+        give(desk, Order('expert-map', 'g', 1, 'prepare', 3, 1, 0))
+        self.assertIsNone(desk.hold_step, 'the step has passed')
+        now = 0.0
+        clock = StepClock(lambda: now, 1)
+        now = 5.5
+        clock.hold_at(8)
+        now = 20.5
+        self.assertEqual((clock.step, clock.held), (7, True))
+        clock.hold_at(None)
+        self.assertEqual((clock.step, clock.held), (7, False))
+
 
 class ReportsTest(unittest.TestCase):
     def test_load_is_late(self) -> None:
--- /dev/null
+++ b/tests/transport/switch_rig.py
@@ -0,0 +1,250 @@
+"""Control leaders, agents and engines in one process, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import Any
+
+import msgspec
+import numpy as np
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from snipebend.experts.model import ExpertMap
+from snipebend.experts.switch_cost import PlacedMap
+from snipebend.experts.switch_messages import Activate, Decide, MapStamp
+from snipebend.fleet.model import Fleet
+from snipebend.fleet.parsing import parse_fleet
+from snipebend.kernel.process import Process
+from snipebend.kernel.service import Service
+from snipebend.membership.messages import Announcement
+from snipebend.orders.issuer import IssuerConfig
+from snipebend.standin.app import build_engine_app
+from snipebend.standin.engine import Engine
+from snipebend.standin.settings import EngineConfig
+from snipebend.state.commands import DecideExpertMap, TakeFence
+from snipebend.state.machine import Machine
+from snipebend.transport.expert_service import ExpertConfig, ExpertService
+from snipebend.transport.fence_reader import FenceReader
+from snipebend.transport.forward import HttpClient
+from snipebend.transport.http_server import HttpServer
+from snipebend.transport.map_planning import EvenPlanner, Plan
+from snipebend.transport.methods import READ_FENCE, READ_MAP
+from snipebend.transport.orders_api import OrdersApi
+from snipebend.transport.rank_api import RankApi
+from snipebend.transport.rpc import Endpoint, RpcClients, RpcServer
+from tests.programs import PATIENCE_S
+
+GROUP = 'drafting'
+RANKS = 3
+LEASE = IssuerConfig(lease_s=1, renew_s=0.5, order_s=0.4, drift_s=0.1)
+_CFG = ExpertConfig(settle_s=0.1, rebalance_s=0.2, horizon_s=0.2, lease=LEASE)
+
+
+class Store(Service):
+    """The committed state; the agents read it over gRPC."""
+
+    def __init__(self) -> None:
+        super().__init__('state-api')
+        self.machine = Machine()
+        self.grpc = RpcServer('grpc', '127.0.0.1', 0)
+        self.grpc.add(
+            Endpoint(READ_FENCE, self.read_fence),
+            Endpoint(READ_MAP, self.read_map),
+        )
+
+    async def read_fence(self, req: Any) -> Any:
+        return self.machine.state.fences.read(req.group)
+
+    async def read_map(self, req: Any) -> Any:
+        return self.machine.state.maps.read(req.group)
+
+
+class Leader:
+    """One control daemon's way to the state, which can be cut."""
+
+    def __init__(self, store: Store) -> None:
+        self.leads = False
+        self.cut = False
+        self.on_decide: Callable[[], str] = str
+        self._store = store
+
+    async def take_fence(self, req: Any) -> Any:
+        self._check()
+        return self._store.machine.execute(TakeFence(req, time.time()))
+
+    async def decide_map(self, req: Any) -> Any:
+        self._check()
+        if isinstance(req.change, Decide):
+            verdict = self.on_decide()
+            if verdict == 'die-before':
+                self.die()
+            elif verdict == 'die-after':
+                self._store.machine.execute(DecideExpertMap(req, time.time()))
+                self.die()
+        self._check()
+        return self._store.machine.execute(DecideExpertMap(req, time.time()))
+
+    async def read_map(self, req: Any) -> Any:
+        self._check()
+        return self._store.machine.state.maps.read(req.group)
+
+    def die(self) -> None:
+        """Lose the state and every task that drives a switch."""
+        self.cut = True
+        self.leads = False
+
+    def _check(self) -> None:
+        if self.cut:
+            raise GRPCError(Status.UNAVAILABLE, 'isolated')
+
+
+class ShiftPlanner(EvenPlanner):
+    """Wants another map each time it is told to."""
+
+    wanted = 0
+
+    def rebalance(self, in_force: PlacedMap, loads: Any, now: float) -> Plan:
+        if not type(self).wanted:
+            return Plan(None, 'nothing to do')
+        type(self).wanted -= 1
+        rolled = np.roll(in_force.expert_map.placement, 1, axis=1)
+        version = in_force.expert_map.version + 1
+        placed = PlacedMap(in_force.members, ExpertMap(version, rolled))
+        return Plan(placed, 'shifted', skew=1.5)
+
+
+class DeafRank(RankApi):
+    """Hears no activation under one fence, but may ask by itself."""
+
+    deaf_to = 0
+
+    async def take_order(self, order: Any) -> Any:
+        if isinstance(order, Activate) and order.fence == self.deaf_to:
+            raise GRPCError(Status.UNAVAILABLE, 'deaf')
+        return await super().take_order(order)
+
+
+class Rig:
+    """A store, two leaders and a group of ranks."""
+
+    def __init__(self, fleet_text: str) -> None:
+        self.store = Store()
+        self.leaders = [Leader(self.store) for _ in range(2)]
+        self.services: list[ExpertService] = []
+        self.ranks: list[DeafRank] = []
+        self.agents: list[str] = []
+        self.engines: list[Engine] = []
+        self.clients = RpcClients()
+        self._fleet = parse_fleet(fleet_text, 'test').unwrap()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Rig:
+        await self._run('store', [self.store.grpc])
+        for number in range(RANKS):
+            self.agents.append(await self.start_agent(number))
+        for number, leader in enumerate(self.leaders):
+            grpc = RpcServer('grpc', '127.0.0.1', 0)
+            service = ExpertService(
+                'experts',
+                grpc,
+                leader,
+                leader,
+                self,
+                lambda group, _: ShiftPlanner(group),
+                _CFG,
+            )
+            self.services.append(service)
+            await self._run(f'control-{number}', [service, grpc])
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.clients.close()
+        await self._stack.aclose()
+
+    def fleet(self) -> Fleet:
+        return self._fleet
+
+    def upstreams(self) -> tuple[Announcement, ...]:
+        return tuple(
+            Announcement(f'rank-{number}', GROUP, 'dc', '', address, 1, 1)
+            for number, address in enumerate(self.agents)
+        )
+
+    async def start_agent(self, number: int) -> str:
+        """Start an agent, with its engine if that doesn't run yet."""
+        if number == len(self.engines):
+            self.engines.append(await self._start_engine())
+        engine = self.engines[number]
+        grpc = RpcServer('grpc', '127.0.0.1', 0)
+        reader = FenceReader([self.store.grpc.address], self.clients)
+        rank = DeafRank('ranks', grpc, f'rank-{number}', reader)
+        self.ranks.append(rank)
+        services = [
+            HttpClient('client'),
+            OrdersApi('orders', grpc, engine.address, reader),
+            rank,
+            grpc,
+        ]
+        await self._run(f'agent-{number}', services)
+        return grpc.address
+
+    def stamps(self) -> list[MapStamp]:
+        """Return the map in force of each engine."""
+        states = [
+            engine.orders.rank_state(engine.clock.step)
+            for engine in self.engines
+        ]
+        return [
+            MapStamp(state.incarnation, state.map_version) for state in states
+        ]
+
+    def activations(self) -> list[list[dict[str, Any]]]:
+        """Return the activations that each engine has executed."""
+        return [
+            [
+                order
+                for order in map(msgspec.json.decode, engine.orders.executed)
+                if order['action'] == 'activate'
+            ]
+            for engine in self.engines
+        ]
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition."""
+
+        async def poll() -> None:
+            while not condition():
+                await asyncio.sleep(0.02)
+
+        await asyncio.wait_for(poll(), PATIENCE_S)
+
+    async def until_all_at(self, version: int) -> MapStamp:
+        """Wait until all engines run one map of at least that version."""
+        await self.until(
+            lambda: (
+                len(set(self.stamps())) == 1
+                and self.stamps()[0].map_version >= version
+            ),
+        )
+        return self.stamps()[0]
+
+    async def _start_engine(self) -> Engine:
+        loop = asyncio.get_running_loop()
+        engine = Engine(EngineConfig(), clock=loop.time, on_crash=str)
+        http = HttpServer('http', '127.0.0.1', 0)
+        http.serve(build_engine_app(EngineConfig(), engine))
+        await self._run('engine', [http])
+        engine.address = http.address  # type: ignore[attr-defined]
+        return engine
+
+    async def _run(self, name: str, services: list[Service]) -> None:
+        process = Process(name, services)
+        await process.start()
+        self._stack.push_async_callback(process.stop)
+
+
+Scenario = Callable[[Rig], Awaitable[None]]
