--- a/src/snipebend/experts/switch_coordinator.py
+++ b/src/snipebend/experts/switch_coordinator.py
@@ -166,7 +166,7 @@
         if not isinstance(self.state, Idle) or not fitting:
             return []
         stamp = MapStamp(event.incarnation, self.record.settled + 1)
-        starts = self._schedule.reserve(event.fetch_bytes, now)
+        starts = self._schedule.reserve(event.fetch_bytes, now, event.pace)
         if starts is None:
             return [SwitchEnded(stamp, 'deferred')]
         hold_ahead = event.hold_ahead * self._hold_factor
--- a/src/snipebend/experts/switch_events.py
+++ b/src/snipebend/experts/switch_events.py
@@ -20,7 +20,8 @@
 class MapProposed(NamedTuple):
     """The policy asks for a map, with each member's bytes to fetch.
 
-    ``hold_ahead`` is the number of steps that the fetches may take; the map
+    ``hold_ahead`` is the number of steps that the fetches may take and
+    ``pace`` the share of the weight store's rate that they may use; the map
     was made for ``members`` in ``incarnation``.
     """
 
@@ -30,6 +31,7 @@
     fetch_bytes: dict[str, int]
     hold_ahead: int
     placement: bytes = b''
+    pace: float = 1
 
 
 class RankReported(NamedTuple):
--- a/src/snipebend/transport/expert_service.py
+++ b/src/snipebend/transport/expert_service.py
@@ -193,12 +193,20 @@
         upstreams = tuple(self._view.upstreams())
         for driven in self._driven.values():
             policies = driven.switch.group.upstreams
-            ranks = {
-                one.upstream: one.grpc_address
-                for one in upstreams
-                if one.policy in policies
-            }
-            driven.switch.announce(ranks)
+            ranks = [one for one in upstreams if one.policy in policies]
+            driven.switch.announce(
+                {one.upstream: one.grpc_address for one in ranks},
+                self._utilisation(ranks),
+            )
+
+    def _utilisation(self, ranks: list[Announcement]) -> float:
+        """Return the requests running as a share of what may run."""
+        fleet = self._view.fleet()
+        policies = fleet.upstreams if fleet else ()
+        limits = {policy.name: policy.max_concurrency for policy in policies}
+        capacity = sum(limits.get(one.policy, 0) for one in ranks)
+        running = sum(one.running for one in ranks)
+        return running / capacity if capacity else 0
 
     def _plan_store(self, fleet: Fleet) -> StoreSchedule:
         """Plan for the slowest store that a group names, shared by all.
--- a/src/snipebend/transport/group_switch.py
+++ b/src/snipebend/transport/group_switch.py
@@ -34,6 +34,7 @@
 )
 from snipebend.orders.issuer import IssuerConfig, OrderIssuer
 from snipebend.state.expert_maps import MapDecision, MapQuery
+from snipebend.transport.map_planning import GroupFacts
 from snipebend.transport.rank_methods import EXPERT_LOAD
 from snipebend.transport.switch_links import RANK_TIMEOUT_S, call_rank
 from snipebend.transport.switch_log import SwitchLog
@@ -79,6 +80,7 @@
         self._links = links
         self._planner = planner
         self._addresses: dict[str, str] = {}
+        self._utilisation: float = 0
         self._mailbox: Mailbox[CoordinatorEvent] = Mailbox()
         self._rng = Random()
         self._log = SwitchLog(group.name)
@@ -102,9 +104,17 @@
             reason=self._log.reason,
         )
 
-    def announce(self, addresses: Mapping[str, str]) -> None:
-        """Take the ranks that are held for alive, by name to address."""
+    def announce(
+        self,
+        addresses: Mapping[str, str],
+        utilisation: float,
+    ) -> None:
+        """Take the ranks that are held for alive, by name to address.
+
+        ``utilisation`` is the share of their capacity in use.
+        """
         self._addresses = dict(addresses)
+        self._utilisation = utilisation
         self._mailbox.post(RanksAnnounced(tuple(sorted(addresses))))
 
     async def run(self) -> None:
@@ -130,11 +140,14 @@
             dict(self._addresses),
             self.group.name,
         )
-        plan = self._planner.rebalance(
-            in_force,
-            loads,
-            self._links.clock.wall(),
+        decision = coordinator.record.decision
+        facts = GroupFacts(
+            now=self._links.clock.wall(),
+            changed_at_step=decision.step if decision else 0,
+            utilisation=self._utilisation,
+            store_free_at=self._links.schedule.busy_until,
         )
+        plan = self._planner.rebalance(in_force, loads, facts)
         self._log.note_plan(plan)
         if plan.placed is not None:
             incarnation = coordinator.record.incarnation
@@ -191,7 +204,7 @@
             self._links.schedule,
         )
         if self._addresses:
-            self.announce(self._addresses)
+            self.announce(self._addresses, self._utilisation)
 
     def _step(self, event: CoordinatorEvent) -> None:
         coordinator = self.coordinator
@@ -264,7 +277,8 @@
         fresh = coordinator.roster.fresh()
         before = read_decision(coordinator.record.decision)
         sizes = fetch_bytes(before, placed, self.group.expert_bytes, fresh)
-        fetch_s = sum(sizes.values()) / self.group.store_bytes_per_s
+        rate = plan.pace * self.group.store_bytes_per_s
+        fetch_s = sum(sizes.values()) / rate
         digest = f'{placed.expert_map.digest():016x}'
         self._log.note_proposal(digest, sum(sizes.values()))
         self._mailbox.post(
@@ -275,6 +289,7 @@
                 sizes,
                 HOLD_MARGIN + int(fetch_s * STEPS_PER_S),
                 placed.expert_map.encode(),
+                plan.pace,
             ),
         )
 
--- a/src/snipebend/transport/map_planning.py
+++ b/src/snipebend/transport/map_planning.py
@@ -19,12 +19,27 @@
 class Plan(NamedTuple):
     """A map to switch to, or none, and the reason in either case.
 
-    ``skew`` is that of the map in force under the latest loads, 0 if unknown.
+    ``skew`` is that of the map in force under the latest loads, 0 if unknown;
+    ``pace`` the share of the weight store's rate that the fetches may use.
     """
 
     placed: PlacedMap | None
     reason: str
     skew: float = 0
+    pace: float = 1
+
+
+class GroupFacts(NamedTuple):
+    """What a plan must heed beside the loads.
+
+    ``now`` and ``store_free_at`` are wall time in seconds, ``utilisation`` is
+    the share of the group's capacity that serving uses now.
+    """
+
+    now: float
+    changed_at_step: int
+    utilisation: float
+    store_free_at: float
 
 
 class MapPlanner(Protocol):
@@ -37,7 +52,7 @@
         self,
         in_force: PlacedMap,
         loads: Mapping[str, ExpertLoadReply],
-        now: float,
+        facts: GroupFacts,
     ) -> Plan:
         """Plan a better map for the same members, from their loads."""
 
@@ -66,7 +81,7 @@
         self,
         in_force: PlacedMap,
         loads: Mapping[str, ExpertLoadReply],
-        now: float,
+        facts: GroupFacts,
     ) -> Plan:
         """Keep the map in force."""
         return Plan(None, 'static')
--- a/src/snipebend/transport/replica_view.py
+++ b/src/snipebend/transport/replica_view.py
@@ -2,35 +2,37 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from snipebend.fleet.parsing import parse_fleet
 
 if TYPE_CHECKING:
     from snipebend.fleet.model import Fleet
     from snipebend.membership.messages import Announcement
-    from snipebend.state.machine import Machine
     from snipebend.transport.directory_api import DirectoryKeeper
-
-
-class HasMachine(Protocol):
-    """Holds a replica of the state."""
-
-    @property
-    def machine(self) -> Machine:
-        """Return the replica, perhaps behind others."""
+    from snipebend.transport.replicated_state import ReplicatedState
 
 
 class ReplicaView:
     """Parses the configuration once for each revision."""
 
-    def __init__(self, state: HasMachine, directory: DirectoryKeeper) -> None:
+    def __init__(
+        self,
+        state: ReplicatedState,
+        directory: DirectoryKeeper,
+    ) -> None:
         """Keep where the state and the announcements are."""
         self._state = state
         self._directory = directory
         self._revision = 0
         self._fleet: Fleet | None = None
 
+    @property
+    def leads(self) -> bool:
+        """Tell whether this daemon leads, as far as it knows."""
+        group = self._state.group
+        return group is not None and group.replica.leads
+
     def fleet(self) -> Fleet | None:
         """Return the fleet in force, or None before the first one."""
         configuration = self._state.machine.state.configuration
--- a/tests/transport/switch_rig.py
+++ b/tests/transport/switch_rig.py
@@ -108,7 +108,7 @@
 
     wanted = 0
 
-    def rebalance(self, in_force: PlacedMap, loads: Any, now: float) -> Plan:
+    def rebalance(self, in_force: PlacedMap, loads: Any, facts: Any) -> Plan:
         if not type(self).wanted:
             return Plan(None, 'nothing to do')
         type(self).wanted -= 1
