--- a/src/snipebend/transport/expert_service.py
+++ b/src/snipebend/transport/expert_service.py
@@ -38,12 +38,12 @@
 
     A new leader trusts the directory ``settle_s`` after it was elected.
     Rebalancing is considered every ``rebalance_s``. The weight store's
-    schedule reaches ``horizon_s`` ahead, which a new leader waits out.
+    schedule reaches at least ``horizon_s`` ahead, which a new leader waits out.
     """
 
     settle_s: float = 5.0
     rebalance_s: float = 10.0
-    horizon_s: float = 30.0
+    horizon_s: float = 2.0
     lease: IssuerConfig = _DEFAULT_LEASE
 
 
