--- a/src/snipebend/console/connection.py
+++ b/src/snipebend/console/connection.py
@@ -75,6 +75,18 @@
     return asyncio.run(call_any(found.unwrap(), method, req))
 
 
+def call_all_control(
+    args: Namespace,
+    method: Method[Request, Reply],
+    req: Request,
+) -> list[Reply]:
+    """Call all control daemons; return the answers of those that gave one."""
+    found = find_control(args)
+    if found.is_err():
+        return []
+    return asyncio.run(_call_all(found.unwrap(), method, req))
+
+
 async def call_any(
     addresses: list[str],
     method: Method[Request, Reply],
@@ -97,3 +109,21 @@
     finally:
         clients.close()
     return Err(failure)
+
+
+async def _call_all(
+    addresses: list[str],
+    method: Method[Request, Reply],
+    req: Request,
+) -> list[Reply]:
+    clients = RpcClients()
+    try:
+        answers = await asyncio.gather(
+            *(
+                clients.call(peer, method, req, timeout=CALL_TIMEOUT_S)
+                for peer in addresses
+            ),
+        )
+    finally:
+        clients.close()
+    return [answer.unwrap() for answer in answers if answer.is_ok()]
--- a/tests/daemons/test_expert_maps.py
+++ b/tests/daemons/test_expert_maps.py
@@ -5,12 +5,14 @@
 import asyncio
 import tempfile
 import unittest
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, redirect_stdout
+from io import StringIO
 from pathlib import Path
 from typing import Any
 
 from aiohttp import ClientSession
 
+from snipebend.console.application import main
 from snipebend.console.demo_fleet import FLEET
 from snipebend.orders.expert_load import GroupStatus, GroupStatusQuery
 from snipebend.transport.rank_methods import GROUP_STATUS
@@ -57,6 +59,7 @@
         await self.start_agent(group, RANKS - 1)
         await until(lambda: self.agree(3, 3))
         await self.check_activations()
+        await self.check_status(group)
 
     async def start_engine(self, number: int) -> None:
         engine = await start_standin(self.folder, f'engine-{number}', *_ENGINE)
@@ -109,6 +112,16 @@
                 self.assertEqual(known, content)
         self.assertGreaterEqual(len(seen), 3)
 
+    async def check_status(self, group: ControlGroup) -> None:
+        """The command line shows what the leader drives."""
+        printed = StringIO()
+        control = ','.join(group.addresses())
+        with redirect_stdout(printed):
+            await asyncio.to_thread(main, ['status', '--control', control])
+        lines = printed.getvalue().splitlines()
+        shown = [line for line in lines if line.startswith('group drafting')]
+        self.assertIn('members=3', ''.join(shown))
+
     async def read(self, address: str, path: str) -> Any:
         async with self.session.get(f'http://{address}/{path}') as resp:
             return await resp.json()
