--- a/tests/transport/switch_rig.py
+++ b/tests/transport/switch_rig.py
@@ -84,7 +84,9 @@
         self._check()
         if isinstance(req.change, Decide):
             verdict = self.on_decide()
-            if verdict == 'die-before':
+            if verdict == 'isolate':
+                self.cut = True
+            elif verdict == 'die-before':
                 self.die()
             elif verdict == 'die-after':
                 self._store.machine.execute(DecideExpertMap(req, time.time()))
--- a/tests/transport/test_expert_switch.py
+++ b/tests/transport/test_expert_switch.py
@@ -63,6 +63,20 @@
             await rig.until_all_at(version)
             self._check_activations(rig, version)
 
+    async def test_isolated_leader_believes_it_is_in_charge(self) -> None:
+        async with Rig(_FLEET) as rig:
+            first = await self._first_map(rig)
+            self._shift_and_die(rig, 'isolate')
+            await rig.until(lambda: rig.leaders[0].cut)
+            rig.leaders[1].leads = True
+            ShiftPlanner.wanted = 1
+            last = await rig.until_all_at(first.map_version + 2)
+            self._check_activations(rig, last.map_version)
+            # It still leads in its own eyes, but its lease has ended.
+            self.assertTrue(rig.leaders[0].leads)
+            dump = rig.services[0].dump()
+            self.assertEqual(dump[GROUP]['phase'], 'waiting-for-fence')
+
     async def _first_map(self, rig: Rig):
         ShiftPlanner.wanted = 0
         rig.leaders[0].leads = True
