--- a/src/snipebend/console/status.py
+++ b/src/snipebend/console/status.py
@@ -5,6 +5,8 @@
 import asyncio
 from argparse import ArgumentParser, Namespace
 
+from msgspec import to_builtins
+
 from snipebend.console.connection import (
     add_control_option,
     call_control,
@@ -13,6 +15,7 @@
 )
 from snipebend.console.exit_codes import ExitCode
 from snipebend.console.group_status import MemberStatus, list_members
+from snipebend.console.map_status import ask_groups, print_groups
 from snipebend.console.output import fail, print_json, print_line
 from snipebend.membership.messages import Directory, DirectoryRequest
 from snipebend.state.messages import ShowReply, ShowRequest
@@ -47,11 +50,17 @@
     listed = call_control(args, DIRECTORY, DirectoryRequest(_ASKER))
     if listed.is_err():
         return fail(listed.unwrap_err())
+    groups = ask_groups(found.unwrap())
     if args.json:
         document = _document(shown.unwrap(), listed.unwrap())
-        print_json({**document, 'members': [one._asdict() for one in members]})
+        document['groups'] = {
+            group.group: to_builtins(group) for group in groups
+        }
+        document['members'] = [one._asdict() for one in members]
+        print_json(document)
     else:
         _print_text(shown.unwrap(), listed.unwrap())
+        print_groups(groups)
     return ExitCode.DONE
 
 
