Test routing: shares, guard, bounds, stale views, suspects

Found by the tests: a request without a fingerprint could become a suspect, and a suspect was sent to an ejected upstream. A small pool refused what it could have queued for a moment: two may always wait.

--- a/src/snipebend/routing/admission.py
+++ b/src/snipebend/routing/admission.py
@@ -29,8 +29,10 @@
 MAX_PAST_DEADLINES = 64
 #: A request may wait this share of the mean time that requests are held ...
 WAIT_SHARE = 0.25
-#: ... and this long in any case.
+#: ... and this long in any case, ...
 LEAST_WAIT_S = 0.25
+#: ... and until so many others are done, however small the pool is.
+LEAST_QUEUE = 2
 
 
 class Place(NamedTuple):
@@ -120,7 +122,14 @@
         Under lasting overload a long queue serves no more requests than a
         short one, it only serves all of them late.
         """
-        longest = max(LEAST_WAIT_S, WAIT_SHARE * self.drain.hold_s)
+        drain = self.drain.per_s(self.admitted, ticket.taken_at)
+        if not drain:
+            return ticket.req.deadline_at
+        longest = max(
+            LEAST_WAIT_S,
+            WAIT_SHARE * self.drain.hold_s,
+            LEAST_QUEUE / drain,
+        )
         return min(ticket.req.deadline_at, ticket.taken_at + longest)
 
     def _flow_wait_s(self, ticket: Ticket, place: Place, now: float) -> float:
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -84,6 +84,14 @@
             if state.view.phase == 'serving'
         ]
 
+    def healthy(self, now: float) -> list[UpstreamState]:
+        """Return the members that serve and aren't ejected."""
+        return [
+            state
+            for state in self.serving()
+            if self.ejector.standing(state.view.name, now) == 'in'
+        ]
+
     def is_local(self, state: UpstreamState) -> bool:
         """Tell whether an upstream is in the entry's own data centre."""
         return state.view.data_center == self._data_center
--- a/src/snipebend/routing/chooser.py
+++ b/src/snipebend/routing/chooser.py
@@ -71,7 +71,7 @@
     ) -> Selection:
         states = {
             state.view.name: state
-            for state in pool.serving()
+            for state in pool.healthy(now)
             if state.view.name not in exclude
         }
         lane = self.quarantine.reserve(
--- a/src/snipebend/routing/quarantine.py
+++ b/src/snipebend/routing/quarantine.py
@@ -92,8 +92,8 @@
 
     def accuse(self, fingerprints: Iterable[str]) -> None:
         """Suspect what ran on an upstream that this entry saw die."""
-        self._news = True
-        for fingerprint in fingerprints:
+        for fingerprint in filter(None, fingerprints):
+            self._news = True
             self._local[fingerprint] = None
             self._cleared.pop(fingerprint, None)
             if len(self._local) > MAX_LOCAL:
--- /dev/null
+++ b/tests/routing/test_selection.py
@@ -0,0 +1,162 @@
+"""The choice among candidates: the guard, the exclusions, the own count."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from snipebend.routing.messages import (
+    Admitted,
+    AttemptOutcome,
+    Choice,
+    NoUpstream,
+    Ticket,
+)
+from snipebend.routing.outstanding import OutstandingCount
+from snipebend.routing.prefix_index import hash_chain
+from snipebend.routing.router import Router, RouterSettings
+from snipebend.routing.scoring import ScoringRules
+from tests.routing.fixtures import NOW, fleet_index, request, upstream
+
+_CHAIN = hash_chain('x' * 640)
+#: Every candidate is looked at, so that the least loaded one is known.
+_ALL = ScoringRules(scan=1000)
+
+
+def make_router(rules: ScoringRules = _ALL) -> Router:
+    """Return a router over the test's fleet."""
+    router = Router(RouterSettings('entry', 'here', rules=rules))
+    router.update_fleet(fleet_index())
+    return router
+
+
+def admit(router: Router, chain: tuple[int, ...] = ()) -> Ticket:
+    """Let a request in that finds room."""
+    verdict = router.admit(request(chain=chain), NOW, Random(1))
+    assert isinstance(verdict, Admitted)
+    return verdict.ticket
+
+
+class SelectionTest(TestCase):
+    """Whatever the hints say."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(st.integers(0, 12), min_size=2, max_size=8),
+        st.sets(st.integers(0, 7)),
+        st.integers(0, 99),
+    )
+    def test_locality_never_beats_the_guard(
+        self, loads: list[int], holders: set[int], seed: int
+    ) -> None:
+        router = make_router()
+        router.update_upstreams([upstream('idle')], NOW)
+        ticket = admit(router, _CHAIN)
+        views = [
+            upstream(str(number), load) for number, load in enumerate(loads)
+        ]
+        router.update_upstreams(views, NOW)
+        for holder in holders:
+            router.prefixes.record(str(holder), _CHAIN)
+        choice = router.choose(ticket, frozenset(), NOW, Random(seed))
+        assert isinstance(choice, Choice)
+        utilisation = (loads[int(choice.upstream)] + 1) / 4
+        least = (min(loads) + 1) / 4
+        self.assertLessEqual(utilisation, _ALL.guard(least))
+        holds = [
+            number
+            for number in holders
+            if number < len(loads) and loads[number] == min(loads)
+        ]
+        if holds:
+            self.assertGreater(choice.cached_blocks, 0)
+
+    def test_own_work_corrects_a_late_report(self) -> None:
+        """Both reports are old: what was sent since goes by the own count."""
+        router = make_router()
+        views = [upstream(name, 1, taken_at=NOW - 5) for name in ('u', 'v')]
+        router.update_upstreams(views, NOW)
+        rng = Random(2)
+        sent = []
+        for _ in range(6):
+            ticket = admit(router)
+            choice = router.choose(ticket, frozenset(), NOW, rng)
+            assert isinstance(choice, Choice)
+            router.started(ticket, choice.upstream, NOW)
+            router.update_upstreams(views, NOW)
+            sent.append(choice.upstream)
+        self.assertEqual(sent.count('u'), 3)
+
+    def test_same_data_center_first_up_to_a_threshold(self) -> None:
+        router = make_router()
+        for load, expected in ((0, 'near'), (3, 'far')):
+            views = [
+                upstream('near', load),
+                upstream('far', 0, data_center='there'),
+            ]
+            router.update_upstreams(views, NOW)
+            choice = router.choose(admit(router), frozenset(), NOW, Random(1))
+            assert isinstance(choice, Choice)
+            self.assertEqual(choice.upstream, expected)
+
+    def test_leaving_and_excluded_are_never_chosen(self) -> None:
+        router = make_router(ScoringRules())
+        views = [upstream(str(number)) for number in range(6)]
+        router.update_upstreams(views, NOW)
+        ticket = admit(router, _CHAIN)
+        router.prefixes.record('0', _CHAIN)
+        views[0] = views[0]._replace(phase='leaving')
+        router.update_upstreams(views, NOW)
+        for seed in range(50):
+            choice = router.choose(ticket, frozenset('12'), NOW, Random(seed))
+            assert isinstance(choice, Choice)
+            self.assertIn(choice.upstream, '345')
+        none = router.choose(ticket, frozenset('12345'), NOW, Random(1))
+        self.assertIsInstance(none, NoUpstream)
+
+    def test_crashed_upstream_gets_no_more_work(self) -> None:
+        """Membership takes seconds to drop it; routing must not wait."""
+        router = make_router()
+        views = [upstream(str(number)) for number in range(4)]
+        router.update_upstreams(views, NOW)
+        ticket = admit(router)
+        router.started(ticket, '0', NOW)
+        router.failed(ticket, '0', AttemptOutcome.CRASHED, NOW)
+        router.update_upstreams(views, NOW + 1)
+        other = admit(router)
+        for seed in range(20):
+            choice = router.choose(other, frozenset(), NOW + 1, Random(seed))
+            assert isinstance(choice, Choice)
+            self.assertNotEqual(choice.upstream, '0')
+
+
+class OutstandingCountTest(TestCase):
+    """The past of a count, with little memory."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.06, 1), st.sampled_from((1, -1))),
+            min_size=1,
+            max_size=100,
+        ),
+        st.floats(0, 60),
+    )
+    def test_remembers(
+        self, changes: list[tuple[float, int]], moment: float
+    ) -> None:
+        count = OutstandingCount()
+        now = 0.0
+        current = 0
+        expected = 0
+        for pause, by in changes:
+            now += pause
+            current = max(0, current + by)
+            count.change(by, now)
+            if now <= moment:
+                expected = current
+        self.assertEqual(count.at(moment), expected)
+        self.assertEqual(count.current, current)
