--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -39,6 +39,7 @@
         self._data_center = data_center
         self._tiers: dict[str, Tiers] = {}
         self._updated_at: float = 0
+        self._names: list[str] = []
         self.members: dict[str, UpstreamState] = {}
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
@@ -66,7 +67,9 @@
         names = [state.view.name for state in serving]
         self.ejector.watch(names)
         self._judge(serving, now)
-        self.lanes = frozenset(choose_lanes(names))
+        if names != self._names:
+            self._names = names
+            self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
         usual = _usual_load(serving, memory_s)
         # The reports will be this much older before the next ones come.
@@ -76,6 +79,11 @@
         self._updated_at = now
         self._count(serving, now)
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no member takes new work."""
+        return not self._names
+
     def serving(self) -> list[UpstreamState]:
         """Return the members that aren't leaving."""
         return [
--- a/src/snipebend/routing/chooser.py
+++ b/src/snipebend/routing/chooser.py
@@ -51,7 +51,7 @@
         if choice is None and lanes:
             choice = selector.choose(self._need(ticket.req, barred))
         if choice is None:
-            return _shortage(bool(pool.serving()), rng)
+            return _shortage(not pool.is_empty, rng)
         return choice
 
     def _need(self, req: RoutingRequest, barred: frozenset[str]) -> Need:
--- a/src/snipebend/routing/controller.py
+++ b/src/snipebend/routing/controller.py
@@ -84,7 +84,7 @@
         pool = self._pool_of(req)
         if pool is None:
             return Refused(RefusalReason.UNKNOWN_TARGET)
-        if not pool.candidates.serving():
+        if pool.candidates.is_empty:
             again = retry_after(NO_UPSTREAM_RETRY_S, rng)
             return Refused(RefusalReason.NO_UPSTREAM, again)
         hold_s = pool.gate.drain.hold_s
--- a/src/snipebend/routing/prefix_index.py
+++ b/src/snipebend/routing/prefix_index.py
@@ -14,7 +14,7 @@
 from xxhash import xxh64_intdigest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
 #: Characters of one block.
 BLOCK_CHARS = 64
@@ -103,15 +103,19 @@
     def find(self, chain: tuple[int, ...]) -> list[PrefixMatch]:
         """Return the upstreams that hold the head of a chain, deepest first."""
         depths: dict[int, int] = {}
-        alive = set(self._holders.get(chain[0], ())) if chain else set()
-        for before, prefix in enumerate(chain):
-            alive.intersection_update(self._holders.get(prefix, ()))
+        alive = self._holders.get(chain[0], ()) if chain else ()
+        for depth, prefix in enumerate(chain):
+            holders = self._holders.get(prefix, ())
+            if holders != alive:
+                lost = [slot for slot in alive if slot not in holders]
+                depths.update(dict.fromkeys(lost, depth))
+                alive = tuple(slot for slot in alive if slot in holders)
             if not alive:
                 break
-            depths.update(dict.fromkeys(alive, before + 1))
+        depths.update(dict.fromkeys(alive, len(chain)))
         matches = [
-            PrefixMatch(self._names[slot], depth)
-            for slot, depth in depths.items()
+            PrefixMatch(self._names[slot], blocks)
+            for slot, blocks in depths.items()
             if slot in self._names
         ]
         matches.sort(key=_depth, reverse=True)
@@ -190,13 +194,10 @@
 
     def _add(self, prefix: int, slot: int) -> None:
         before = self._holders.get(prefix, ())
-        others = [
-            other for other in before if other != slot and other in self._names
-        ]
-        after = (slot, *others[: MAX_HOLDERS - 1])
-        self._holders[prefix] = after
+        if slot not in before:
+            self._holders[prefix] = _join(before, slot, self._names)
+            self._pairs += len(self._holders[prefix]) - len(before)
         self._holders.move_to_end(prefix)
-        self._pairs += len(after) - len(before)
         while self._pairs > self._capacity:
             _, evicted = self._holders.popitem(last=False)
             self._pairs -= len(evicted)
@@ -211,5 +212,15 @@
             self._holders.pop(prefix, None)
 
 
+def _join(
+    before: tuple[int, ...], slot: int, names: Container[int]
+) -> tuple[int, ...]:
+    """Put a slot first; when full, dead slots and the oldest go."""
+    if len(before) < MAX_HOLDERS:
+        return (slot, *before)
+    others = [other for other in before if other in names]
+    return (slot, *others[: MAX_HOLDERS - 1])
+
+
 def _depth(match: PrefixMatch) -> int:
     return match.blocks
--- a/src/snipebend/routing/rates.py
+++ b/src/snipebend/routing/rates.py
@@ -31,7 +31,7 @@
     def wait_s(self, now: float) -> float:
         """Return the span until one token is there; zero if it is."""
         if self._filled_at is not None:
-            earned = (now - self._filled_at) * self._rate
+            earned = max(0, now - self._filled_at) * self._rate
             self._tokens = min(self._burst, self._tokens + earned)
         self._filled_at = now
         missing = 1 - self._tokens
