--- a/bench/routing_table.py
+++ b/bench/routing_table.py
@@ -30,7 +30,7 @@
     """Print the head of a Markdown table."""
     sys.stdout.write('\n')
     print_row(cells)
-    print_row(['---'] * len(cells))
+    print_row(['---' for _ in cells])
 
 
 def print_loads() -> None:
@@ -81,7 +81,8 @@
                 Scenario(entries=entries, kill_at=KILLED_AT), policy
             )
             poisoned = run_policy(
-                Scenario(entries=entries, poison_at=KILLED_AT), policy
+                Scenario(entries=entries, poison_at=KILLED_AT, steps=1600),
+                policy,
             )
             print_row(
                 [
--- a/src/snipebend/routing/quarantine.py
+++ b/src/snipebend/routing/quarantine.py
@@ -24,10 +24,10 @@
 #: One in this many upstreams is set aside for suspects, while there are any.
 LANE_SHARE = 8
 #: Time after a death for which all entries keep other work off the lanes.
-LANE_HOLD_S = 10.0
+LANE_HOLD_S = 5.0
 #: Time that a suspect waits for others' work to leave its upstream; from then
 #: on only the agent, which is told to run it alone, can keep it apart.
-LANE_PATIENCE_S = 2.0
+LANE_PATIENCE_S = 0.5
 _LANES = 'suspect-lanes'
 
 
