--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from snipebend.membership.directory_delta import DirectoryDelta
 from snipebend.membership.messages import (
     AnnounceReply,
     Announcement,
@@ -30,6 +31,20 @@
     ShowRequest,
     WatchRequest,
 )
+from snipebend.transport.group_messages import (
+    Delivery,
+    DeliveryEnd,
+    ForwardReply,
+    ForwardRequest,
+    GroupQuery,
+    GroupReply,
+    HelloReply,
+    HelloRequest,
+    JoinReply,
+    JoinRequest,
+    ReadIndexReply,
+    ReadIndexRequest,
+)
 from snipebend.transport.rpc import Method
 
 APPLY = Method('/snipebend.Control/Apply', ApplyRequest, ApplyReply)
@@ -40,7 +55,24 @@
     Configuration,
     streams_replies=True,
 )
-ANNOUNCE = Method('/snipebend.Control/Announce', Announcement, AnnounceReply)
+ANNOUNCE = Method(
+    '/snipebend.Control/Announce',
+    Announcement,
+    AnnounceReply,
+    streams_requests=True,
+)
+CONFIRM = Method(
+    '/snipebend.Control/Confirm',
+    DirectoryRequest,
+    AnnounceReply,
+    streams_requests=True,
+)
+WATCH_DIRECTORY = Method(
+    '/snipebend.Control/WatchDirectory',
+    DirectoryRequest,
+    DirectoryDelta,
+    streams_replies=True,
+)
 DIRECTORY = Method(
     '/snipebend.Control/Directory',
     DirectoryRequest,
@@ -67,3 +99,18 @@
     DecideMapReply,
 )
 READ_MAP = Method('/snipebend.Control/ReadMap', MapQuery, DecideMapReply)
+DELIVER = Method(
+    '/snipebend.Group/Deliver',
+    Delivery,
+    DeliveryEnd,
+    streams_requests=True,
+)
+HELLO = Method('/snipebend.Group/Hello', HelloRequest, HelloReply)
+JOIN = Method('/snipebend.Group/Join', JoinRequest, JoinReply)
+FORWARD = Method('/snipebend.Group/Forward', ForwardRequest, ForwardReply)
+READ_INDEX = Method(
+    '/snipebend.Group/ReadIndex',
+    ReadIndexRequest,
+    ReadIndexReply,
+)
+GROUP = Method('/snipebend.Group/Group', GroupQuery, GroupReply)
