--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.routing.ejection import Ejector
 from snipebend.routing.messages import AttemptOutcome
 from snipebend.routing.quarantine import choose_lanes
-from snipebend.routing.rendezvous import weigh
-from snipebend.routing.upstream_state import LEAST_SAMPLES, open_upstream
+from snipebend.routing.upstream_state import (
+    LEAST_SAMPLES,
+    UsualLoad,
+    open_upstream,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -18,7 +20,8 @@
     from snipebend.routing.upstream_state import UpstreamState
     from snipebend.routing.views import UpstreamView
 
-_RING = 'ring'
+#: Time that requests are held, until it is measured.
+DEFAULT_MEMORY_S = 1.0
 
 
 class Tiers(NamedTuple):
@@ -35,19 +38,25 @@
         """Start empty."""
         self._data_center = data_center
         self._tiers: dict[str, Tiers] = {}
-        self._ring: list[tuple[int, str]] = []
+        self._updated_at: float = 0
         self.members: dict[str, UpstreamState] = {}
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
         self.capacity: float = 0
         self.others = 0
+        self.own_then = 0
 
     def update(
         self,
         views: Sequence[tuple[UpstreamView, UpstreamPolicy]],
         now: float,
+        entries: int = 1,
+        memory_s: float = DEFAULT_MEMORY_S,
     ) -> None:
-        """Replace the candidates by the views of them."""
+        """Replace the candidates by the views of them.
+
+        ``memory_s`` is the time for which requests are held.
+        """
         before = self.members
         self.members = {
             view.name: self._renew(before.get(view.name), view, policy)
@@ -57,9 +66,14 @@
         names = [state.view.name for state in serving]
         self.ejector.watch(names)
         self._judge(serving, now)
-        self._ring = sorted((weigh(name, _RING), name) for name in names)
         self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
+        usual = _usual_load(serving, memory_s)
+        # The reports will be this much older before the next ones come.
+        next_at = now + now - self._updated_at
+        for state in serving:
+            state.discount(usual, entries, next_at)
+        self._updated_at = now
         self._count(serving, now)
 
     def serving(self) -> list[UpstreamState]:
@@ -84,13 +98,6 @@
             self._tiers[adapter] = tiers
         return tiers
 
-    def ring_owner(self, key: int) -> UpstreamState | None:
-        """Return the upstream that a hash falls to (consistent hashing)."""
-        if not self._ring:
-            return None
-        place = bisect_left(self._ring, (key, '')) % len(self._ring)
-        return self.members[self._ring[place][1]]
-
     def note_failure(
         self, state: UpstreamState, outcome: AttemptOutcome, now: float
     ) -> None:
@@ -117,7 +124,7 @@
                 'phase': state.view.phase,
                 'incarnation': state.view.incarnation,
                 'own': state.own.current,
-                'others': state.others,
+                'others': round(state.others, 1),
                 'limit': round(state.limit.limit, 1),
                 'latency_s': round(state.latency_s, 3),
                 'ejected': str(name in ejected).lower(),
@@ -160,11 +167,23 @@
             for state in serving
             if self.ejector.standing(state.view.name, now) != 'out'
         ]
+        # When all start at once, the slow start spares nobody.
+        full = max((state.ramp(now) for state in counted), default=1)
         self.capacity = sum(
-            state.limit.limit * state.ramp(now) for state in counted
+            state.limit.limit * state.ramp(now) / full for state in counted
         )
-        self.others = sum(state.others for state in counted)
+        self.others = sum(state.reported_others for state in counted)
+        self.own_then = sum(state.own_then for state in counted)
 
 
 def _has(state: UpstreamState, adapter: str) -> bool:
     return adapter in state.view.resident
+
+
+def _usual_load(serving: list[UpstreamState], memory_s: float) -> UsualLoad:
+    count = max(1, len(serving))
+    return UsualLoad(
+        sum(state.own.current for state in serving) / count,
+        sum(state.reported_others for state in serving) / count,
+        memory_s,
+    )
