--- a/src/snipebend/console/status.py
+++ b/src/snipebend/console/status.py
@@ -5,7 +5,7 @@
 import asyncio
 from argparse import ArgumentParser, Namespace
 
-from msgspec import to_builtins
+import msgspec
 
 from snipebend.console.connection import (
     add_control_option,
@@ -54,7 +54,7 @@
     if args.json:
         document = _document(shown.unwrap(), listed.unwrap())
         document['groups'] = {
-            group.group: to_builtins(group) for group in groups
+            group.group: msgspec.to_builtins(group) for group in groups
         }
         document['members'] = [one._asdict() for one in members]
         print_json(document)
--- a/src/snipebend/transport/engine_client.py
+++ b/src/snipebend/transport/engine_client.py
@@ -103,7 +103,7 @@
                 async with self._http.send(outgoing) as resp:
                     return Ok(_Answered(resp.status, await resp.read()))
         except _FAILURES as exc:
-            self._http.retire(self._address)
+            await self._http.retire(self._address)
             return Err(self._fail(uri, str(exc) or type(exc).__name__))
 
     def _fail(self, uri: str, reason: str) -> UnavailableError:
