--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -8,12 +8,14 @@
 
 from snipebend.consensus.durability import Durability
 from snipebend.consensus.node import Node
+from snipebend.consensus.reads import lease_span, majority_contact
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
 
     from snipebend.consensus.actions import Persist
     from snipebend.consensus.config import CoreConfig
+    from snipebend.consensus.leadership import Leadership
     from snipebend.consensus.log import ReplicatedLog
     from snipebend.consensus.messages import AppendRequest
     from snipebend.consensus.records import HardState, LogEntry
@@ -62,6 +64,15 @@
     return mock.patch(f'{CORE}.reads.lease_span', span)
 
 
+def lease_kept_at_hand_over() -> AbstractContextManager[object]:
+    """Serve reads by the lease although the successor may be elected."""
+
+    def until(node: Node, leadership: Leadership) -> float:
+        return majority_contact(node, leadership) + lease_span(node.cfg)
+
+    return mock.patch(f'{CORE}.reads.lease_until', until)
+
+
 def previous_entry_unchecked() -> AbstractContextManager[object]:
     """Append after any entry, whatever its term."""
 
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -32,6 +32,11 @@
     faults=('isolate_leader', 'heal'),
     fault_every_s=0.7,
 )
+HAND_OVERS = STEADY._replace(
+    faults=('partition', 'hand_over', 'hand_over', 'heal'),
+    fault_every_s=0.08,
+    client_every_s=0.06,
+)
 CRASHES = PLAN._replace(
     voters=(3,),
     cfg=PLAN.cfg._replace(max_batch=1, max_in_flight=1, election_timeout_s=0.3),
@@ -81,6 +86,7 @@
     Planted(faults.earlier_term_counted, CRASHES, 1),
     Planted(faults.lease_without_drift, LEASES, 17),
     Planted(faults.stale_reads, LEASES, 1),
+    Planted(faults.lease_kept_at_hand_over, HAND_OVERS, 17),
     Planted(faults.previous_entry_unchecked, PLAN),
     Planted(faults.agreeing_entries_dropped, PLAN, 1),
     Planted(faults.two_changes_at_once, CHANGES, 9),
