--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -143,6 +143,8 @@
 
     def test_full_disk_leaves_no_trace(self) -> None:
         self.storage.persist([write(entry(1))])
+        path = self.folder / 'log-00000001.seg'
+        before = path.read_bytes()
         real_write = os.write
 
         def fill_up(descriptor: int, frame: memoryview) -> int:
@@ -153,7 +155,7 @@
         with mock.patch.object(os, 'write', fill_up):
             with self.assertRaises(OSError):
                 self.storage.persist([write(entry(2))])
-        self.assertEqual(self.indexes(), [1])
+        self.assertEqual(path.read_bytes(), before)
         self.storage.persist([write(entry(2))])
         self.assertEqual(self.indexes(), [1, 2])
 
