Leave a control daemon that is cut off before the lease ends

A process that followed an isolated daemon kept to it until its lease had lapsed, and was not ready until another one answered. It changes over once the daemon's own confirmation is two seconds old. With that switched off the test sees the entry lose its readiness.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -16,6 +16,8 @@
 from typing import Any
 from uuid import uuid4
 
+import psutil
+
 from snipebend.state.claims import ClaimRequest, Holder
 from snipebend.state.messages import WatchRequest
 from snipebend.transport.methods import CLAIM, WATCH
@@ -34,6 +36,7 @@
 RESTARTS = (0, 200, 800)
 _TIMEOUT_S = 10.0
 _MILLI = 1000
+_MICRO = 1e6
 _NEVER = 1_000_000
 
 
@@ -130,11 +133,28 @@
             answer.unwrap()
             spans.append(time.monotonic() - began)
 
+    before = _cpu(group)
     began = time.monotonic()
     await asyncio.gather(*(claim_on() for _ in range(CLAIMERS)))
     elapsed = time.monotonic() - began
+    spent = {one: cpu - before[one] for one, cpu in _cpu(group).items()}
     clients.close()
-    return {**_summary(spans), 'per_s': round(CLAIMS / elapsed, 1)}
+    leader_s = spent.pop(name)
+    return {
+        **_summary(spans),
+        'per_s': round(CLAIMS / elapsed, 1),
+        'leader_cpu_us': round(leader_s / CLAIMS * _MICRO),
+        'follower_cpu_us': round(max(spent.values()) / CLAIMS * _MICRO),
+    }
+
+
+def _cpu(group: ControlGroup) -> dict[str, float]:
+    """Return each daemon's processor seconds so far."""
+    figures: dict[str, float] = {}
+    for name, program in group.programs.items():
+        times = psutil.Process(program.process.pid).cpu_times()
+        figures[name] = times.user + times.system
+    return figures
 
 
 async def _time_restart(changes: int, snapshot_every: int) -> dict[str, float]:
--- a/src/snipebend/transport/followers.py
+++ b/src/snipebend/transport/followers.py
@@ -28,6 +28,11 @@
 SILENCE_S = 2.5
 
 
+#: Seconds since a quorum confirmed a daemon after which another one is tried,
+#: well before the lease ends.
+STALE_S = 2.0
+
+
 class ConfigurationFollower(Service):
     """Keeps the newest configuration; its revision only grows."""
 
@@ -42,6 +47,7 @@
         super().__init__(name)
         self._copy = FollowedConfiguration()
         self._needs_full = False
+        self._peer = ''
         self._changed = asyncio.Event()
         self._process_name = process_name
         self._control = tuple(control)
@@ -84,9 +90,13 @@
         return not self.lapsed(self._clock.now())
 
     def dump(self) -> Mapping[str, object]:
-        """Return the revision and how long the lease still runs."""
+        """Return the revision, its source and how long the lease runs."""
         left_s = self._copy.lease_until - self._clock.now()
-        return {'revision': self.revision, 'lease_left_s': left_s}
+        return {
+            'revision': self.revision,
+            'lease_left_s': max(left_s, 0),
+            'control': self._peer,
+        }
 
     async def _follow(self) -> None:
         while True:
@@ -97,6 +107,7 @@
     async def _follow_one(self, peer: str) -> None:
         req = WatchRequest(self._process_name, self.revision, self._needs_full)
         opened_at = self._clock.now()
+        self._peer = peer
         messages = self._clients.stream(peer, WATCH, req)
         try:
             async with aclosing(messages):
@@ -130,6 +141,7 @@
         return not self._is_stale(message)
 
     def _is_stale(self, message: Configuration) -> bool:
-        """Tell whether a daemon can't renew the lease that ran out."""
-        unconfirmed = message.confirmed_ago_s < 0
-        return unconfirmed or self.lapsed(self._clock.now())
+        """Tell whether a daemon may be cut off from its group."""
+        unconfirmed = not 0 <= message.confirmed_ago_s <= STALE_S
+        lapsed = self.lapsed(self._clock.now())
+        return unconfirmed or (lapsed and self.index is not None)
--- a/tests/daemons/control_group.py
+++ b/tests/daemons/control_group.py
@@ -68,6 +68,10 @@
         """Return all daemons' own addresses."""
         return [self.address(name) for name in NAMES]
 
+    def name_at(self, address: str) -> str:
+        """Return the daemon with that own address."""
+        return next(name for name in NAMES if self.address(name) == address)
+
     async def open_wires(self) -> None:
         """Put the wires between the daemons."""
         for name in NAMES:
--- a/tests/daemons/test_in_force.py
+++ b/tests/daemons/test_in_force.py
@@ -9,6 +9,7 @@
 import unittest
 from contextlib import AsyncExitStack, redirect_stdout
 from pathlib import Path
+from typing import Any
 
 from aiohttp import ClientSession
 
@@ -52,9 +53,11 @@
             stack.push_async_callback(entry.kill)
             self.entries.append(entry)
 
-    async def apply(self, number: int, wait_s: str) -> tuple[int, str]:
+    async def apply(
+        self, number: int, wait_s: str, lease_s: float = 3
+    ) -> tuple[int, str]:
         path = self.folder / 'fleet.toml'
-        lease = '[routing]\nconfig_lease_s = 3.0'
+        lease = f'[routing]\nconfig_lease_s = {lease_s:.1f}'
         path.write_text(f'{fleet_text(number)}\n{lease}\n', 'utf-8')
         options = ('--control', self.control, '--wait', wait_s)
         return await console('apply', str(path), *options)
@@ -91,11 +94,34 @@
         await self.group.start(others[0])
         await until(lambda: self.is_ready(expected=True))
 
+    async def test_watchers_leave_an_isolated_daemon_in_time(self) -> None:
+        code, printed = await self.apply(0, '15', lease_s=8)
+        self.assertEqual(code, 0, printed)
+        await until(lambda: self.is_ready(expected=True))
+        dump = await self.dump()
+        followed = self.group.name_at(dump['configuration']['control'])
+        others = [name for name in NAMES if name != followed]
+        self.group.wires.cut(*((followed, name) for name in others))
+        reply = None
+        while reply is None:
+            text = fleet_text(7)
+            reply = await self.group.apply(others[0], 1, text, 'change')
+        while not await self.has_revision(2):
+            self.assertTrue(await self.is_ready(expected=True))
+            await asyncio.sleep(0.05)
+
+    async def has_revision(self, revision: int) -> bool:
+        dump = await self.dump()
+        return bool(dump['configuration']['revision'] == revision)
+
     async def is_ready(self, *, expected: bool) -> bool:
-        address = self.entries[0].addresses['admin']
-        async with ClientSession() as session:
-            async with session.get(f'http://{address}/dump') as resp:
-                dump = await resp.json()
+        dump = await self.dump()
         lapsed = dump['configuration']['lease_left_s'] <= 0
         self.assertFalse(lapsed and dump['ready'])
         return bool(dump['ready'] is expected)
+
+    async def dump(self) -> Any:
+        address = self.entries[0].addresses['admin']
+        async with ClientSession() as session:
+            async with session.get(f'http://{address}/dump') as resp:
+                return await resp.json()
