--- a/src/snipebend/transport/caller_api.py
+++ b/src/snipebend/transport/caller_api.py
@@ -66,6 +66,12 @@
     'no configuration is in force here yet',
     retry_after=1,
 )
+_STALE_CONFIGURATION = Problem(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    'Outdated configuration',
+    'what is in force elsewhere may differ from what this entry knows',
+    retry_after=1,
+)
 _LEAVING = Problem(
     HTTPStatus.SERVICE_UNAVAILABLE,
     'Leaving',
@@ -139,8 +145,16 @@
             return Err(_LEAVING)
         if index is None:
             return Err(_NO_CONFIGURATION)
+        if self._refuses_stale(index):
+            return Err(_STALE_CONFIGURATION)
         return check_request(index, req).map(lambda wanted: (index, wanted))
 
+    def _refuses_stale(self, index: FleetIndex) -> bool:
+        """Tell whether new work is refused for an outdated configuration."""
+        if index.fleet.stale_policy == 'serve':
+            return False
+        return self._configuration.lapsed(self._clock.now())
+
     async def _deliver(
         self,
         req: Request,
--- a/src/snipebend/transport/http_server.py
+++ b/src/snipebend/transport/http_server.py
@@ -20,6 +20,12 @@
 BACKLOG = 2048
 
 
+#: Milliseconds after which a connection is dropped whose other end takes no
+#: data: it is silent, or its reader has stopped. Accepted connections inherit
+#: the option (RFC 5482).
+USER_TIMEOUT_MS = 60_000
+
+
 class _QuietServer(Server):
     """Leaves the signals to the process, which drains before it stops."""
 
@@ -84,6 +90,7 @@
         server_header=False,
         date_header=False,
         lifespan='off',
+        proxy_headers=False,
         http='httptools',
         backlog=BACKLOG,
         timeout_graceful_shutdown=None,
@@ -93,6 +100,11 @@
 def _listen(host: str, port: int) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        USER_TIMEOUT_MS,
+    )
     sock.bind((host, port))
     sock.listen(BACKLOG)
     sock.setblocking(False)  # noqa: WPS425  # the flag is positional only
--- a/src/snipebend/transport/meters.py
+++ b/src/snipebend/transport/meters.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from opentelemetry.metrics import Observation
+
 from snipebend.telemetry.metrics import get_meter
 
 #: Seconds at the upper ends of the latency histogram's buckets.
@@ -36,8 +38,10 @@
             'snipebend_chunks',
             description='pieces of answers passed on to callers',
         )
-        self._in_flight = meter.create_up_down_counter(
+        self._in_flight = 0
+        meter.create_observable_gauge(
             'snipebend_requests_in_flight',
+            [lambda _: (Observation(self._in_flight),)],
         )
         self._first_chunk = meter.create_histogram(
             'snipebend_first_chunk_seconds',
@@ -48,7 +52,7 @@
 
     def begin(self) -> None:
         """Count a request as in flight."""
-        self._in_flight.add(1)
+        self._in_flight += 1
 
     def first_chunk(self, seconds: float) -> None:
         """Note how long the first piece took."""
@@ -56,7 +60,7 @@
 
     def end(self, outcome: str, chunks: int) -> None:
         """Count a request that has ended."""
-        self._in_flight.add(-1)
+        self._in_flight -= 1
         self._requests.add(1, {'outcome': outcome})
         if chunks:
             self._chunks.add(chunks)
@@ -74,17 +78,19 @@
         meter = get_meter()
         self._attempts = meter.create_counter('snipebend_attempts')
         self._chunks = meter.create_counter('snipebend_upstream_chunks')
-        self._running = meter.create_up_down_counter(
+        self._running = 0
+        meter.create_observable_gauge(
             'snipebend_attempts_running',
+            [lambda _: (Observation(self._running),)],
         )
 
     def begin(self) -> None:
         """Count an attempt as running."""
-        self._running.add(1)
+        self._running += 1
 
     def end(self, ending: str, chunks: int) -> None:
         """Count an attempt that has ended."""
-        self._running.add(-1)
+        self._running -= 1
         self._attempts.add(1, {'ending': ending})
         if chunks:
             self._chunks.add(chunks)
--- a/src/snipebend/transport/upstream_api.py
+++ b/src/snipebend/transport/upstream_api.py
@@ -212,7 +212,10 @@
         return index.fleet.routing.answer_bytes if index else _ANSWER_BYTES
 
     def _log(self, req: Request, ticket: AttemptTicket, ending: str) -> None:
-        logger.info(
+        # The entry logs each request: here only what didn't go well counts.
+        level = 'DEBUG' if ending == Ending.COMPLETE.value else 'INFO'
+        logger.log(
+            level,
             'event=attempt request={} id={} step={} attempt={} peer={}',
             req.get_header(REQUEST_ID_HEADER),
             ticket.request_id,
