--- a/bench/quick_routing.py
+++ b/bench/quick_routing.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from bench.routing_figures import read_figures
 from bench.routing_policies import (
     Affinity,
     LeastOutstanding,
@@ -17,7 +18,6 @@
 from bench.routing_runs import (
     Outcome,
     Scenario,
-    read_figures,
     run_baseline,
     run_ours,
 )
--- a/bench/routing_table.py
+++ b/bench/routing_table.py
@@ -12,7 +12,8 @@
     recovery_steps,
     run_policy,
 )
-from bench.routing_runs import Scenario, read_figures
+from bench.routing_figures import read_figures
+from bench.routing_runs import Scenario
 
 POLICIES = (*BASELINES, 'ours')
 #: Ages of load reports in steps of 25 ms.
