Beat four times a second between control daemons instead of ten

Cause: an idle leader took 4.4% of a core, above the 3.4% that the users give a node, and each follower 2,484 bytes a second where 3 KB/s is all there is.

Ruled out: a longer election time-out, which would delay take-over; four beats fit into the one second that stands. Price: a follower learns of a commit up to 0.25 s late, against 17 s allowed. The process tests of the control group pass.

--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -140,7 +140,7 @@
 class ElectionSection(Section):
     """Timing of the agreement between control daemons."""
 
-    heartbeat_s: Seconds = 0.1
+    heartbeat_s: Seconds = 0.25
     election_timeout_s: Seconds = 1.0
     #: Bound on how far two VMs' clocks drift apart, as a share.
     clock_drift: Annotated[float, Field(ge=0, le=MAX_CLOCK_DRIFT)] = 0.01
