--- a/src/snipebend/transport/delivery_io.py
+++ b/src/snipebend/transport/delivery_io.py
@@ -82,6 +82,12 @@
         """Begin empty."""
         self._batches: asyncio.Queue[list[Event]] = asyncio.Queue()
         self._room = asyncio.Event()
+        self._closed = False
+
+    def close(self) -> None:
+        """Let the writers go: nobody reads any more."""
+        self._closed = True
+        self._room.set()
 
     def post(self, event: Event) -> None:
         """Add one event, however full it is."""
@@ -90,7 +96,7 @@
     async def post_all(self, events: list[Event]) -> None:
         """Add a batch, then wait while the reader is behind."""
         self._batches.put_nowait(events)
-        if self._batches.qsize() >= MAX_BATCHES:
+        if self._batches.qsize() >= MAX_BATCHES and not self._closed:
             self._room.clear()
             await self._room.wait()
 
@@ -165,6 +171,7 @@
         for task in (*self._streams.values(), *self._asked):
             task.cancel()
         self._streams.clear()
+        self._inbox.close()
         self._routed.close()
 
     def _choose(self, exclude: frozenset[str], give_up_at: float) -> None:
--- a/tests/daemons/test_slow_and_gone_callers.py
+++ b/tests/daemons/test_slow_and_gone_callers.py
@@ -20,6 +20,7 @@
 _EVENT = b'data: {"text": "%b"}\n\n' % (b'x' * 65536)
 _EVENTS = 1600
 _ANSWER_BYTES = len(_EVENT) * _EVENTS
+_TRACE = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
 _HEAD = (
     b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
     b'connection: close\r\n\r\n'
@@ -31,6 +32,7 @@
 
     def __init__(self) -> None:
         self.written = 0
+        self.head = b''
         self.addresses: dict[str, str] = {}
 
     async def __aenter__(self) -> Self:
@@ -47,7 +49,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
+        self.head = await reader.readuntil(b'\r\n\r\n')
         writer.write(_HEAD)
         for _ in range(_EVENTS):
             writer.write(_EVENT)
@@ -114,6 +116,11 @@
                 size += len(received)
             self.assertGreater(size, _ANSWER_BYTES)
             writer.close()
+            head = firehose.head.lower()
+            self.assertIn(f'traceparent: {_TRACE}'.encode(), head)
+            self.assertIn(b'x-request-id: mine', head)
+            self.assertNotIn(b'x-snipebend', head)
+            self.assertIn('outcome="ran"', await _metrics(path, entry))
 
 
 async def _ask(
@@ -130,12 +137,23 @@
     head = (
         'POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
         f'authorization: {HEADERS["authorization"]}\r\n'
+        f'x-request-id: mine\r\ntraceparent: {_TRACE}\r\n'
+        'x-snipebend-ticket: forged\r\n'
         f'content-length: {len(body)}\r\n\r\n'
     )
     writer.write(head.encode() + body)
     return reader, writer
 
 
+async def _metrics(path: Loopback, entry: Program) -> str:
+    url = f'http://{entry.addresses["admin"]}/metrics'
+    async with path.session.get(url) as resp:
+        text = await resp.text()
+    assert 'snipebend_first_chunk_seconds_bucket' in text, text
+    lines = text.splitlines()
+    return '\n'.join(one for one in lines if 'snipebend_requests_' in one)
+
+
 async def _settled(firehose: _Firehose) -> int:
     """Return the bytes written once they grow no more."""
     seen = -1
