Let refusals that take an upstream out be retried for free

A delivery is closed whenever the server is done with its answer, also when the answer fails before its body has begun: until now that left it in flight and would have kept a planned stop waiting.

--- a/src/snipebend/transport/asgi.py
+++ b/src/snipebend/transport/asgi.py
@@ -44,6 +44,8 @@
     def __init__(self) -> None:
         """Begin with the other end there."""
         self.gone = False
+        #: Called once the answer has been written, or has failed.
+        self.on_answered: Callable[[], object] = bool
         self._listeners: list[Callable[[], object]] = []
 
     def when_gone(self, listener: Callable[[], object]) -> None:
@@ -114,6 +116,7 @@
             raise
         finally:
             watcher.cancel()
+            connection.on_answered()
 
 
 async def _read_body(receive: Receive, limit: int) -> bytes:
--- a/src/snipebend/transport/caller_api.py
+++ b/src/snipebend/transport/caller_api.py
@@ -164,6 +164,9 @@
     ) -> None:
         record, delivery = await self._dispatcher.open(req, index, wanted)
         connection = req.scope[CONNECTION_KEY]
+        # Also when the answer fails before its body has begun.
+        close = self._dispatcher.close
+        connection.on_answered = lambda: close(record, delivery)
         match await delivery.begin(record.facts, connection):
             case RelayHead() as head:
                 await self._relay(req, resp, head, record, delivery)
@@ -177,7 +180,6 @@
             case None:
                 record.ended(Outcome.UNKNOWN, _GONE.status)
                 write_problem(resp, _GONE)
-        self._dispatcher.close(record, delivery)
 
     async def _relay(
         self,
--- a/src/snipebend/transport/delivery_driver.py
+++ b/src/snipebend/transport/delivery_driver.py
@@ -82,6 +82,7 @@
 
     async def settle(self) -> None:
         """Do what is left after the caller's answer, and end all tasks."""
+        self._inbox.post(CallerGone())
         try:
             while not self._machine.done:
                 await self._pump()
--- a/src/snipebend/transport/delivery_io.py
+++ b/src/snipebend/transport/delivery_io.py
@@ -136,7 +136,7 @@
                 patience_s = CHOOSE_PATIENCE_S
                 self._choose(exclude, self._shared.clock.now() + patience_s)
             case AskRetry():
-                self._inbox.post(self._shared.desk.ask_retry())
+                self._inbox.post(self._routed.ask_retry())
             case SendAttempt():
                 self._send(action)
             case CancelAttempt(attempt=attempt):
--- a/src/snipebend/transport/dispatch.py
+++ b/src/snipebend/transport/dispatch.py
@@ -86,10 +86,14 @@
         record = RequestRecord(label, facts, clock, self.meters)
         self._in_flight += 1
         self._idle.clear()
-        verdict = await self._shared.desk.admit(
-            routing_request(index, req, wanted, clock.now() + span),
-            req.scope[CONNECTION_KEY],
-        )
+        try:
+            verdict = await self._shared.desk.admit(
+                routing_request(index, req, wanted, clock.now() + span),
+                req.scope[CONNECTION_KEY],
+            )
+        except BaseException:
+            self._leave()
+            raise
         routed = RoutedRequest(self._shared.desk, verdict)
         shared = self._shared._replace(
             limits=self._shared.limits._replace(
@@ -109,6 +113,9 @@
         try:
             await delivery.settle()
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            self._leave()
+
+    def _leave(self) -> None:
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._idle.set()
--- a/src/snipebend/transport/routed_request.py
+++ b/src/snipebend/transport/routed_request.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
-from snipebend.delivery.events import NoUpstream
+from snipebend.delivery.events import NoUpstream, RetryDenied, RetryGranted
 from snipebend.delivery.messages import RefusalReason
 from snipebend.routing.messages import (
     AttemptOutcome,
@@ -24,6 +24,9 @@
     from snipebend.routing.messages import Admitted
 
 
+#: Refusals after which the upstream isn't chosen again for some time.
+_TAKES_OUT = frozenset((RefusalReason.LEAVING, RefusalReason.UPSTREAM_DOWN))
+
 _NO_TICKET = Ticket(-1, RoutingRequest('', '', ModelTarget(''), 0), 0)
 
 _STATUS = MappingProxyType(
@@ -65,6 +68,7 @@
         self._refused = verdict if isinstance(verdict, Refused) else None
         self._ticket = getattr(verdict, 'ticket', _NO_TICKET)
         self._sent: dict[int, _Sent] = {}
+        self._free_retry = False
 
     def choose(
         self,
@@ -83,6 +87,17 @@
             return _refusal(Refused(Reason.QUARANTINED))
         return self._desk.choose(self._ticket, exclude)
 
+    def ask_retry(self) -> RetryGranted | RetryDenied:
+        """Ask for one more attempt.
+
+        After a refusal that takes the upstream out of the choice it is free:
+        such refusals can't repeat, and the budget is for work that failed.
+        """
+        if self._free_retry:
+            self._free_retry = False
+            return RetryGranted()
+        return self._desk.ask_retry()
+
     def close(self) -> None:
         """Forget the request."""
         if self._refused is None:
@@ -117,6 +132,7 @@
         sent = self._sent.pop(attempt, None)
         if sent is None:
             return
+        self._free_retry = reason in _TAKES_OUT
         if reason is RefusalReason.LEAVING:
             self._desk.note_leaving(sent.upstream)
         is_down = reason is RefusalReason.UPSTREAM_DOWN
--- a/tests/daemons/test_requests_under_faults.py
+++ b/tests/daemons/test_requests_under_faults.py
@@ -260,7 +260,9 @@
             told = await stream(path, other, 'goes BOOM')
             self.assertEqual(told.status, 422)
             for number, told in enumerate(await asyncio.gather(*innocent)):
-                self.assertEqual(told.texts, expected(f'good {number}'))
+                self.assertEqual(
+                    told.texts, expected(f'good {number}'), told.problem
+                )
                 again = await stream(path, entry, f'good {number}')
                 self.assertEqual(again.texts, expected(f'good {number}'))
             dead = [
