--- a/src/snipebend/daemons/agent.py
+++ b/src/snipebend/daemons/agent.py
@@ -15,9 +15,12 @@
 from snipebend.transport.announcer import Announcer
 from snipebend.transport.control_calls import ControlCalls
 from snipebend.transport.crash_witness import CrashWitness
+from snipebend.transport.fence_reader import FenceReader
 from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.orders_api import OrdersApi
+from snipebend.transport.rank_api import RankApi
 from snipebend.transport.rpc import RpcClients, RpcServer
 from snipebend.transport.upstream_api import UpstreamRelay
 
@@ -28,6 +31,7 @@
     http = HttpServer('http', cfg.listen.host, cfg.listen.http_port)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     clients = RpcClients()
+    reader = FenceReader(cfg.control.addresses, clients)
     services = [
         HttpClient('client'),
         ConfigurationFollower(
@@ -39,6 +43,8 @@
         ControlCalls('control-calls', cfg.control.addresses, clients),
         CrashWitness('witness', cfg.process.name),
         UpstreamRelay('relay', cfg, http, grpc),
+        OrdersApi('orders', grpc, cfg.upstream.address, reader),
+        RankApi('ranks', grpc, cfg.process.name, reader),
         grpc,
         http,
         admin,
--- a/src/snipebend/daemons/control.py
+++ b/src/snipebend/daemons/control.py
@@ -14,22 +14,30 @@
 from snipebend.settings.model import ControlSettings
 from snipebend.transport.control_api import ConfigurationKeeper
 from snipebend.transport.directory_api import DirectoryKeeper
+from snipebend.transport.expert_service import ExpertService
 from snipebend.transport.group_api import GroupApi
+from snipebend.transport.policy_planner import plan_by_policy
+from snipebend.transport.replica_view import ReplicaView
+from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc import RpcServer
 from snipebend.transport.state_api import StateApi
-from snipebend.transport.replicated_state import ReplicatedState
 
 
 def build_control(cfg: ControlSettings) -> Process:
     """Build the process from its settings."""
     admin = build_admin(cfg.listen)
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
+    state = ReplicatedState('state', cfg)
+    state_api = StateApi('state-api', grpc)
+    directory = DirectoryKeeper('directory', grpc)
+    view = ReplicaView(state, directory)
     services = [
-        ReplicatedState('state', cfg),
+        state,
         ConfigurationKeeper('configuration', grpc),
-        DirectoryKeeper('directory', grpc),
-        StateApi('state-api', grpc),
+        directory,
+        state_api,
         GroupApi('group-api', grpc),
+        ExpertService('experts', grpc, state_api, view, view, plan_by_policy),
         grpc,
         admin,
         PortsFile(cfg.listen.ports_file, {'grpc': grpc, 'admin': admin}),
--- a/src/snipebend/experts/policy.py
+++ b/src/snipebend/experts/policy.py
@@ -24,7 +24,7 @@
     from snipebend.fleet.model import Weights
 
 #: Below this trust in the current load, the long run is planned for as well.
-_LOW_TRUST = 0.3
+_LOW_TRUST = 0.35
 
 
 class Facts(NamedTuple):
@@ -66,7 +66,11 @@
 
 
 class Policy:
-    """Decides about the map of one group."""
+    """Decides about the map of one incarnation of a group.
+
+    Steps must only grow, so a new incarnation takes a new policy and a new
+    estimator.
+    """
 
     def __init__(
         self,
--- a/src/snipebend/experts/switch_store.py
+++ b/src/snipebend/experts/switch_store.py
@@ -24,28 +24,30 @@
         ``started_at`` that far in the past if there was no predecessor.
         """
         self._bytes_per_s = bytes_per_s
-        self._horizon_s = horizon_s
+        self.horizon_s = horizon_s
         self.busy_until = started_at + horizon_s
 
     def reserve(
         self,
         sizes: dict[str, int],
         now: float,
+        pace: float = 1,
     ) -> dict[str, float] | None:
         """Reserve all fetches, by rank in bytes, or none beyond the horizon.
 
-        Returns the time in seconds before which each rank must not start.
+        ``pace`` is the share of the rate to be used. Returns the time in
+        seconds before which each rank must not start.
         """
         moment = max(now, self.busy_until)
         starts = {}
         for rank, size in sizes.items():
             starts[rank] = moment
             if size:
-                moment += size / self._bytes_per_s
+                moment += size / (self._bytes_per_s * pace)
         if moment > max(now, self.busy_until) and self._too_far(moment, now):
             return None
         self.busy_until = max(moment, self.busy_until)
         return starts
 
     def _too_far(self, moment: float, now: float) -> bool:
-        return moment > now + self._horizon_s
+        return moment > now + self.horizon_s
--- a/src/snipebend/routing/candidates.py
+++ b/src/snipebend/routing/candidates.py
@@ -38,7 +38,8 @@
         """Start empty."""
         self._data_center = data_center
         self._tiers: dict[str, Tiers] = {}
-        self._updated_at: float = 0
+        self._updated_at: float | None = None
+        self._names: list[str] = []
         self.members: dict[str, UpstreamState] = {}
         self.ejector = Ejector()
         self.lanes: frozenset[str] = frozenset()
@@ -66,16 +67,24 @@
         names = [state.view.name for state in serving]
         self.ejector.watch(names)
         self._judge(serving, now)
-        self.lanes = frozenset(choose_lanes(names))
+        if names != self._names:
+            self._names = names
+            self.lanes = frozenset(choose_lanes(names))
         self._tiers = {'': self._split(serving)}
         usual = _usual_load(serving, memory_s)
         # The reports will be this much older before the next ones come.
-        next_at = now + now - self._updated_at
+        since = now if self._updated_at is None else self._updated_at
+        next_at = now + now - since
         for state in serving:
             state.discount(usual, entries, next_at)
         self._updated_at = now
         self._count(serving, now)
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no member takes new work."""
+        return not self._names
+
     def serving(self) -> list[UpstreamState]:
         """Return the members that aren't leaving."""
         return [
@@ -84,6 +93,14 @@
             if state.view.phase == 'serving'
         ]
 
+    def healthy(self, now: float) -> list[UpstreamState]:
+        """Return the members that serve and aren't ejected."""
+        return [
+            state
+            for state in self.serving()
+            if self.ejector.standing(state.view.name, now) == 'in'
+        ]
+
     def is_local(self, state: UpstreamState) -> bool:
         """Tell whether an upstream is in the entry's own data centre."""
         return state.view.data_center == self._data_center
--- /dev/null
+++ b/src/snipebend/transport/policy_planner.py
@@ -0,0 +1,124 @@
+"""Plans maps by the policy of the fleet file's weights."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import numpy as np
+from loguru import logger
+
+from snipebend.errors.hierarchy import InvalidInputError
+from snipebend.experts.cost import CostModel, StoreBudget
+from snipebend.experts.estimate import ExpertReport, LoadEstimator
+from snipebend.experts.placement import place_from_scratch
+from snipebend.experts.policy import Change, Facts, Keep, Policy
+from snipebend.experts.skew import relative_loads, step_skew
+from snipebend.experts.switch_cost import PlacedMap
+from snipebend.transport.map_planning import Plan, shape_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from snipebend.experts.estimate import LoadEstimate
+    from snipebend.fleet.model import Fleet, Group, Weights
+    from snipebend.orders.expert_load import ExpertLoadReply
+    from snipebend.transport.map_planning import GroupFacts
+
+#: Steps after which a report counts half.
+HALF_LIFE_STEPS = 2000
+
+
+class PolicyPlanner:
+    """Keeps one group's estimate and policy while its members stay."""
+
+    def __init__(self, group: Group, weights: Weights) -> None:
+        """Begin without reports."""
+        self._group = group
+        self._weights = weights
+        self._begin(group.ranks)
+
+    def place(self, members: tuple[str, ...], version: int) -> Plan:
+        """Place from scratch, by the loads known so far."""
+        shares = self._estimator.estimate().shares
+        self._begin(len(members))
+        loads = relative_loads(shares, len(members))
+        try:
+            placed = place_from_scratch(self._shape, loads, version)
+        except InvalidInputError as exc:
+            return Plan(None, exc.message)
+        return Plan(PlacedMap(members, placed), 'members-changed')
+
+    def rebalance(
+        self,
+        in_force: PlacedMap,
+        loads: Mapping[str, ExpertLoadReply],
+        facts: GroupFacts,
+    ) -> Plan:
+        """Ask the policy whether a change pays."""
+        if len(in_force.members) != self._shape.ranks:
+            self._begin(len(in_force.members))
+        for number, rank in enumerate(in_force.members):
+            load = loads.get(rank)
+            if load is not None:
+                self._record(number, load)
+        estimate = self._estimator.estimate()
+        skew = self._skew(estimate, in_force)
+        budget = StoreBudget(
+            self._group.store_bytes_per_s,
+            facts.store_free_at,
+        )
+        steps = [load.step for load in loads.values()]
+        decision = self._policy.decide(
+            estimate,
+            in_force.expert_map,
+            Facts(
+                max(steps, default=estimate.step),
+                facts.changed_at_step,
+                facts.utilisation,
+                budget,
+            ),
+            facts.now,
+        )
+        match decision:
+            case Keep(reason):
+                return Plan(None, reason, skew)
+            case Change(expert_map=expert_map, reason=reason):
+                placed = PlacedMap(in_force.members, expert_map)
+                pace = decision.bytes_per_s / budget.bytes_per_s
+                return Plan(placed, reason, skew, pace)
+
+    def _begin(self, ranks: int) -> None:
+        self._shape = shape_of(self._group, ranks)
+        self._estimator = LoadEstimator(self._shape, HALF_LIFE_STEPS)
+        self._policy = Policy(
+            self._shape,
+            self._weights,
+            CostModel(),
+            hold_steps=self._group.hold_steps,
+        )
+
+    def _record(self, number: int, load: ExpertLoadReply) -> None:
+        counts = np.array(load.counts, dtype=np.int64)
+        if not counts.any():
+            return
+        layers = np.arange(len(counts))
+        report = ExpertReport(number, load.step, layers, counts)
+        taken = self._estimator.record(report)
+        if taken.is_err():
+            logger.warning(
+                'event=expert_load_refused group={} rank={} reason={!r}',
+                self._group.name,
+                number,
+                taken.unwrap_err().message,
+            )
+
+    def _skew(self, estimate: LoadEstimate, in_force: PlacedMap) -> float:
+        if estimate.step < 0:
+            return 0
+        loads = relative_loads(estimate.shares, self._shape.ranks)
+        return step_skew(in_force.expert_map.placement, loads)
+
+
+def plan_by_policy(group: Group, fleet: Fleet) -> PolicyPlanner:
+    """Make the planner of a group, with the fleet's weights."""
+    return PolicyPlanner(group, fleet.weights)
--- a/tests/consensus/world.py
+++ b/tests/consensus/world.py
@@ -45,9 +45,17 @@
         default_factory=list
     )
 
+    @property
+    def is_installing(self) -> bool:
+        """Tell whether a snapshot is about to replace the state."""
+        return any(
+            isinstance(one, act.InstallSnapshot) for one in self.unsynced
+        )
+
     def sync(self, count: int) -> list[act.Persist | act.InstallSnapshot]:
         """Make the oldest writes last."""
-        done, self.unsynced = self.unsynced[:count], self.unsynced[count:]
+        done = self.unsynced[:count]
+        self.unsynced = self.unsynced[count:]
         for action in done:
             if isinstance(action, act.InstallSnapshot):
                 self.snapshot = SnapshotMeta(
@@ -64,8 +72,10 @@
         if action.truncate_from is not None:
             first = action.truncate_from
             self.entries = [one for one in self.entries if one.index < first]
-        if action.entries and self.entries:
-            follows = self.entries[-1].index + 1 == action.entries[0].index
+        if action.entries:
+            start = self.snapshot.index if self.snapshot else 0
+            last = self.entries[-1].index if self.entries else start
+            follows = last + 1 == action.entries[0].index
             assert follows, 'a gap in the log on disk'
         self.entries += action.entries
 
@@ -91,6 +101,7 @@
     paused_until: float = 0
     synced_at: float = 0
     reads: dict[str, int] = field(default_factory=dict)
+    inbox: list[evt.Event] = field(default_factory=list)
 
     def clock(self, now: float) -> float:
         """Give the local time."""
@@ -111,6 +122,7 @@
         self.bytes_sent = 0
         self.loss = 0.0
         self.duplication = 0.0
+        self.gather_s = 0.0
         self.delay = (0.001, 0.005)
         self.sync_delay = (0.001, 0.01)
         self.cut: Callable[[str, str], bool] = lambda source, target: False
@@ -163,8 +175,9 @@
     def run_until(self, deadline: float) -> None:
         """Let everything happen that is due by then."""
         while self._queue and self._queue[0][0] <= deadline:
-            self.now, _, call = heapq.heappop(self._queue)
-            call()
+            due = heapq.heappop(self._queue)
+            self.now = due[0]
+            due[2]()
         self.now = deadline
 
     def feed(self, host: Host, *events: evt.Event) -> None:
@@ -179,7 +192,7 @@
             raise Violation('the group is busy without end')
         local = host.clock(self.now)
         for action in host.core.step_all(events, local, self.rng):
-            self._do(host, action)
+            self._carry_out(host, action)
 
     def read(self, host: Host) -> None:
         """Start a read, which must see what is acknowledged by now."""
@@ -232,7 +245,7 @@
 
         self.at(delay, deliver)
 
-    def _do(self, host: Host, action: act.Action) -> None:
+    def _carry_out(self, host: Host, action: act.Action) -> None:
         match action:
             case act.Send(envelope):
                 self._send(host, envelope)
@@ -240,8 +253,10 @@
                 host.disk.unsynced.append(action)
                 self._sync_later(host)
             case act.Commit(entries):
+                term = host.core.status().term
+                assert not host.disk.is_installing, 'applied to a lost state'
                 for entry in entries:
-                    self.checker.on_commit(host.applied, entry)
+                    self.checker.on_commit(host.applied, entry, term)
                     host.applied = entry.index
             case act.NeedSnapshot(target):
                 self._load_snapshot(host, target)
@@ -269,8 +284,11 @@
         copies = 1 + (self.rng.random() < self.duplication)
         for _ in range(copies):
             if self.rng.random() >= self.loss:
-                delay = self.rng.uniform(*self.delay)
-                self.at(delay, lambda: self._arrive(host.name, wire))
+                self._carry(host.name, wire)
+
+    def _carry(self, source: str, wire: bytes) -> None:
+        delay = self.rng.uniform(*self.delay)
+        self.at(delay, lambda: self._arrive(source, wire))
 
     def _arrive(self, source: str, wire: bytes) -> None:
         envelope = _decoder.decode(wire)
@@ -278,7 +296,21 @@
         name = envelope.target.split('-')[0]
         for host in self.hosts:
             if host.name == name and not self.cut(source, name):
-                self.feed(host, evt.Received(envelope))
+                self._take_in(host, evt.Received(envelope))
+
+    def _take_in(self, host: Host, event: evt.Event) -> None:
+        """Feed several messages at once when they come within a while."""
+        if not self.gather_s:
+            self.feed(host, event)
+            return
+        host.inbox.append(event)
+        if len(host.inbox) == 1:
+            self.at(self.gather_s, lambda: self._empty_inbox(host))
+
+    def _empty_inbox(self, host: Host) -> None:
+        events = host.inbox
+        host.inbox = []
+        self.feed(host, *events)
 
     def _sync_later(self, host: Host) -> None:
         wait = self.rng.uniform(*self.sync_delay)
