--- a/bench/rpc_cost.py
+++ b/bench/rpc_cost.py
@@ -20,7 +20,13 @@
 
 from bench.counting_proxy import CountingProxy
 from snipebend.membership.messages import Announcement, DirectoryRequest
-from snipebend.transport.methods import ANNOUNCE, DIRECTORY
+from snipebend.state.claims import (
+    ClaimRequest,
+    Holder,
+    Settlement,
+    SettleRequest,
+)
+from snipebend.transport.methods import ANNOUNCE, CLAIM, DIRECTORY, SETTLE
 from snipebend.transport.rpc import RpcClients
 from tests.programs import control_toml, start_daemon
 
@@ -29,6 +35,7 @@
 
 CALLS = 2000
 UPSTREAMS = 100
+KEYS = 200
 _TIMEOUT_S = 10.0
 _MICRO = 1e6
 _MEBI = 1024 * 1024
@@ -81,10 +88,33 @@
         before = proxy.total_bytes
         await clients.feed(proxy.address, ANNOUNCE, _announcements(CALLS))
         figures['announce_bytes'] = (proxy.total_bytes - before) / CALLS
+        before = proxy.total_bytes
+        await _repeat(lambda one: _claim(clients, proxy.address, one), KEYS)
+        figures['claim_and_settle_bytes'] = (proxy.total_bytes - before) / KEYS
     clients.close()
     return figures
 
 
+async def _claim(clients: RpcClients, peer: str, number: int) -> None:
+    """Claim a key and settle it without an answer."""
+    holder = Holder(f'{number:032x}', 1, 'entry-1', 'drafting-001', peer, 1)
+    key = f'inspection-{number:08}'
+    claimed = await clients.call(
+        peer,
+        CLAIM,
+        ClaimRequest('workspace-1', key, 'f' * 16, holder, 0),
+        timeout=_TIMEOUT_S,
+    )
+    claimed.unwrap()
+    settled = await clients.call(
+        peer,
+        SETTLE,
+        SettleRequest('workspace-1', key, holder.request_id, 1, Settlement.RAN),
+        timeout=_TIMEOUT_S,
+    )
+    settled.unwrap()
+
+
 async def _feed_cost(
     clients: RpcClients,
     peer: str,
