Let a cancellation that meets news end the waiting task

Cause: asyncio.wait_for on Python 3.11 returns the result when the inner wait is done at the moment of the cancellation, and the cancellation is lost. A supervised loop then goes on, and the stop that gathers it hangs.

Provoked without a clock: news, 0 to 4 turns of the loop, then the cancellation. Before: the directory's watch, the follower's wait and the wait for a read all go on when cancelled 0 turns after the news (3 of 3 tests fail); after: 3 of 3 pass. The announcer has the same two calls and the same change, but no test of its own; nor has the question to the group.

Ruled out: keeping wait_for and asking task.cancelling() after it, which each new place would have to remember. asyncio.timeout has no inner task, so there is nothing whose end can hide the cancellation. When the answer and the end of the span meet in one turn, the span now wins: a proposal is then told "no quorum in time", an unsure answer that callers repeat under the same key.

What is left: console/demo.py still calls wait_for; its task isn't supervised.

--- a/src/snipebend/transport/announcer.py
+++ b/src/snipebend/transport/announcer.py
@@ -73,8 +73,9 @@
         self._phase = Phase.LEAVING
         self._wake.set()
         try:
-            await asyncio.wait_for(self._all_told.wait(), LEAVE_PATIENCE_S)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(LEAVE_PATIENCE_S):
+                await self._all_told.wait()
+        except TimeoutError:
             logger.warning('event=leaving_untold told={}', self._told)
 
     async def _announce_to(self, peer: str) -> None:
@@ -106,8 +107,9 @@
             await asyncio.sleep(span)
             return
         try:
-            await asyncio.wait_for(self._wake.wait(), span)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(span):
+                await self._wake.wait()
+        except TimeoutError:
             return
 
     def _compose(self) -> Announcement:
--- a/src/snipebend/transport/directory_api.py
+++ b/src/snipebend/transport/directory_api.py
@@ -122,8 +122,9 @@
     async def _wait_for_change(self) -> None:
         changed = self._changed
         try:
-            await asyncio.wait_for(changed.wait(), LOADS_EVERY_S)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(LOADS_EVERY_S):
+                await changed.wait()
+        except TimeoutError:
             return
 
     def _wake_watchers(self) -> None:
--- a/src/snipebend/transport/followers.py
+++ b/src/snipebend/transport/followers.py
@@ -81,8 +81,9 @@
         if self.revision > revision:
             return
         try:
-            await asyncio.wait_for(changed.wait(), span_s)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(span_s):
+                await changed.wait()
+        except TimeoutError:
             return
 
     def ready(self) -> bool:
--- a/src/snipebend/transport/group_questions.py
+++ b/src/snipebend/transport/group_questions.py
@@ -135,8 +135,9 @@
         if not self._replica.offer(Ask(event, fut)):
             return Err(UnavailableError('too many questions', step='ask'))
         try:
-            return await asyncio.wait_for(fut, timeout)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(timeout):
+                return await fut
+        except TimeoutError:
             return Err(UnavailableError('no quorum in time', step='ask'))
 
     async def _forward(self, command: Command, remaining: float) -> Answer:
--- a/src/snipebend/transport/questions.py
+++ b/src/snipebend/transport/questions.py
@@ -71,8 +71,9 @@
         fut: Future[Answer] = asyncio.get_running_loop().create_future()
         self._reads.append(_WaitingRead(index, fut))
         try:
-            return await asyncio.wait_for(fut, timeout)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(timeout):
+                return await fut
+        except TimeoutError:
             return Err(UnavailableError('behind the leader', step=_READ))
 
     def executed(self, index: int) -> None:
