Refuse a configuration lease that its renewal can't keep

Cause: config_lease_s took any span. A copy is renewed by a message each KEEPALIVE_S (1 s) that may tell of a confirmation STALE_S (2 s) ago before the follower tries another daemon. Below 3 s, the sum, readiness may come and go in a sound system.

The bound is MIN_CONFIG_LEASE_S in fleet/lease.py, the sum of both constants, which moved there from transport so that they can't drift from it. check and apply refuse what is below, with the key and the reason.

Ruled out: the check in parse_fleet. Replicas parse while they decide on a committed change, so two versions side by side would decide differently, and a stored file of before could no longer be read.

Before: check of the example with a lease of 1 s returned 0; after: 2, with "1 s is too short: it must be at least 3 s". Both examples and the minimum itself pass. A second test ties the bound to the copy: with 3 s it holds until 10 ms before the next message, with 2.5 s it has lapsed.

What is left: a client that calls the control daemon's interface itself isn't checked, and the lease is told only once the file has no other fault.

--- a/src/snipebend/console/fleet_file.py
+++ b/src/snipebend/console/fleet_file.py
@@ -8,8 +8,14 @@
 from result import Err, Ok, Result
 
 from snipebend.errors.hierarchy import InvalidInputError, SnipebendError
+from snipebend.fleet.lease import check_lease
 from snipebend.fleet.model import Fleet
-from snipebend.fleet.parsing import MAX_FILE_BYTES, parse_fleet
+from snipebend.fleet.parsing import (
+    MAX_FILE_BYTES,
+    FleetFileError,
+    Problem,
+    parse_fleet,
+)
 
 _STEP = 'read'
 
@@ -32,7 +38,12 @@
     parsed = parse_fleet(text, str(path))
     if parsed.is_err():
         return Err(parsed.unwrap_err())
-    return Ok(FleetFile(text, parsed.unwrap()))
+    fleet = parsed.unwrap()
+    fault = check_lease(fleet.routing)
+    if fault is not None:
+        problem = Problem(str(path), fault.key, fault.message)
+        return Err(FleetFileError((problem,)))
+    return Ok(FleetFile(text, fleet))
 
 
 def _bad(path: Path, message: str) -> InvalidInputError:
--- a/src/snipebend/transport/control_api.py
+++ b/src/snipebend/transport/control_api.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from msgspec import structs
 
+from snipebend.fleet.lease import KEEPALIVE_S
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
 from snipebend.membership.confirmations import Confirmations
@@ -26,9 +27,6 @@
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc import Endpoint, RpcServer
 
-#: Seconds between two messages to a watcher for whom nothing is new.
-KEEPALIVE_S = 1.0
-
 #: Seconds after which a watch ends, so that the times in it stay exact and
 #: the watchers spread over the daemons again.
 WATCH_LIFE_S = 60.0
--- a/src/snipebend/transport/followers.py
+++ b/src/snipebend/transport/followers.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from snipebend.errors.hierarchy import UnavailableError
+from snipebend.fleet.lease import STALE_S
 from snipebend.fleet.lookup import FleetIndex
 from snipebend.kernel.service import Service
 from snipebend.state.followed import FollowedConfiguration, Taken
@@ -28,11 +29,6 @@
 SILENCE_S = 2.5
 
 
-#: Seconds since a quorum confirmed a daemon after which another one is tried,
-#: well before the lease ends.
-STALE_S = 2.0
-
-
 class ConfigurationFollower(Service):
     """Keeps the newest configuration; its revision only grows."""
 
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -11,6 +11,7 @@
 
 from snipebend.console.application import main
 from snipebend.console.demo_fleet import FLEET
+from snipebend.fleet.lease import MIN_CONFIG_LEASE_S
 
 _COMMANDS = ('check', 'apply', 'show', 'status', 'dump', 'demo')
 
@@ -69,6 +70,19 @@
             self.assertEqual(code, 2)
             self.assertIn('larger than', err)
 
+    def test_check_refuses_a_lease_that_renewal_cannot_keep(self) -> None:
+        least = MIN_CONFIG_LEASE_S
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'fleet.toml'
+            for lease_s, expected in ((least, 0), (least - 0.1, 2), (0.5, 2)):
+                routing = f'[routing]\nconfig_lease_s = {lease_s:.1f}\n'
+                path.write_text(f'{FLEET}\n{routing}', encoding='utf-8')
+                code, _, err = _run('check', str(path))
+                self.assertEqual(code, expected, err)
+                if expected:
+                    self.assertIn('routing.config_lease_s: ', err)
+                    self.assertIn(f'at least {least:g} s', err)
+
     def test_check_of_a_missing_file(self) -> None:
         code, _, err = _run('check', '/nonexistent/fleet.toml')
         self.assertEqual(code, 2)
--- a/tests/state/test_followed.py
+++ b/tests/state/test_followed.py
@@ -9,6 +9,11 @@
 from msgspec import msgpack, structs
 
 from snipebend.console.demo_fleet import FLEET
+from snipebend.fleet.lease import (
+    KEEPALIVE_S,
+    MIN_CONFIG_LEASE_S,
+    STALE_S,
+)
 from snipebend.fleet.rendering import render_fleet
 from snipebend.membership.confirmations import Confirmations
 from snipebend.state.configuration import KEEP_TEXTS, ConfigurationState
@@ -109,6 +114,24 @@
         self.assertFalse(self.copy.lapsed(111))
         self.assertTrue(self.copy.lapsed(112))
 
+    def test_shortest_lease_lasts_until_the_next_message(self) -> None:
+        for lease_s, lapsed in (
+            (MIN_CONFIG_LEASE_S, False),
+            (MIN_CONFIG_LEASE_S - 0.5, True),
+        ):
+            state = ConfigurationState()
+            text = f'{FLEET}\n[routing]\nconfig_lease_s = {lease_s}\n'
+            state.apply(ApplyRequest('c', 0, text))
+            message = self.feed.next_after(state, None)
+            oldest = structs.replace(
+                message, elapsed_s=0, confirmed_ago_s=STALE_S
+            )
+            copy = FollowedConfiguration()
+            copy.take(oldest, opened_at=100)
+            before_next = 100 + KEEPALIVE_S - 0.01
+            self.assertIs(copy.lapsed(before_next), lapsed)
+            self.feed = ConfigurationFeed()
+
 
 class ConfirmationsTest(unittest.TestCase):
     """Only processes that may still trust their copy count."""
