Date the loads that routing sees by the latest difference

Cause: a load arrives at an entry as two numbers without the announcement's sequence, and the views dated a load by that sequence. The date stayed that of when the upstream joined, so routing trusted each report less and less and took the entry's own requests since then for those of others.

The watch now also sends a difference after a quiet second, since what it leaves out still holds within a tenth; an entry dates all loads by the latest one. While no control daemon answers they age, as they should.

Before: differences at 10, 15 and 20 s gave loads dated 10, 10, 10, and a quiet watch said nothing until a lease ended; after: 10, 15, 20, and an empty difference after a quiet span. Both tests failed before and pass now. An empty difference is 39 bytes, so a quiet watch costs 39 bytes a second.

What is left: the date is when the entry heard, not when the agent counted: up to about two seconds are missing. The effect on routing under load isn't measured.

--- a/src/snipebend/transport/directory_api.py
+++ b/src/snipebend/transport/directory_api.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
 
-#: Seconds between two differences that only tell of loads.
+#: Seconds between two differences that only tell of loads, or of no change.
 LOADS_EVERY_S = 1.0
 
 
@@ -111,14 +111,18 @@
         self,
         req: DirectoryRequest,
     ) -> AsyncIterator[DirectoryDelta]:
-        """Yield the watcher's part once, then each difference."""
+        """Yield the watcher's part once, then each difference.
+
+        An empty one after a quiet span tells that all loads still hold.
+        """
         view = WatcherView()
         subset = WatcherSubset(req)
+        is_due = True
         while not self._stopping:
             delta = view.advance(self._shown(subset), self._keeper.revision)
-            if not delta.is_empty():
+            if is_due or not delta.is_empty():
                 yield delta
-            await self._wait_for_change()
+            is_due = not await self._wait_for_change()
 
     def dump(self) -> Mapping[str, object]:
         """Return the upstreams and their phases."""
@@ -148,13 +152,14 @@
         if self._entries[entry] <= 0:
             self._entries.pop(entry)
 
-    async def _wait_for_change(self) -> None:
+    async def _wait_for_change(self) -> bool:
+        """Return whether there was one within the span."""
         changed = self._changed
         try:
             async with asyncio.timeout(LOADS_EVERY_S):
-                await changed.wait()
+                return await changed.wait()
         except TimeoutError:
-            return
+            return False
 
     def _wake_watchers(self) -> None:
         self._changed.set()
--- a/src/snipebend/transport/directory_follower.py
+++ b/src/snipebend/transport/directory_follower.py
@@ -51,9 +51,12 @@
         self._copy = DirectoryCopy()
         #: Grows with each difference that was taken in.
         self.version = 0
+        #: When that was, on this process's clock.
+        self.heard_at: float = 0
 
     async def start(self, registry: Registry) -> None:
         """Start to follow and to confirm."""
+        self._clock = registry.clock
         self._configuration = registry.find(
             'configuration',
             ConfigurationFollower,
@@ -91,6 +94,7 @@
             async for delta in deltas:
                 self._copy.apply(delta)
                 self.version += 1
+                self.heard_at = self._clock.now()
         except UnavailableError as exc:
             logger.warning('event=directory_lost peer={} error={!r}', peer, exc)
 
--- a/src/snipebend/transport/routing_desk.py
+++ b/src/snipebend/transport/routing_desk.py
@@ -154,7 +154,9 @@
         if news[0] != self._known[0]:
             self.router.update_fleet(index)
         self._known = news
-        self._views.update(self._directory.upstreams(), self.clock.now())
+        self._views.update(
+            self._directory.upstreams(), self._directory.heard_at
+        )
         self._show_upstreams()
 
     def _show_upstreams(self) -> None:
--- a/src/snipebend/transport/upstream_views.py
+++ b/src/snipebend/transport/upstream_views.py
@@ -15,10 +15,9 @@
 
 
 class _Seen(NamedTuple):
-    """An announcement, when its load was news, and its incarnation as well."""
+    """An announcement, and when its incarnation was news."""
 
     announcement: Announcement
-    load_at: float
     joined_at: float
 
 
@@ -32,13 +31,21 @@
     def __init__(self) -> None:
         """Begin with no upstreams."""
         self._seen: dict[str, _Seen] = {}
+        self._loads_at: float = 0
         self._left: dict[str, int] = {}
         self._down_until: dict[str, float] = {}
 
-    def update(self, announcements: Iterable[Announcement], now: float) -> None:
-        """Replace the announcements; those not named are gone."""
+    def update(
+        self, announcements: Iterable[Announcement], heard_at: float
+    ) -> None:
+        """Replace the announcements; those not named are gone.
+
+        All their loads count as of ``heard_at``, when control last told what
+        changed: what it left out is still so, within ``CHANGE_SHARE``.
+        """
+        self._loads_at = heard_at
         self._seen = {
-            one.upstream: self._compare(one, now) for one in announcements
+            one.upstream: self._compare(one, heard_at) for one in announcements
         }
 
     def note_down(self, upstream: str, until: float) -> None:
@@ -78,14 +85,9 @@
     def _compare(self, announcement: Announcement, now: float) -> _Seen:
         known = self._seen.get(announcement.upstream)
         if known is None:
-            return _Seen(announcement, now, now)
+            return _Seen(announcement, now)
         same_life = known.announcement.incarnation == announcement.incarnation
-        same_word = known.announcement.sequence == announcement.sequence
-        return _Seen(
-            announcement,
-            known.load_at if same_life and same_word else now,
-            known.joined_at if same_life else now,
-        )
+        return _Seen(announcement, known.joined_at if same_life else now)
 
     def _view(self, seen: _Seen) -> UpstreamView:
         announcement = seen.announcement
@@ -102,7 +104,7 @@
             announcement.incarnation,
             'leaving' if is_leaving else 'serving',
             LoadView(
-                announcement.running, announcement.queued, 0, seen.load_at
+                announcement.running, announcement.queued, 0, self._loads_at
             ),
             joined_at=seen.joined_at,
         )
--- /dev/null
+++ b/tests/transport/test_upstream_views.py
@@ -0,0 +1,52 @@
+"""The age of the loads that the router is shown."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from snipebend.membership.directory_delta import (
+    DirectoryCopy,
+    DirectoryDelta,
+    Joined,
+    LoadChange,
+)
+from snipebend.membership.messages import DirectoryRequest
+from snipebend.transport import directory_api
+from snipebend.transport.upstream_views import UpstreamViews
+from tests.transport.test_cancelled_waits import NEWS, start_keeper
+
+
+class UpstreamViewsTest(unittest.IsolatedAsyncioTestCase):
+    """Each difference, also an empty one, dates every load anew."""
+
+    async def test_loads_are_as_old_as_the_latest_difference(self) -> None:
+        copy = DirectoryCopy()
+        views = UpstreamViews()
+        loads = []
+        for now, delta in (
+            (10, DirectoryDelta(1, reset=True, joined=(Joined(0, NEWS),))),
+            (15, DirectoryDelta(1, loads=(LoadChange(0, 7, 2),))),
+            (20, DirectoryDelta(1)),
+        ):
+            copy.apply(delta)
+            views.update(copy.upstreams(), now)
+            view = views.views()[0]
+            self.assertEqual(view.joined_at, 10)
+            loads.append((view.load.running, view.load.taken_at))
+        self.assertEqual(loads, [(0, 10), (7, 15), (7, 20)])
+
+    async def test_a_quiet_watch_goes_on_to_confirm(self) -> None:
+        keeper = await start_keeper()
+        keeper.record(NEWS)
+        watch = keeper.watch(DirectoryRequest('e-1'))
+        with mock.patch.object(directory_api, 'LOADS_EVERY_S', 0.001):
+            first = await anext(watch)
+            second = await anext(watch)
+        self.assertTrue(first.reset)
+        self.assertTrue(second.is_empty())
+        await watch.aclose()
+
+
+if __name__ == '__main__':
+    unittest.main()
