Announce how much of its KV cache an engine uses

Cause: routing weighs the used share of the KV cache, but no announcement carried it, so that it always saw 0.

The agent of an engine asks GET /load as often as it announces, apart from the announcing, so that a slow engine delays nothing; a plain service is never asked. A share that isn't told or can't be read counts as 0. Watchers hear of it in whole percent, by steps of 5, in a list of its own: it moves more slowly than the load, which stays three numbers.

Ruled out: the engine's own counts instead of the agent's. They lag, and the agent knows what runs here at once. taken_at of /load is on the engine's own clock, so its age can't be told; the lag of the share isn't announced.

What is left: the effect on routing under load isn't measured.

--- a/src/snipebend/daemons/agent.py
+++ b/src/snipebend/daemons/agent.py
@@ -19,6 +19,7 @@
 from snipebend.transport.followers import ConfigurationFollower
 from snipebend.transport.forward import HttpClient
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.load_reader import LoadReader
 from snipebend.transport.orders_api import OrdersApi
 from snipebend.transport.rank_api import RankApi
 from snipebend.transport.rpc import RpcClients, RpcServer
@@ -48,6 +49,7 @@
         grpc,
         http,
         admin,
+        LoadReader('load', cfg.upstream),
         Announcer('announcer', cfg, clients),
         PortsFile(
             cfg.listen.ports_file,
--- a/src/snipebend/membership/directory_delta.py
+++ b/src/snipebend/membership/directory_delta.py
@@ -16,6 +16,9 @@
 #: A count is told again once it has moved by more than this share of what was
 #: told last, so that what a watcher knows is never further off.
 CHANGE_SHARE = 0.1
+#: Likewise for the use of a KV cache, in percent of the cache.
+KV_STEP_PERCENT = 5
+_PERCENT = 100
 
 
 class Joined(Struct, frozen=True, array_like=True):
@@ -33,6 +36,13 @@
     queued: int
 
 
+class KvChange(Struct, frozen=True, array_like=True):
+    """The use of an upstream's KV cache, in whole percent."""
+
+    number: int
+    percent: int
+
+
 class DirectoryDelta(Struct, frozen=True):
     """One difference; ``reset`` marks the first one of a watch."""
 
@@ -41,10 +51,12 @@
     joined: tuple[Joined, ...] = ()
     left: tuple[int, ...] = ()
     loads: tuple[LoadChange, ...] = ()
+    kv_uses: tuple[KvChange, ...] = ()
 
     def is_empty(self) -> bool:
         """Tell whether it changes nothing."""
-        return not (self.reset or self.joined or self.left or self.loads)
+        changes = (self.joined, self.left, self.loads, self.kv_uses)
+        return not self.reset and not any(changes)
 
 
 class _Known(NamedTuple):
@@ -52,6 +64,11 @@
     announcement: Announcement
 
 
+class _Changes(NamedTuple):
+    loads: list[LoadChange]
+    kv_uses: list[KvChange]
+
+
 class WatcherView:
     """What one watcher has been told; makes the next difference."""
 
@@ -68,26 +85,43 @@
     ) -> DirectoryDelta:
         """Return the difference to ``fresh`` and take it as told."""
         joined: list[Joined] = []
-        loads: list[LoadChange] = []
+        changes = _Changes([], [])
         for announcement in fresh:
             known = self._known.get(announcement.upstream)
             if known is None or not same_member(
                 known.announcement, announcement
             ):
                 joined.append(self._number(announcement, known))
-            elif not _same_load(known.announcement, announcement):
-                loads.append(_load_change(known.number, announcement))
-                self._keep(known.number, announcement)
+            else:
+                self._tell_use(known, announcement, changes)
         delta = DirectoryDelta(
             revision,
             not self._begun,
             tuple(joined),
             self._forget(fresh),
-            tuple(loads),
+            tuple(changes.loads),
+            tuple(changes.kv_uses),
         )
         self._begun = True
         return delta
 
+    def _tell_use(
+        self, known: _Known, news: Announcement, changes: _Changes
+    ) -> None:
+        """Tell what moved far enough; the rest stays as it was told."""
+        told = known.announcement
+        if not _same_load(told, news):
+            changes.loads.append(_load_change(known.number, news))
+            told = structs.replace(
+                told, running=news.running, queued=news.queued
+            )
+        if not _same_kv_use(told, news):
+            percent = round(news.kv_use * _PERCENT)
+            changes.kv_uses.append(KvChange(known.number, percent))
+            told = structs.replace(told, kv_use=percent / _PERCENT)
+        if told is not known.announcement:
+            self._keep(known.number, told)
+
     def _number(
         self,
         announcement: Announcement,
@@ -128,6 +162,8 @@
             self._by_number.pop(number, None)
         for load in delta.loads:
             self._take_load(load)
+        for use in delta.kv_uses:
+            self._take_kv_use(use)
         self.revision = delta.revision
 
     def upstreams(self) -> tuple[Announcement, ...]:
@@ -150,6 +186,13 @@
                 queued=load.queued,
             )
 
+    def _take_kv_use(self, use: KvChange) -> None:
+        known = self._by_number.get(use.number)
+        if known is not None:
+            self._by_number[use.number] = structs.replace(
+                known, kv_use=use.percent / _PERCENT
+            )
+
 
 def same_member(one: Announcement, other: Announcement) -> bool:
     """Tell whether two announcements differ in load and sequence at most."""
@@ -163,6 +206,7 @@
         running=0,
         queued=0,
         revision=0,
+        kv_use=0,
     )
 
 
@@ -172,6 +216,11 @@
     )
 
 
+def _same_kv_use(told: Announcement, news: Announcement) -> bool:
+    moved = abs(news.kv_use - told.kv_use) * _PERCENT
+    return round(moved) < KV_STEP_PERCENT
+
+
 def _is_near(told: int, news: int) -> bool:
     return abs(news - told) <= CHANGE_SHARE * told
 
--- a/src/snipebend/membership/messages.py
+++ b/src/snipebend/membership/messages.py
@@ -18,7 +18,8 @@
     """What an agent says of its upstream, again and again.
 
     ``incarnation`` grows with each start of the agent, ``sequence`` with each
-    announcement, so that late copies can be told from news.
+    announcement, so that late copies can be told from news. ``kv_use`` is the
+    used share of an engine's KV cache (0 to 1), 0 while it isn't known.
     """
 
     upstream: str
@@ -32,6 +33,21 @@
     running: int = 0
     queued: int = 0
     revision: int = 0
+    kv_use: float = 0
+
+
+class EngineLoad(Struct, frozen=True):
+    """What is read of an engine's ``GET /load``."""
+
+    kv_used_blocks: int = 0
+    kv_blocks: int = 0
+
+    @property
+    def kv_use(self) -> float:
+        """Return the used share of the KV cache, 0 to 1."""
+        if self.kv_blocks <= 0:
+            return 0
+        return min(1, max(0, self.kv_used_blocks / self.kv_blocks))
 
 
 class AnnounceReply(Struct, frozen=True):
--- a/src/snipebend/transport/announcer.py
+++ b/src/snipebend/transport/announcer.py
@@ -17,6 +17,7 @@
     ConfigurationFollower,
 )
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.load_reader import LoadReader
 from snipebend.transport.methods import ANNOUNCE
 from snipebend.transport.rpc import RpcClients, RpcServer
 from snipebend.transport.upstream_api import UpstreamRelay
@@ -54,6 +55,7 @@
         self._http = registry.find('http', HttpServer)
         self._grpc = registry.find('grpc', RpcServer)
         self._relay = registry.find('relay', UpstreamRelay)
+        self._load = registry.find('load', LoadReader)
         self._configuration = registry.find(
             'configuration',
             ConfigurationFollower,
@@ -124,4 +126,5 @@
             phase=self._phase,
             running=self._relay.running,
             revision=self._configuration.revision,
+            kv_use=self._load.kv_use,
         )
--- a/src/snipebend/transport/engine_client.py
+++ b/src/snipebend/transport/engine_client.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from snipebend.errors.hierarchy import UnavailableError
+from snipebend.membership.messages import EngineLoad
 from snipebend.orders.expert_load import ExpertLoadReply
 from snipebend.orders.messages import (
     EngineOrder,
@@ -74,6 +75,10 @@
         """Return the counts since the last call."""
         return await self._read('/expert-load', ExpertLoadReply)
 
+    async def load(self) -> Result[EngineLoad, UnavailableError]:
+        """Return the load as the engine reports it, late."""
+        return await self._read('/load', EngineLoad)
+
     async def _read(
         self,
         uri: str,
--- a/src/snipebend/transport/upstream_views.py
+++ b/src/snipebend/transport/upstream_views.py
@@ -104,7 +104,10 @@
             announcement.incarnation,
             'leaving' if is_leaving else 'serving',
             LoadView(
-                announcement.running, announcement.queued, 0, self._loads_at
+                announcement.running,
+                announcement.queued,
+                announcement.kv_use,
+                self._loads_at,
             ),
             joined_at=seen.joined_at,
         )
--- a/tests/membership/test_directory_delta.py
+++ b/tests/membership/test_directory_delta.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import msgpack, structs
 
 from snipebend.membership.directory_delta import DirectoryCopy, WatcherView
 from snipebend.membership.messages import Announcement, Phase
@@ -77,6 +78,21 @@
             self.assertLessEqual(abs(known - running), 0.1 * known)
         self.assertEqual(told, 5)
 
+    def test_cache_use_is_told_by_steps_apart_from_the_load(self) -> None:
+        view = WatcherView()
+        copy = DirectoryCopy()
+        shown = []
+        for running, kv_use in ((1, 0), (1, 0.04), (9, 0.08), (9, 0.11)):
+            news = _announcement('a', Phase.SERVING, running)
+            news = structs.replace(news, kv_use=kv_use)
+            delta = view.advance((news,), 1)
+            copy.apply(msgpack.decode(msgpack.encode(delta), type=type(delta)))
+            kept = copy.upstreams()[0]
+            shown.append((kept.running, kept.kv_use, len(delta.loads)))
+        self.assertEqual(
+            shown, [(1, 0, 0), (1, 0, 0), (9, 0.08, 1), (9, 0.08, 0)]
+        )
+
 
 def _seen(
     upstreams: tuple[Announcement, ...],
