Notice an upstream that is frozen or gone, and break off what runs there

Cause: an agent beat on for an engine that had frozen, so that a request hung to its deadline of 120 s, and a dead engine stayed in the directory as serving. The agent now probes its upstream twice a second: any answer shows that it lives, a refused connection counts as down at once, silence after a deadline. While it is down the attempts there break off and are sealed, and the announcement says so.

Ruled out: a bound on quiet work, which slow but healthy engines would break. Left: one silent connection to an engine that answers probes.

--- a/src/snipebend/daemons/agent.py
+++ b/src/snipebend/daemons/agent.py
@@ -24,6 +24,7 @@
 from snipebend.transport.rank_api import RankApi
 from snipebend.transport.rpc import RpcClients, RpcServer
 from snipebend.transport.upstream_api import UpstreamRelay
+from snipebend.transport.upstream_probe import UpstreamProbe
 
 
 def build_agent(cfg: AgentSettings) -> Process:
@@ -43,6 +44,7 @@
         ),
         ControlCalls('control-calls', cfg.control.addresses, clients),
         CrashWitness('witness', cfg.process.name),
+        UpstreamProbe('probe', cfg.upstream),
         UpstreamRelay('relay', cfg, http, grpc),
         OrdersApi('orders', grpc, cfg.upstream.address, reader),
         RankApi('ranks', grpc, cfg.process.name, reader),
--- a/src/snipebend/membership/messages.py
+++ b/src/snipebend/membership/messages.py
@@ -12,6 +12,8 @@
 
     SERVING = 'serving'
     LEAVING = 'leaving'
+    #: It doesn't answer its agent; it may come back.
+    DOWN = 'down'
 
 
 class Announcement(Struct, frozen=True):
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -115,6 +115,8 @@
     report_every_s: Seconds = 1.0
     #: Seconds between two signs of life while the upstream is quiet.
     beat_s: Seconds = 0.5
+    #: Seconds without an answer to a probe after which it counts as down.
+    silent_after_s: Seconds = 6.0
     #: Attempts at once, beyond which the agent refuses.
     max_running: Annotated[int, Field(ge=1)] = 1024
 
--- a/src/snipebend/transport/announcer.py
+++ b/src/snipebend/transport/announcer.py
@@ -21,6 +21,7 @@
 from snipebend.transport.methods import ANNOUNCE
 from snipebend.transport.rpc import RpcClients, RpcServer
 from snipebend.transport.upstream_api import UpstreamRelay
+from snipebend.transport.upstream_probe import UpstreamProbe
 
 if TYPE_CHECKING:
     from snipebend.kernel.registry import Registry
@@ -55,6 +56,7 @@
         self._http = registry.find('http', HttpServer)
         self._grpc = registry.find('grpc', RpcServer)
         self._relay = registry.find('relay', UpstreamRelay)
+        self._probe = registry.find('probe', UpstreamProbe)
         self._load = registry.find('load', LoadReader)
         self._configuration = registry.find(
             'configuration',
@@ -114,6 +116,11 @@
         except TimeoutError:
             return
 
+    def _present_phase(self) -> Phase:
+        if self._phase is Phase.SERVING and self._probe.is_down():
+            return Phase.DOWN
+        return self._phase
+
     def _compose(self) -> Announcement:
         return Announcement(
             upstream=self._cfg.process.name,
@@ -123,7 +130,7 @@
             grpc_address=self._cfg.listen.public_grpc or self._grpc.address,
             incarnation=self._relay.incarnation,
             sequence=self._sequence,
-            phase=self._phase,
+            phase=self._present_phase(),
             running=self._relay.running,
             revision=self._configuration.revision,
             kv_use=self._load.kv_use,
--- a/src/snipebend/transport/engine_call.py
+++ b/src/snipebend/transport/engine_call.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING, NamedTuple
 
-from aiohttp import ClientConnectorError, ClientError, ConnectionTimeoutError
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ConnectionTimeoutError,
+    ServerTimeoutError,
+)
 
 from snipebend.transport.completion_body import COMPLETION_PATHS
 from snipebend.transport.events import (
@@ -37,7 +42,8 @@
 class EngineCall(NamedTuple):
     """An admitted attempt; a sign of life goes out every ``beat_s``.
 
-    The upstream is cut off once ``asker`` is gone, which cancels its work.
+    The upstream is cut off once ``asker`` is gone, which cancels its work. The
+    attempt breaks while ``is_down()`` tells that the upstream is silent.
     """
 
     client: HttpClient
@@ -45,6 +51,7 @@
     ticket: AttemptTicket
     beat_s: float
     asker: Connection
+    is_down: Callable[[], bool]
 
     async def frames(self) -> AsyncIterator[list[Frame]]:
         """Yield the answer as lists of frames; the last is End or Broken."""
@@ -84,6 +91,7 @@
         while not sending.done():
             await asyncio.wait((sending,), timeout=self.beat_s)
             if not sending.done():
+                self._check_upstream()
                 yield [Beat()]
         if sending.cancelled():
             yield [Broken(self.ticket.attempt, 'the asker is gone')]
@@ -94,6 +102,11 @@
         async for frames in self._body(response):
             yield frames
 
+    def _check_upstream(self) -> None:
+        """Give up on an upstream that is quiet because it is frozen."""
+        if self.is_down():
+            raise ServerTimeoutError(f'{self.outgoing.peer} is silent')
+
     def _head(self, response: ClientResponse) -> Head:
         kept = end_to_end(response.headers)
         headers = tuple((str(name), text) for name, text in kept.items())
@@ -108,6 +121,7 @@
             try:
                 received = await read_some(response, self.beat_s)
             except TimeoutError:
+                self._check_upstream()
                 yield [Beat()]
                 continue
             if not received:
--- a/src/snipebend/transport/upstream_api.py
+++ b/src/snipebend/transport/upstream_api.py
@@ -15,16 +15,12 @@
 from snipebend.delivery.messages import AttemptTicket, SealReply, SealRequest
 from snipebend.kernel.service import Service
 from snipebend.transport.asgi import (
-    BODY_KEY,
-    CONNECTION_KEY,
-    Connection,
     build_sink_app,
     largest_body,
 )
 from snipebend.transport.crash_witness import CrashWitness
-from snipebend.transport.engine_call import EngineCall
+from snipebend.transport.engine_calls import find_engine_calls
 from snipebend.transport.followers import ConfigurationFollower
-from snipebend.transport.forward import HttpClient, Outgoing, end_to_end
 from snipebend.transport.frames import (
     MEDIA_FRAMES,
     Accepted,
@@ -52,8 +48,6 @@
     from snipebend.settings.model import AgentSettings
     from snipebend.transport.http_server import HttpServer
 
-#: The upstream's header for the first chunk that is wanted.
-RESUME_HEADER = 'x-resume-from'
 
 #: Answers up to this many bytes are kept before a configuration is known.
 _ANSWER_BYTES = 262_144
@@ -95,8 +89,8 @@
     async def start(self, registry: Registry) -> None:
         """Begin a new life, which knows of no attempts."""
         self._clock = registry.clock
-        self._client = registry.find('client', HttpClient)
         self._witness = registry.find('witness', CrashWitness)
+        self._calls = find_engine_calls(registry, self._cfg.upstream)
         self._configuration = registry.find(
             'configuration',
             ConfigurationFollower,
@@ -157,7 +151,7 @@
         self._witness.begin(ticket, fingerprint)
         try:
             yield encode_frame(Accepted(ticket.request_id, ticket.attempt))
-            async for frames in self._call(req, ticket).frames():
+            async for frames in self._calls.build(req, ticket).frames():
                 keeper.note(frames)
                 if keeper.ending is Ending.UNSENT:
                     break
@@ -171,27 +165,6 @@
         if refused is not None:
             yield encode_frame(Declined(ticket.attempt, refused.reason))
 
-    def _call(self, req: Request, ticket: AttemptTicket) -> EngineCall:
-        headers = end_to_end(req.headers)
-        if ticket.resume_from:
-            headers[RESUME_HEADER] = str(ticket.resume_from)
-        outgoing = Outgoing(
-            req.method,
-            self._cfg.upstream.address,
-            req.relative_uri,
-            headers,
-            req.scope[BODY_KEY],
-        )
-        asker = req.scope[CONNECTION_KEY]
-        return EngineCall(
-            self._client,
-            outgoing,
-            ticket,
-            self._cfg.upstream.beat_s,
-            # Kept answers are made to their end, whoever still waits.
-            Connection() if ticket.keep_answer else asker,
-        )
-
     def _begin(self) -> None:
         self.running += 1
         self._idle.clear()
--- /dev/null
+++ b/src/snipebend/transport/upstream_probe.py
@@ -0,0 +1,85 @@
+"""The agent's probe of its upstream: a small request again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientConnectorError, ClientError
+from loguru import logger
+
+from snipebend.kernel.service import Service
+from snipebend.membership.upstream_health import UpstreamHealth
+from snipebend.transport.forward import HttpClient, Outgoing
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from snipebend.kernel.registry import Registry
+    from snipebend.settings.model import UpstreamSection
+
+#: What is asked; any answer, also "not found", shows that the upstream lives.
+PROBE_PATH = '/healthz'
+
+#: Seconds between two probes.
+PROBE_EVERY_S = 0.5
+
+#: Seconds for one probe.
+PROBE_TIMEOUT_S = 1.0
+
+
+class UpstreamProbe(Service):
+    """Knows whether the upstream answers."""
+
+    def __init__(self, name: str, cfg: UpstreamSection) -> None:
+        """Keep where the upstream listens."""
+        super().__init__(name)
+        self._cfg = cfg
+
+    async def start(self, registry: Registry) -> None:
+        """Begin to probe."""
+        self._clock = registry.clock
+        self._client = registry.find('client', HttpClient)
+        self._health = UpstreamHealth(
+            self._cfg.silent_after_s,
+            self._clock.now(),
+        )
+        self._was_down = False
+        registry.tasks.start('probe-upstream', self._probe_for_ever)
+
+    def is_down(self) -> bool:
+        """Tell whether the upstream has been silent for too long."""
+        return self._health.is_down(self._clock.now())
+
+    def dump(self) -> Mapping[str, object]:
+        """Return whether the upstream is down."""
+        return {'down': self.is_down()}
+
+    async def _probe_for_ever(self) -> None:
+        while True:
+            await self._probe()
+            self._log_change()
+            await asyncio.sleep(PROBE_EVERY_S)
+
+    async def _probe(self) -> None:
+        peer = self._cfg.address
+        outgoing = Outgoing('GET', peer, PROBE_PATH, {}, b'')
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                async with self._client.send(outgoing):
+                    self._health.answered(self._clock.now())
+        except ClientConnectorError:
+            self._health.refused(self._clock.now())
+        except (ClientError, OSError, TimeoutError):
+            # The connection may be the silent one: the next probe is new.
+            await self._client.retire(peer)
+
+    def _log_change(self) -> None:
+        is_down = self.is_down()
+        if is_down is not self._was_down:
+            self._was_down = is_down
+            logger.warning(
+                'event=upstream_health peer={} down={}',
+                self._cfg.address,
+                is_down,
+            )
--- a/src/snipebend/transport/upstream_views.py
+++ b/src/snipebend/transport/upstream_views.py
@@ -93,7 +93,7 @@
         announcement = seen.announcement
         left = self._left.get(announcement.upstream)
         is_leaving = (
-            announcement.phase is Phase.LEAVING
+            announcement.phase is not Phase.SERVING
             or left == announcement.incarnation
             or announcement.upstream in self._down_until
         )
--- a/tests/daemons/test_requests_under_faults.py
+++ b/tests/daemons/test_requests_under_faults.py
@@ -173,6 +173,22 @@
             self.assertEqual(told.texts, expected('a'))
             self.assertTrue(told.complete)
 
+    async def test_frozen_engine_is_left_for_another(self) -> None:
+        async with Loopback() as path:
+            engines, _, entries = await _serving(path, _engine, 1)
+            entry = entries[0]
+            begun = asyncio.Event()
+            telling = asyncio.create_task(stream(path, entry, 'a', begun))
+            await begun.wait()
+            for engine in engines:
+                if (await path.executions(engine))['running']:
+                    engine.send(signal.SIGSTOP)
+            told = await telling
+            self.assertEqual(told.texts, expected('a'))
+            self.assertTrue(told.complete)
+            later = await stream(path, entry, 'b')
+            self.assertEqual(later.texts, expected('b'))
+
 
 class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
     async def test_agent_killed_during_the_call(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -114,7 +114,7 @@
             policy,
             upstream.addresses['http'],
         )
-        toml = self._with_grace(f'{toml}beat_s = 0.1\n')
+        toml = self._with_grace(f'{toml}beat_s = 0.1\nsilent_after_s = 1.5\n')
         if proxy is not None:
             public = f'[listen]\npublic_http = "{proxy.address}"'
             toml = toml.replace('[listen]', public)
--- a/tests/transport/test_engine_call.py
+++ b/tests/transport/test_engine_call.py
@@ -110,7 +110,7 @@
     client = HttpClient('client')
     ticket = AttemptTicket('r', 1, 1, 0, resume_from=7)
     outgoing = Outgoing('POST', peer, path, {}, b'')
-    call = EngineCall(client, outgoing, ticket, 0.02, asker)
+    call = EngineCall(client, outgoing, ticket, 0.02, asker, bool)
     try:
         return [one async for frames in call.frames() for one in frames]
     finally:
