Run a suspect on one upstream at a time, whichever entries it comes by

Cause: a request suspected of killing upstreams was kept alone by each entry for itself only. Two entries sent it to the same upstream at once; it died with two attempts on it, so that neither counted as alone and nothing was ever quarantined. Nor did the agent keep others' work off it: the choice's mark `alone` went nowhere.

Now the entry takes a committed fence `suspect:<fingerprint>` before the attempt, for the request's whole time, and refuses at once where another holds it (not-run, Retry-After to the lease's end). It is given back after a served or a refused attempt; after a death or an attempt in doubt it runs out. The ticket carries `alone`, and the guard admits such an attempt only where nothing runs and nothing beside it. After a death its holder waits for the shared count and heeds its quarantine before the next attempt. A suspect served alone is cleared in the shared list, also where this entry hadn't read its death yet. The fence book forgets ended leases of suspects.

--- a/src/snipebend/daemons/entry.py
+++ b/src/snipebend/daemons/entry.py
@@ -22,6 +22,7 @@
 from snipebend.transport.routing_desk import RoutingDesk
 from snipebend.transport.rpc import RpcClients
 from snipebend.transport.suspect_follower import SuspectFollower
+from snipebend.transport.suspect_leases import SuspectLeases
 
 
 def build_entry(cfg: EntrySettings) -> Process:
@@ -36,6 +37,7 @@
         ConfigurationFollower('configuration', name, control, clients),
         DirectoryFollower('directory', name, control, clients),
         ControlCalls('control-calls', control, clients),
+        SuspectLeases('suspect-leases'),
         RoutingDesk('routing', cfg),
         SuspectFollower('suspects', name),
         Dispatcher('dispatch', cfg),
--- a/src/snipebend/delivery/facts.py
+++ b/src/snipebend/delivery/facts.py
@@ -29,9 +29,13 @@
 
 
 class Target(NamedTuple):
-    """One life of an upstream's agent, with its two addresses."""
+    """One life of an upstream's agent, with its two addresses.
+
+    ``alone`` asks the agent to run nothing else beside the attempt.
+    """
 
     upstream: str
     incarnation: int
     http_address: str
     grpc_address: str
+    alone: bool = False
--- a/src/snipebend/delivery/guard.py
+++ b/src/snipebend/delivery/guard.py
@@ -11,6 +11,9 @@
 Work that may be repeated is remembered apart: a flood of it can't take the
 room of the rest, and it is admitted even where there is no room.
 
+A suspect of killing upstreams is marked ``alone``. It starts only where nothing
+runs, and nothing starts beside it, whichever entries the attempts come from.
+
 What it relies on: an agent's incarnation grows with each start, so that no
 memory need survive a restart; and a sender sends each attempt once, so that
 a refusal answers the only delivery. Copies that arrive later find the record.
@@ -90,6 +93,7 @@
         self.leaving = False
         self._limits = limits
         self._now = float('-inf')
+        self._alone: AttemptId | None = None
         # By ``keep_answer``: work that may not be repeated is under ``True``.
         self._books = {
             keep_answer: AttemptRecords(
@@ -122,6 +126,8 @@
             self._limits.retention_s,
         )
         book.add(_id_of(ticket), record)
+        if ticket.alone:
+            self._alone = _id_of(ticket)
         return Admitted()
 
     def finish(
@@ -169,6 +175,8 @@
         phase: AttemptPhase,
         answer: StoredAnswer | None = None,
     ) -> None:
+        if attempt_id == self._alone:
+            self._alone = None
         for book in self._books.values():
             book.end(attempt_id, phase, self._now, answer)
 
@@ -219,6 +227,8 @@
             return RefusalReason.LEAVING
         if self.running >= self._limits.max_running:
             return RefusalReason.FULL
+        if self._alone or (ticket.alone and self.running):
+            return RefusalReason.NOT_ALONE
         return None
 
     def _seal_unseen(self, request: SealRequest) -> SealVerdict:
--- a/src/snipebend/delivery/messages.py
+++ b/src/snipebend/delivery/messages.py
@@ -25,6 +25,8 @@
     SEALED = 'sealed'
     #: A later attempt of the same request is known here.
     STALE_ATTEMPT = 'stale-attempt'
+    #: It or what runs here must run alone.
+    NOT_ALONE = 'not-alone'
     #: The upstream can't be reached; nothing was sent to it.
     UPSTREAM_DOWN = 'upstream-down'
     #: The attempt was started before, or may have been: no proof.
@@ -45,7 +47,8 @@
     start it after ``deadline_at``. ``keep_answer`` is set for work that may
     not be repeated: the agent runs it to its end, whatever becomes of the
     connection, and keeps the answer. ``resume_from`` is the number of the
-    first chunk that is wanted.
+    first chunk that is wanted. ``alone`` is set for a request suspected of
+    killing upstreams: nothing else may run beside it.
     """
 
     request_id: str
@@ -54,6 +57,7 @@
     deadline_at: float
     keep_answer: bool = False
     resume_from: int = 0
+    alone: bool = False
 
 
 class SealRequest(Struct, frozen=True):
--- a/src/snipebend/delivery/transitions.py
+++ b/src/snipebend/delivery/transitions.py
@@ -68,6 +68,7 @@
         deadline_at=life.facts.deadline_at,
         keep_answer=not life.facts.repeatable,
         resume_from=life.answer.chunks.next_seq,
+        alone=target.alone,
     )
     return [SendAttempt(target, ticket)]
 
--- a/src/snipebend/routing/quarantine.py
+++ b/src/snipebend/routing/quarantine.py
@@ -119,6 +119,10 @@
             return False
         return shared.deaths > self._cleared.get(fingerprint, 0)
 
+    def deaths_of(self, fingerprint: str) -> int:
+        """Return the deaths in the shared list."""
+        return _deaths(self._shared.get(fingerprint))
+
     def blocked_until(self, fingerprint: str, now: float) -> float | None:
         """Return the end of a quarantine that holds now."""
         shared = self._shared.get(fingerprint)
--- a/src/snipebend/routing/router.py
+++ b/src/snipebend/routing/router.py
@@ -63,7 +63,8 @@
 class Router:
     """Admission and choice of the upstream, for one entry.
 
-    Engines' cache events go to ``prefixes`` directly.
+    Engines' cache events go to ``prefixes`` directly; ``quarantine`` answers
+    questions about suspects.
     """
 
     def __init__(self, cfg: RouterSettings) -> None:
@@ -72,6 +73,7 @@
         self._entries = cfg.entries
         self._admission = AdmissionController(cfg.data_center, cfg.entries)
         self._chooser = Chooser(cfg.rules, self.prefixes)
+        self.quarantine = self._chooser.quarantine
         self._budget = RetryBudget(0)
         self._attempts = AttemptBook()
 
@@ -97,11 +99,11 @@
 
     def update_suspects(self, suspects: Iterable[SuspectView]) -> None:
         """Replace the suspects that the control daemons share."""
-        self._chooser.quarantine.update(suspects)
+        self.quarantine.update(suspects)
 
     def admit(self, req: RoutingRequest, now: float, rng: Random) -> Admission:
         """Let a request in, queue it, or refuse it at once."""
-        until = self._chooser.quarantine.blocked_until(req.fingerprint, now)
+        until = self.quarantine.blocked_until(req.fingerprint, now)
         if until is not None:
             return Refused(RefusalReason.QUARANTINED, until - now)
         admission = self._admission.admit(req, now, rng)
@@ -143,7 +145,7 @@
     ) -> None:
         """Count a served attempt; latency is the time to the first token."""
         state = self._attempts.close(ticket.number, upstream, now)
-        self._chooser.quarantine.clear(ticket.req.fingerprint)
+        self.quarantine.clear(ticket.req.fingerprint)
         pool = self._admission.pool_of_ticket(ticket)
         if state is None or pool is None:
             return
@@ -161,7 +163,7 @@
         """Count an attempt that ended otherwise."""
         state = self._attempts.close(ticket.number, upstream, now)
         if outcome is AttemptOutcome.CRASHED:
-            self._chooser.quarantine.accuse((ticket.req.fingerprint,))
+            self.quarantine.accuse((ticket.req.fingerprint,))
         pool = self._admission.pool_of_ticket(ticket)
         if state is not None and pool is not None:
             pool.candidates.note_failure(state, outcome, now)
@@ -169,7 +171,7 @@
     def close(self, ticket: Ticket, now: float) -> None:
         """Forget a ticket; safe to call twice."""
         self._attempts.close_all(ticket.number, now)
-        self._chooser.quarantine.release(ticket.number)
+        self.quarantine.release(ticket.number)
         self._admission.close(ticket, now)
 
     def ask_retry(self, now: float) -> bool:
@@ -191,4 +193,4 @@
             counts[f'admitted.{pool.key}'] = pool.gate.admitted
             counts[f'slots.{pool.key}'] = pool.gate.slots
             upstreams.update(pool.candidates.describe())
-        return RouterDump(counts, upstreams, self._chooser.quarantine.suspects)
+        return RouterDump(counts, upstreams, self.quarantine.suspects)
--- a/src/snipebend/state/fence_book.py
+++ b/src/snipebend/state/fence_book.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 from msgspec import Struct
+from msgspec.structs import replace
 
-from snipebend.state.fences import FenceReply, FenceRequest
+from snipebend.state.fences import (
+    SUSPECT_PREFIX,
+    FenceReply,
+    FenceRequest,
+)
 
 
 class FenceBook(Struct):
@@ -20,6 +25,10 @@
         gets a new one at once, but its former life's orders may still be on
         their way: ``not_before`` tells until when.
         """
+        if req.releases:
+            return self._release(req, now)
+        if req.group.startswith(SUSPECT_PREFIX):
+            self._forget_suspects(now)
         standing = self.read(req.group)
         if _is_renewal(req, standing):
             return self._keep(req, standing.fence, standing.not_before)
@@ -34,6 +43,24 @@
             granted=False, fence=0, holder='', lease_until=0
         )
 
+    def _release(self, req: FenceRequest, now: float) -> FenceReply:
+        standing = self.read(req.group)
+        if standing.fence and standing.holder == req.holder:
+            until = min(now, standing.lease_until)
+            standing = replace(standing, lease_until=until)
+            self.fences[req.group] = standing
+        return standing
+
+    def _forget_suspects(self, now: float) -> None:
+        """Drop the ended leases of suspects, whose numbers nobody checks."""
+        ended = [
+            group
+            for group, standing in self.fences.items()
+            if group.startswith(SUSPECT_PREFIX) and standing.lease_until <= now
+        ]
+        for group in ended:
+            self.fences.pop(group)
+
     def _keep(
         self, req: FenceRequest, fence: int, not_before: float
     ) -> FenceReply:
--- a/src/snipebend/state/fences.py
+++ b/src/snipebend/state/fences.py
@@ -4,19 +4,24 @@
 
 from msgspec import Struct
 
+#: Begins the group of a lease under which one suspect request runs.
+SUSPECT_PREFIX = 'suspect:'
+
 
 class FenceRequest(Struct, frozen=True):
     """Ask for a new fence, which makes all earlier ones of the group stale.
 
     ``lease_until`` is wall time in seconds until which the holder may order.
     ``renews`` is the fence that the holder has and wants to keep; 0 asks for
-    a new one.
+    a new one. ``releases`` ends the holder's lease instead, by its name: the
+    number may have been lost with an answer.
     """
 
     group: str
     holder: str
     lease_until: float
     renews: int = 0
+    releases: bool = False
 
 
 class FenceReply(Struct, frozen=True):
--- a/src/snipebend/transport/control_calls.py
+++ b/src/snipebend/transport/control_calls.py
@@ -17,6 +17,7 @@
     REPORT_CRASH,
     SETTLE,
     SUSPECTS,
+    TAKE_FENCE,
 )
 from snipebend.transport.rpc import Method, RpcClients
 
@@ -34,6 +35,7 @@
         SuspectList,
         SuspectQuery,
     )
+    from snipebend.state.fences import FenceReply, FenceRequest
 
 Request = TypeVar('Request')
 Reply = TypeVar('Reply')
@@ -98,6 +100,13 @@
         """Tell that a suspect was served."""
         return await self._ask_any(CLEAR_SUSPECT, req)
 
+    async def take_fence(
+        self,
+        req: FenceRequest,
+    ) -> Result[FenceReply, UnavailableError]:
+        """Take or release a lease; asking twice is the same holder's."""
+        return await self._ask_any(TAKE_FENCE, req)
+
     async def seal(
         self,
         peer: str,
--- a/src/snipebend/transport/delivery_io.py
+++ b/src/snipebend/transport/delivery_io.py
@@ -31,7 +31,12 @@
     SettleAnswered,
     SettleFailed,
 )
-from snipebend.delivery.events import DeadlineReached, Event
+from snipebend.delivery.events import (
+    DeadlineReached,
+    Event,
+    NoUpstream,
+    UpstreamChosen,
+)
 from snipebend.transport.attempt_stream import AttemptStream
 
 if TYPE_CHECKING:
@@ -155,8 +160,8 @@
                 self._routed.finished(attempt)
             case AttemptRefused(attempt=attempt, reason=reason):
                 self._routed.refused(attempt, reason)
-            case AttemptBroke(attempt=attempt):
-                self._routed.broke(attempt)
+            case AttemptBroke(attempt=attempt, sent=sent):
+                self._routed.broke(attempt, was_sent=sent)
 
     def close(self) -> None:
         """End all tasks and timers, and the request in the router."""
@@ -175,7 +180,7 @@
         chosen = self._routed.choose(exclude)
         now = self._shared.clock.now()
         if not chosen.wait or now >= give_up_at:
-            self._inbox.post(chosen.event)
+            self._post_choice(chosen.event)
             return
         again = asyncio.get_running_loop().call_later(
             CHOOSE_AGAIN_S,
@@ -185,6 +190,16 @@
         )
         self._timers.append(again)
 
+    def _post_choice(self, event: UpstreamChosen | NoUpstream) -> None:
+        if isinstance(event, UpstreamChosen) and event.target.alone:
+            self._ask(self._take_lease(event))
+        else:
+            self._inbox.post(event)
+
+    async def _take_lease(self, event: UpstreamChosen) -> None:
+        refusal = await self._routed.take_lease()
+        self._inbox.post(refusal or event)
+
     def _send(self, action: SendAttempt) -> None:
         self.attempts += 1
         self.peer = action.target.upstream
--- a/src/snipebend/transport/routed_request.py
+++ b/src/snipebend/transport/routed_request.py
@@ -21,11 +21,14 @@
 from snipebend.transport.routing_desk import Chosen, RoutingDesk
 
 if TYPE_CHECKING:
+    from snipebend.delivery.suspect_lease import SuspectLease
     from snipebend.routing.messages import Admitted
 
 
 _NO_TICKET = Ticket(-1, RoutingRequest('', '', ModelTarget(''), 0), 0)
 
+_ELSEWHERE = 'an earlier sending of this request has to end first'
+
 _STATUS = MappingProxyType(
     {
         Reason.RATE: HTTPStatus.TOO_MANY_REQUESTS,
@@ -65,6 +68,8 @@
         self._refused = verdict if isinstance(verdict, Refused) else None
         self._ticket = getattr(verdict, 'ticket', _NO_TICKET)
         self._sent: dict[int, _Sent] = {}
+        self._lease: SuspectLease | None = None
+        self._deaths_before = 0
 
     def choose(
         self,
@@ -83,8 +88,41 @@
             return _refusal(Refused(Reason.QUARANTINED))
         return self._desk.choose(self._ticket, exclude)
 
+    async def take_lease(self) -> NoUpstream | None:
+        """Make sure that a suspect runs nowhere else, or return a refusal.
+
+        A death of the last attempt has to be counted before the next one, so
+        that its quarantine is heeded, whoever saw the deaths before.
+        """
+        leases = self._desk.leases
+        req = self._ticket.req
+        if self._lease is None:
+            self._lease = leases.open(req.fingerprint, req.deadline_at)
+        wait_s = await leases.take(self._lease)
+        if not wait_s and self._lease.has_killed:
+            wait_s = await self._wait_for_count(self._lease)
+        if wait_s:
+            return NoUpstream(wait_s, detail=_ELSEWHERE)
+        quarantine = self._desk.router.quarantine
+        now = self._clock.now()
+        until = quarantine.blocked_until(req.fingerprint, now)
+        if until is not None:
+            return _no_upstream(Refused(Reason.QUARANTINED, until - now))
+        self._deaths_before = quarantine.deaths_of(req.fingerprint)
+        return None
+
+    async def _wait_for_count(self, lease: SuspectLease) -> float:
+        """Return the seconds to wait where the death isn't counted yet."""
+        known = self._deaths_before
+        if await self._desk.await_death(lease.fingerprint, known):
+            return 0
+        return lease.expires_at - self._clock.wall()
+
     def close(self) -> None:
         """Forget the request."""
+        if self._lease is not None:
+            self._desk.leases.close(self._lease)
+            self._lease = None
         if self._refused is None:
             self._desk.close(self._ticket)
 
@@ -92,6 +130,8 @@
         """Count an attempt as handed over."""
         self._sent[attempt] = _Sent(upstream, self._clock.now())
         self._desk.router.started(self._ticket, upstream, self._clock.now())
+        if self._lease is not None:
+            self._lease.note_start()
 
     def first_chunk(self, attempt: int) -> None:
         """Note the time to the first chunk."""
@@ -110,19 +150,28 @@
                 sent.latency_s or 0,
                 self._clock.now(),
             )
-            self._desk.on_served(self._ticket.req.fingerprint)
+            fingerprint = self._ticket.req.fingerprint
+            self._desk.deaths.clear(fingerprint)
+            self._desk.on_served(fingerprint, self._lease is not None)
+        if self._lease is not None:
+            self._lease.note_served()
 
     def refused(self, attempt: int, reason: RefusalReason) -> None:
         """Report an attempt that the agent didn't start."""
         sent = self._sent.pop(attempt, None)
         if sent is None:
             return
+        if self._lease is not None and reason.proves_not_run:
+            self._lease.note_end()
         if reason is RefusalReason.LEAVING:
             self._desk.note_leaving(sent.upstream)
         is_down = reason is RefusalReason.UPSTREAM_DOWN
         if is_down:
             self._desk.note_down(sent.upstream)
         outcome = AttemptOutcome.FAILED if is_down else AttemptOutcome.REFUSED
+        if reason is RefusalReason.NOT_ALONE:
+            # No sign of overload: the upstream's limit stays.
+            outcome = AttemptOutcome.CANCELLED
         self._failed(sent.upstream, outcome)
 
     def died(self, attempt: int, alone: bool) -> None:
@@ -133,10 +182,14 @@
             self._desk.deaths.note(fingerprint, alone, self._clock.now())
             sent.broken = AttemptOutcome.CRASHED
             self._desk.note_down(sent.upstream)
+            if self._lease is not None:
+                self._lease.note_death()
 
-    def broke(self, attempt: int) -> None:
+    def broke(self, attempt: int, *, was_sent: bool) -> None:
         """Report an attempt that broke off."""
         sent = self._sent.pop(attempt, None)
+        if self._lease is not None and not was_sent:
+            self._lease.note_end()
         if sent is not None:
             self._failed(sent.upstream, sent.broken)
 
@@ -146,9 +199,12 @@
 
 
 def _refusal(refused: Refused) -> Chosen:
-    no_upstream = NoUpstream(
+    return Chosen(_no_upstream(refused))
+
+
+def _no_upstream(refused: Refused) -> NoUpstream:
+    return NoUpstream(
         refused.retry_after_s,
         _STATUS.get(refused.reason, HTTPStatus.SERVICE_UNAVAILABLE),
         f'refused: {refused.reason.value}',
     )
-    return Chosen(no_upstream)
--- a/src/snipebend/transport/routing_desk.py
+++ b/src/snipebend/transport/routing_desk.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +19,7 @@
 from snipebend.transport.death_tally import DeathTally
 from snipebend.transport.directory_follower import DirectoryFollower
 from snipebend.transport.followers import ConfigurationFollower
+from snipebend.transport.suspect_leases import SuspectLeases
 from snipebend.transport.upstream_views import UpstreamViews
 from snipebend.transport.waiting_room import GONE, Verdict, WaitingRoom
 
@@ -58,12 +59,16 @@
         self._known = (-1, -1)
         self._room = WaitingRoom()
         self.deaths = DeathTally()
-        #: Called with the fingerprint of each request that was served.
-        self.on_served: Callable[[str], None] = self.deaths.clear
+        #: Called with the fingerprint of each request that was served, and
+        #: whether it ran alone under a lease.
+        self.on_served: Callable[[str, bool], None] = _ignore
+        #: Waits until more deaths than these are shared; tells whether it did.
+        self.await_death: Callable[[str, int], Awaitable[bool]] = _no_news
 
     async def start(self, registry: Registry) -> None:
         """Find the directory and the configuration, and begin to tick."""
         self.clock = registry.clock
+        self.leases = registry.find('suspect-leases', SuspectLeases)
         self._directory = registry.find('directory', DirectoryFollower)
         self._configuration = registry.find(
             'configuration',
@@ -106,6 +111,7 @@
         target = self._views.target(selection.upstream)
         if target is None:
             return Chosen(NoUpstream(RETRY_AFTER_S))
+        target = target._replace(alone=selection.alone)
         return Chosen(UpstreamChosen(target))
 
     def death_limit(self) -> int:
@@ -159,3 +165,12 @@
 
     def _show_upstreams(self) -> None:
         self.router.update_upstreams(self._views.views(), self.clock.now())
+
+
+def _ignore(fingerprint: str, alone: bool) -> None:
+    """Do without the shared list."""
+
+
+async def _no_news(fingerprint: str, known: int) -> bool:
+    """Do without the shared list."""
+    return False
--- a/tests/delivery/test_guard.py
+++ b/tests/delivery/test_guard.py
@@ -25,9 +25,10 @@
     incarnation: int = 7,
     *,
     keep_answer: bool = True,
+    alone: bool = False,
 ) -> AttemptTicket:
     return AttemptTicket(
-        request_id, attempt, incarnation, deadline_at, keep_answer
+        request_id, attempt, incarnation, deadline_at, keep_answer, alone=alone
     )
 
 
@@ -67,6 +68,34 @@
         self.assert_refused(_ticket('c'), RefusalReason.SEALED)
         self.assertEqual(self.guard.running, 1)
 
+    def test_a_suspect_runs_alone(self) -> None:
+        # Of the two books, each counts for the other.
+        self.guard.admit(_ticket('a', keep_answer=False), 0)
+        early = _ticket('bad', alone=True)
+        self.assert_refused(early, RefusalReason.NOT_ALONE)
+        self.guard.finish('a', 1, None)
+        self.assert_refused(early, RefusalReason.SEALED)
+        second = _ticket('bad', attempt=2, alone=True)
+        self.assertEqual(self.guard.admit(second, 0), Admitted())
+        for beside in (_ticket('c'), _ticket('worse', alone=True)):
+            self.assert_refused(beside, RefusalReason.NOT_ALONE)
+        self.assertTrue(RefusalReason.NOT_ALONE.proves_not_run)
+        seal = self.guard.seal(_seal('c'), 0)
+        self.assertIs(seal.verdict, SealVerdict.NOT_RUN)
+
+    def test_any_end_of_a_suspect_lets_others_in(self) -> None:
+        for number, end in enumerate((self.guard.fail, self.guard.withdraw)):
+            name = f'bad {number}'
+            self.guard.admit(_ticket(name, alone=True), 0)
+            # The end of another attempt doesn't end its being alone.
+            end('stranger', 1)
+            beside = _ticket(f'early {number}')
+            self.assert_refused(beside, RefusalReason.NOT_ALONE)
+            end(name, 1)
+            good = f'good {number}'
+            self.assertEqual(self.guard.admit(_ticket(good), 0), Admitted())
+            self.guard.finish(good, 1, None)
+
     def test_leaving_still_answers_seals(self) -> None:
         self.guard.admit(_ticket('a'), 0)
         self.guard.leave()
