Share the limits among the entries that follow the directory

Cause: each entry applied a workspace's whole limits, since nobody told it how many entries there are. A difference of the directory now carries the count of open feeds of confirmations, and the router takes it over when it changes.

--- a/src/snipebend/console/apply.py
+++ b/src/snipebend/console/apply.py
@@ -81,40 +81,50 @@
 def _finish(args: Namespace, reply: ApplyReply) -> int:
     """Wait if asked to, then report."""
     if args.wait is None or reply.outcome is not ApplyOutcome.ACCEPTED:
-        return _report(args, reply)
+        return report(args, reply)
     deadline = time.monotonic() + args.wait
     addresses = find_control(args).unwrap()
     found = asyncio.run(wait_in_force(addresses, reply.revision, deadline))
-    code = _report(args, reply, found)
+    code = report(args, reply, found)
     return code if found.everywhere else ExitCode.FAILED
 
 
-def _report(
+def report(
     args: Namespace, reply: ApplyReply, found: InForce | None = None
 ) -> int:
+    """Print an answer and return the exit code for it."""
     if args.json:
         _print_document(reply, found)
     else:
-        print_line(f'{reply.outcome.value}: revision {reply.revision}')
-        if found is not None:
-            _print_in_force(found)
-    if reply.message:
-        print_line(reply.message)
+        _print_text(reply, found)
     match reply.outcome:
         case ApplyOutcome.ACCEPTED:
             return ExitCode.DONE
         case ApplyOutcome.CONFLICT:
-            print_line(f'# the winner, in force now:\n{reply.text}')
             return ExitCode.CONFLICT
         case ApplyOutcome.INVALID:
             return ExitCode.BAD_INPUT
 
 
+def _print_text(reply: ApplyReply, found: InForce | None) -> None:
+    print_line(f'{reply.outcome.value}: revision {reply.revision}')
+    if found is not None:
+        _print_in_force(found)
+    if reply.message:
+        print_line(reply.message)
+    if reply.text:
+        print_line(f'# the winner, in force now:\n{reply.text}')
+
+
 def _print_document(reply: ApplyReply, found: InForce | None) -> None:
     document: dict[str, object] = {
         'outcome': reply.outcome.value,
         'revision': reply.revision,
     }
+    if reply.message:
+        document['message'] = reply.message
+    if reply.text:
+        document['winner'] = reply.text
     if found is not None:
         document['in_force_everywhere'] = found.everywhere
         document['not_confirmed'] = found.behind
--- a/src/snipebend/membership/directory_delta.py
+++ b/src/snipebend/membership/directory_delta.py
@@ -52,6 +52,8 @@
     left: tuple[int, ...] = ()
     loads: tuple[LoadChange, ...] = ()
     kv_uses: tuple[KvChange, ...] = ()
+    #: How many entries follow the directory: they share the limits.
+    entries: int = 0
 
     def is_empty(self) -> bool:
         """Tell whether it changes nothing."""
@@ -150,6 +152,7 @@
     def __init__(self) -> None:
         """Begin empty."""
         self.revision = 0
+        self.entries = 1
         self._by_number: dict[int, Announcement] = {}
 
     def apply(self, delta: DirectoryDelta) -> None:
@@ -165,6 +168,7 @@
         for use in delta.kv_uses:
             self._take_kv_use(use)
         self.revision = delta.revision
+        self.entries = max(1, delta.entries)
 
     def upstreams(self) -> tuple[Announcement, ...]:
         """Return the upstreams with their last known loads."""
--- a/src/snipebend/routing/controller.py
+++ b/src/snipebend/routing/controller.py
@@ -57,6 +57,8 @@
 
     def update_entries(self, entries: int) -> None:
         """Take over the number of entries that share the limits."""
+        if entries == self._entries:
+            return
         self._entries = max(1, entries)
         self.limits.update(self._workspaces, self._entries)
 
--- a/src/snipebend/transport/directory_api.py
+++ b/src/snipebend/transport/directory_api.py
@@ -7,6 +7,8 @@
 from collections.abc import AsyncIterator, Mapping
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from snipebend.kernel.service import Service
 from snipebend.membership.directory import UpstreamDirectory
 from snipebend.membership.directory_delta import DirectoryDelta, WatcherView
@@ -121,7 +123,7 @@
         while not self._stopping:
             delta = view.advance(self._shown(subset), self._keeper.revision)
             if is_due or not delta.is_empty():
-                yield delta
+                yield replace(delta, entries=len(self._entries))
             is_due = not await self._wait_for_change()
 
     def dump(self) -> Mapping[str, object]:
--- a/src/snipebend/transport/directory_follower.py
+++ b/src/snipebend/transport/directory_follower.py
@@ -68,6 +68,10 @@
                 partial(self._confirm_to, peer),
             )
 
+    def entries(self) -> int:
+        """Return how many entries share the limits of the fleet file."""
+        return self._copy.entries
+
     def upstreams(self) -> tuple[Announcement, ...]:
         """Return the upstreams known right now."""
         return self._copy.upstreams()
--- a/src/snipebend/transport/routing_desk.py
+++ b/src/snipebend/transport/routing_desk.py
@@ -160,6 +160,7 @@
         if news[0] != self._known[0]:
             self.router.update_fleet(index)
         self._known = news
+        self.router.update_entries(self._directory.entries())
         self._views.update(
             self._directory.upstreams(), self._directory.heard_at
         )
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -4,13 +4,17 @@
 
 import contextlib
 import io
+import json
 import socket
 import tempfile
 import unittest
+from argparse import Namespace
 from pathlib import Path
 
 from snipebend.console.application import main
+from snipebend.console.apply import report
 from snipebend.console.demo_fleet import FLEET
+from snipebend.state.messages import ApplyOutcome, ApplyReply
 from snipebend.fleet.lease import MIN_CONFIG_LEASE_S
 
 _COMMANDS = ('check', 'apply', 'show', 'status', 'dump', 'demo')
@@ -87,3 +91,17 @@
         code, _, err = _run('check', '/nonexistent/fleet.toml')
         self.assertEqual(code, 2)
         self.assertIn('No such file', err)
+
+
+class ApplyReportTest(unittest.TestCase):
+    """What ``apply`` prints of an answer."""
+
+    def test_json_of_a_conflict_is_one_document(self) -> None:
+        reply = ApplyReply(ApplyOutcome.CONFLICT, 7, 'too late', 'name = "x"')
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            code = report(Namespace(json=True), reply)
+        self.assertEqual(code, 3)
+        document = json.loads(out.getvalue())
+        self.assertEqual(document['winner'], 'name = "x"')
+        self.assertEqual(document['revision'], 7)
--- a/tests/transport/test_directory_watch.py
+++ b/tests/transport/test_directory_watch.py
@@ -36,6 +36,7 @@
             self.tasks.append(asyncio.create_task(feed))
         await turn(3)
         self.assertEqual(await self.shown(bound), 125)
+        self.assertEqual(await self.entries(), 128)
         self.assertEqual(await self.shown(whole), UPSTREAMS)
         for task in self.tasks:
             task.cancel()
@@ -43,6 +44,13 @@
                 await task
         self.assertEqual(await self.shown(bound), 256)
 
+    async def entries(self) -> int:
+        """Return how many entries a new watcher is told to share with."""
+        copy = DirectoryCopy()
+        async with aclosing(self.keeper.watch(DirectoryRequest(''))) as watch:
+            copy.apply(await anext(watch))
+        return copy.entries
+
     async def test_change_reaches_an_open_watch(self) -> None:
         copy = DirectoryCopy()
         watch = self.keeper.watch(DirectoryRequest('e-1', max_upstreams=20))
