--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,8 @@
 import tomllib
 from pathlib import Path
 
-from bench.capacity_model import Line, Slopes, lines_of
+from bench.capacity_line import Line, Slopes
+from bench.capacity_model import lines_of
 from bench.capacity_target import (
     ASSUMPTIONS,
     NOT_WORKED_OUT,
