Let the slow reader's engine answer the agent's own questions

Cause: the test's engine sent its 100 MiB to whoever asked, and counted all of it as the caller's answer. The engine now gives an empty answer to anything but the caller's POST; what is asserted of the caller's answer, of memory and of headers is unchanged.

--- a/tests/daemons/test_slow_and_gone_callers.py
+++ b/tests/daemons/test_slow_and_gone_callers.py
@@ -25,6 +25,7 @@
     b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
     b'connection: close\r\n\r\n'
 )
+_EMPTY = b'HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n'
 
 
 class _Firehose:
@@ -49,7 +50,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self.head = await reader.readuntil(b'\r\n\r\n')
+        head = await reader.readuntil(b'\r\n\r\n')
+        if not head.startswith(b'POST '):
+            # The agent's own questions aren't part of the caller's answer.
+            writer.write(_EMPTY)
+            writer.close()
+            return
+        self.head = head
         writer.write(_HEAD)
         for _ in range(_EVENTS):
             writer.write(_EVENT)
