Admit an attempt once its answer is read, not before

Cause: the agent admitted an attempt and then made the answer; an answer that nobody began to read, since the entry had gone, kept its slot for ever, and a seal told that it runs. The admission is now the answer's first step, and the running part is closed with the answer. The new test failed before: the seal answered 'running'; it passes now with 'not-run'.

Also: the probe of the upstream ends before the client's pools close; it had opened a new one during the stop.

--- a/src/snipebend/transport/upstream_api.py
+++ b/src/snipebend/transport/upstream_api.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from contextlib import aclosing
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -131,19 +132,31 @@
             write_problem(resp, _NO_TICKET)
             return
         resp.content_type = MEDIA_FRAMES
+        resp.stream = self._answer(req, ticket)
+
+    async def _answer(
+        self,
+        req: Request,
+        ticket: AttemptTicket,
+    ) -> AsyncIterator[bytes]:
+        """Admit the attempt once its answer is read, and run it.
+
+        Not before: an answer that nobody reads would hold its slot for ever.
+        """
         admission = self._guard.admit(ticket, self._clock.wall())
         if isinstance(admission, Refused):
-            declined = Declined(ticket.attempt, admission.reason)
-            resp.data = encode_frame(declined)
             self._log(req, ticket, admission.reason.value)
+            yield encode_frame(Declined(ticket.attempt, admission.reason))
             return
-        resp.stream = self._run(req, ticket)
+        async with aclosing(self._run(req, ticket)) as running:
+            async for frames in running:
+                yield frames
 
     async def _run(
         self,
         req: Request,
         ticket: AttemptTicket,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the frames; whatever happens, the guard learns the end."""
         keeper = AnswerKeeper(self._answer_bytes(ticket))
         fingerprint = req.get_header(FINGERPRINT_HEADER) or ''
--- a/src/snipebend/transport/upstream_probe.py
+++ b/src/snipebend/transport/upstream_probe.py
@@ -45,7 +45,14 @@
             self._clock.now(),
         )
         self._was_down = False
-        registry.tasks.start('probe-upstream', self._probe_for_ever)
+        self._task = registry.tasks.start(
+            'probe-upstream',
+            self._probe_for_ever,
+        )
+
+    async def stop(self) -> None:
+        """End the probes before the client's pools are closed."""
+        self._task.cancel()
 
     def is_down(self) -> bool:
         """Tell whether the upstream has been silent for too long."""
--- /dev/null
+++ b/tests/transport/test_upstream_api.py
@@ -0,0 +1,54 @@
+"""The agent's relay: what its guard is told of attempts."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from falcon.asgi import Response
+from falcon.testing import create_asgi_req
+
+from snipebend.daemons.agent import build_agent
+from snipebend.delivery.messages import (
+    AttemptTicket,
+    SealRequest,
+    SealVerdict,
+)
+from snipebend.settings.model import AgentSettings
+from snipebend.transport.problems import TICKET_HEADER
+from snipebend.transport.upstream_api import UpstreamRelay
+
+_NOBODY = '127.0.0.1:1'
+
+
+class UpstreamRelayTest(unittest.IsolatedAsyncioTestCase):
+    """An attempt counts from the moment at which its answer begins."""
+
+    async def test_an_answer_that_nobody_reads_holds_no_slot(self) -> None:
+        process = build_agent(
+            AgentSettings.model_validate(
+                {
+                    'process': {'name': 'agent', 'data_center': 'dc-1'},
+                    'listen': {'grace_s': 0.0},
+                    'control': {'addresses': [_NOBODY]},
+                    'upstream': {'policy': 'drafting', 'address': _NOBODY},
+                },
+            ),
+        )
+        await process.start()
+        relay = process.registry.find('relay', UpstreamRelay)
+        ticket = AttemptTicket(
+            'r-1',
+            1,
+            relay.incarnation,
+            process.registry.clock.wall() + 60,
+        )
+        header = msgspec.json.encode(ticket).decode()
+        req = create_asgi_req(headers={TICKET_HEADER: header})
+        resp = Response()
+        await relay._serve(req, resp)
+        reply = await relay.seal(
+            SealRequest('r-1', 1, relay.incarnation, ticket.deadline_at),
+        )
+        self.assertIs(reply.verdict, SealVerdict.NOT_RUN)
+        await process.stop()
