Serve callers straight to upstreams on the users' platform, thin path

The users' machines are met by a small folder, platform/, over new parts of the product: a host table, a replicated document and roster, a relay entry.

Ruled out as a cause of the failed first start: the data folder; it was touch() on a file system that grants a change of times without a look at the name, so segments are now created by writing them.

--- a/src/snipebend/consensus/log_file.py
+++ b/src/snipebend/consensus/log_file.py
@@ -132,7 +132,9 @@
         segment = _Segment(self._folder / f'log-{number:08}.seg')
         head = LogWrite(self._hard_state, restart=restart)
         segment.path.unlink(missing_ok=True)
-        segment.path.touch()
+        # Not ``touch``: a file system that grants a change of times without a
+        # look at the name would leave the file unmade.
+        segment.path.write_bytes(b'')
         self._write(segment, head)
         sync_folder(self._folder)
         self._segments.append(segment)
--- /dev/null
+++ b/src/snipebend/daemons/relay_entry.py
@@ -0,0 +1,37 @@
+"""The entry that calls upstreams directly, without an agent beside them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.daemons.running import build_admin, connect_admin
+from snipebend.edge.host_follower import HostFollower, ReadTable
+from snipebend.edge.relay_desk import RelayDesk
+from snipebend.kernel.process import Process
+from snipebend.settings.model import split_address
+from snipebend.transport.http_server import HttpServer
+from snipebend.transport.rpc_clients import RpcClients
+
+if TYPE_CHECKING:
+    from snipebend.relay.facts import Dialect
+    from snipebend.settings.model import RelaySettings
+
+#: Seconds between pings to control daemons, and for their answers.
+PING_S = 0.5
+
+
+def build_relay_entry(
+    cfg: RelaySettings, dialect: Dialect, read_table: ReadTable
+) -> tuple[Process, HttpServer]:
+    """Build the process, and the server that tells whether it is ready."""
+    admin = build_admin(cfg.listen)
+    ready = HttpServer('ready', *split_address(cfg.readiness))
+    clients = RpcClients(PING_S, PING_S)
+    services = [
+        HostFollower('hosts', cfg, clients, read_table),
+        RelayDesk('relay', cfg, dialect),
+        ready,
+        admin,
+    ]
+    process = connect_admin(Process(cfg.process.name, services), admin)
+    return process, ready
--- /dev/null
+++ b/src/snipebend/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and tasks of an entry that calls its upstreams directly."""
--- /dev/null
+++ b/src/snipebend/edge/host_follower.py
@@ -0,0 +1,205 @@
+"""An entry's copy of the document and the roster, told by control daemons.
+
+It watches every control daemon that it knows, so that the death of one delays
+no news. What it has never goes back: numbers and phases only grow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from snipebend.errors.hierarchy import UnavailableError
+from snipebend.hosts.lookup import HostIndex
+from snipebend.kernel.service import Service
+from snipebend.state.host_news import HostWatch
+from snipebend.transport.methods import WATCH_HOSTS
+from snipebend.transport.rpc_clients import RpcClients
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from result import Result
+
+    from snipebend.errors.hierarchy import InvalidInputError
+    from snipebend.hosts.model import HostTable
+    from snipebend.kernel.registry import Registry
+    from snipebend.settings.model import RelaySettings
+    from snipebend.state.host_news import HostNews
+    from snipebend.state.roster import UpstreamRecord
+
+ReadTable = Callable[[bytes], 'Result[HostTable, InvalidInputError]']
+
+#: Seconds without news, sent every half second, after which a watch is opened
+#: anew: with the way back it stays within the 2 s for a change.
+SILENT_S = 1.2
+
+#: Seconds before a lost daemon is tried again.
+RETRY_S = 0.3
+
+#: News confirmed by a quorum within so many seconds is current.
+CONFIRMED_S = 2.0
+
+#: A process that gets news, but none that a quorum confirmed, begins to serve
+#: after so many seconds: serving by what may be an older document is better
+#: than refusing all while control has no quorum.
+UNCONFIRMED_PATIENCE_S = 3.0
+
+
+class HostFollower(Service):
+    """Follows every control daemon and merges what they tell."""
+
+    def __init__(
+        self,
+        name: str,
+        cfg: RelaySettings,
+        clients: RpcClients,
+        read_table: ReadTable,
+    ) -> None:
+        """Keep the seeds; ``read_table`` reads a document."""
+        super().__init__(name)
+        self.index: HostIndex | None = None
+        #: Told of each batch of roster records.
+        self.on_upstreams: Callable[[tuple[UpstreamRecord, ...]], None] | None
+        self.on_upstreams = None
+        #: Gossip addresses of the other entries.
+        self.entries: frozenset[str] = frozenset()
+        self.gossip_address = ''
+        self._process = cfg.process.name
+        self._seeds = frozenset(cfg.control.grpc_addresses)
+        self._clients = clients
+        self._read_table = read_table
+        self._revision = 0
+        self._number = 0
+        self._members: frozenset[str] = frozenset()
+        self._watched: dict[str, asyncio.Task[None]] = {}
+        self._confirmed = False
+        self._first_news_at: float | None = None
+        self.news_at: float = 0
+
+    async def start(self, registry: Registry) -> None:
+        """Watch the seeds."""
+        self._clock = registry.clock
+        self._tasks = registry.tasks
+        self._watch_all()
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        self._clients.close()
+
+    def ready(self) -> bool:
+        """Tell whether there is a document to serve by."""
+        if self.index is None or self._first_news_at is None:
+            return False
+        waited_s = self._clock.now() - self._first_news_at
+        return self._confirmed or waited_s > UNCONFIRMED_PATIENCE_S
+
+    @property
+    def number(self) -> int:
+        """Return the number of the document in force here."""
+        return self._number
+
+    @property
+    def age_s(self) -> float:
+        """Return seconds since the last news of any control daemon."""
+        return self._clock.now() - self.news_at
+
+    def dump(self) -> Mapping[str, object]:
+        """Return what is followed."""
+        return {
+            'number': self._number,
+            'roster_revision': self._revision,
+            'confirmed': self._confirmed,
+            'watched': sorted(self._watched),
+            'entries': sorted(self.entries),
+            'news_age_s': self.age_s,
+        }
+
+    def _watch_all(self) -> None:
+        wanted = self._seeds | self._members
+        for address in wanted - self._watched.keys():
+            self._watched[address] = self._tasks.start(
+                f'watch-{address}', lambda peer=address: self._watch(peer)
+            )
+        for address in self._watched.keys() - wanted:
+            self._watched.pop(address).cancel()
+            self._clients.retire(address)
+
+    async def _watch(self, address: str) -> None:
+        """Follow one daemon for ever."""
+        lost = False
+        while True:
+            try:
+                await self._follow(address)
+            except (UnavailableError, TimeoutError) as exc:
+                self._clients.retire(address)
+                if not lost:
+                    logger.info(
+                        'event=control_lost peer={} reason={!r}',
+                        address,
+                        str(exc) or 'silent',
+                    )
+                lost = True
+            else:
+                lost = False
+            await asyncio.sleep(RETRY_S)
+
+    async def _follow(self, address: str) -> None:
+        req = HostWatch(
+            self._process, self._number, self._revision, self.gossip_address
+        )
+        stream = self._clients.stream(address, WATCH_HOSTS, req)
+        first = True
+        while True:
+            async with asyncio.timeout(SILENT_S):
+                news = await anext(stream, None)
+            if news is None:
+                return
+            if first:
+                logger.info('event=control_found peer={}', address)
+            first = False
+            self._take(news, address)
+
+    def _take(self, news: HostNews, address: str) -> None:
+        now = self._clock.now()
+        self.news_at = now
+        if self._first_news_at is None:
+            self._first_news_at = now
+        if news.document and news.number > self._number:
+            self._take_document(news, address)
+        if news.upstreams and self.on_upstreams is not None:
+            self.on_upstreams(news.upstreams)
+        self._revision = max(self._revision, news.roster_revision)
+        if 0 <= news.confirmed_ago_s <= CONFIRMED_S and news.number:
+            self._note_confirmed()
+        if news.entries:
+            self.entries = frozenset(news.entries) - {self.gossip_address}
+        if news.members and self._members != frozenset(news.members):
+            self._members = frozenset(news.members)
+            self._watch_all()
+
+    def _take_document(self, news: HostNews, address: str) -> None:
+        read = self._read_table(news.document)
+        if read.is_err():
+            logger.error(
+                'event=document_unreadable number={} error={!r}',
+                news.number,
+                str(read.unwrap_err()),
+            )
+            return
+        self.index = HostIndex(read.unwrap())
+        self._number = news.number
+        logger.info(
+            'event=document_in_force number={} routes={} peer={}',
+            news.number,
+            len(self.index.table.routes),
+            address,
+        )
+
+    def _note_confirmed(self) -> None:
+        if not self._confirmed:
+            logger.info('event=document_confirmed number={}', self._number)
+        self._confirmed = True
--- /dev/null
+++ b/src/snipebend/edge/relayed_request.py
@@ -0,0 +1,313 @@
+"""The life of one request that is passed on to upstreams without agents."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING, NamedTuple
+
+from loguru import logger
+
+from snipebend.delivery.outcomes import Outcome
+from snipebend.edge.call import Call, WholeAnswer
+from snipebend.edge.exchange import Begun, Broken, Piece, Whole
+from snipebend.edge.http_headers import end_to_end
+from snipebend.edge.stream_relay import StreamRelay
+from snipebend.errors.hierarchy import UnavailableError
+from snipebend.hosts.model import Kind
+from snipebend.relay import problems
+from snipebend.relay.endings import Chances, Ending, Next, decide, when_over
+from snipebend.relay.facts import UpstreamCall
+from snipebend.transport.problems import Problem
+
+if TYPE_CHECKING:
+    from snipebend.edge.answer_writer import AnswerWriter
+    from snipebend.edge.caller_parser import WholeRequest
+    from snipebend.edge.relay_desk import RelayDesk
+    from snipebend.hosts.model import HostRoute
+    from snipebend.relay.facts import AnswerHead, CallerFacts
+    from snipebend.relay.problems import Refusal
+    from snipebend.relay.upstreams import Upstream
+
+#: Upstreams that one request is offered to at most, while each proves that it
+#: didn't run it: a bound on the time that goes by, not a limit of the route.
+MAX_SENDS = 4
+
+_STATUS_FAILED = 500
+
+
+class Admitted(NamedTuple):
+    """What was decided of a request before its first call."""
+
+    facts: CallerFacts
+    route: HostRoute
+    service: str
+    workspace: str
+    priority: int
+    #: Monotonic seconds.
+    began_at: float
+    deadline: float
+
+
+class Ended(NamedTuple):
+    """How a call ended, and the upstream's failure if it gave a whole one."""
+
+    ending: Ending
+    reason: str
+    answer: WholeAnswer | None = None
+    #: Whether the upstream itself failed, rather than being full.
+    faulty: bool = False
+
+
+class RelayedRequest:
+    """Calls upstreams until the caller has its answer."""
+
+    def __init__(
+        self,
+        desk: RelayDesk,
+        req: WholeRequest,
+        answer: AnswerWriter,
+        admitted: Admitted,
+    ) -> None:
+        """Keep what was decided; nothing is sent yet."""
+        self._desk = desk
+        self._req = req
+        self._answer = answer
+        self._admitted = admitted
+        self._route = admitted.route
+        self._tried: list[str] = []
+        self._runs = 0
+        self._may_have_run = False
+        self._stream = StreamRelay(answer)
+
+    async def run(self) -> None:
+        """Work until the answer has ended, or the time is over."""
+        try:
+            async with asyncio.timeout(
+                self._admitted.deadline - self._desk.now()
+            ):
+                await self._call_until_answered()
+        except TimeoutError:
+            self._time_out()
+
+    async def _call_until_answered(self) -> None:
+        while True:
+            upstream = await self._desk.choose(self._admitted, self._tried)
+            if upstream is None:
+                self._refuse_full()
+                return
+            ended = await self._call(upstream)
+            if ended is None:
+                return
+            if not self._goes_on(ended):
+                return
+
+    async def _call(self, upstream: Upstream) -> Ended | None:
+        """Call one upstream; nothing when the caller has its answer."""
+        self._tried.append(upstream.record.identity)
+        self._desk.begin_call(upstream)
+        call: Call | None = None
+        try:
+            call = await self._open(upstream)
+            ended = await self._exchange(call)
+        except UnavailableError as exc:
+            ended = Ended(Ending.UNSENT, str(exc), faulty=True)
+        finally:
+            self._desk.end_call(upstream)
+            if call is not None:
+                self._give_up(call)
+        self._note(upstream, ended)
+        return ended
+
+    async def _open(self, upstream: Upstream) -> Call:
+        record = upstream.record
+        conn = await self._desk.pool.acquire(
+            record.identity, record.address, fresh=not self._route.idempotent
+        )
+        return Call(self._desk.pool, upstream, conn)
+
+    async def _exchange(self, call: Call) -> Ended | None:
+        self._send(call)
+        message = await call.receive()
+        match message:
+            case Begun(head):
+                return await self._read_answer(call, head)
+            case Broken(reason):
+                return self._unknown(reason)
+            case _:
+                return self._unknown('an answer without a head')
+
+    def _send(self, call: Call) -> None:
+        admitted = self._admitted
+        facts = UpstreamCall(
+            call.upstream.record.identity,
+            admitted.workspace,
+            max(0, admitted.deadline - self._desk.now()),
+            admitted.priority,
+            self._stream.resume_after,
+        )
+        call.send(
+            self._req, admitted.facts.request_id, facts, self._desk.dialect
+        )
+        self._may_have_run = True
+        self._runs += 1
+
+    async def _read_answer(self, call: Call, head: AnswerHead) -> Ended | None:
+        facts = self._desk.dialect.read_answer(head)
+        if facts.not_run or facts.other_identity:
+            self._may_have_run = self._runs > 1
+            self._runs -= 1
+            if facts.other_identity:
+                call.upstream.displaced = True
+            return Ended(Ending.NOT_RUN, f'refused with {head.status}')
+        if head.status >= _STATUS_FAILED or not facts.proved:
+            return await self._read_failure(call, head, proved=facts.proved)
+        if self._route.kind is Kind.STREAM and head.status == HTTPStatus.OK:
+            return await self._relay_stream(call, head)
+        return await self._relay_whole(call, Begun(head))
+
+    async def _read_failure(
+        self, call: Call, head: AnswerHead, *, proved: bool
+    ) -> Ended:
+        answer = await call.receive_whole(Begun(head))
+        reason = f'failed with {head.status}'
+        if isinstance(answer, Broken) or not proved:
+            return self._unknown(reason)
+        return Ended(Ending.FAILED, reason, answer, faulty=True)
+
+    async def _relay_whole(self, call: Call, begun: Begun) -> Ended | None:
+        answer = await call.receive_whole(begun)
+        if isinstance(answer, Broken):
+            return self._unknown(answer.reason)
+        self._pass_on(answer)
+        return None
+
+    async def _relay_stream(self, call: Call, head: AnswerHead) -> Ended | None:
+        self._stream.begin(head)
+        while True:
+            message = await call.receive()
+            match message:
+                case Piece(data):
+                    if self._stream.take(data):
+                        await self._answer.drain()
+                case Whole():
+                    self._stream.end()
+                    return None
+                case Broken(reason):
+                    return self._unknown(reason)
+                case Begun():
+                    return self._unknown('a second head')
+
+    def _unknown(self, reason: str) -> Ended:
+        return Ended(Ending.UNKNOWN, reason, faulty=True)
+
+    def _note(self, upstream: Upstream, ended: Ended | None) -> None:
+        if ended is None:
+            upstream.note_answer()
+            return
+        if ended.faulty:
+            upstream.note_failure(self._desk.now())
+        logger.info(
+            'event=call_ended request={} upstream={} ending={} reason={!r} '
+            + 'failures={} document={} news_age_ms={:.0f}',
+            self._admitted.facts.request_id,
+            upstream.record.identity,
+            ended.ending.value,
+            ended.reason,
+            upstream.failures,
+            self._desk.number,
+            1000 * self._desk.news_age_s,
+        )
+
+    def _goes_on(self, ended: Ended) -> bool:
+        """Tell whether another upstream shall be called; else answer."""
+        chances = self._chances()
+        step = decide(ended.ending, chances)
+        if step is Next.RETRY and self._desk.take_retry(self._admitted.service):
+            return True
+        final = when_over(ended.ending, may_have_run=self._may_have_run)
+        self._answer_finally(final, ended)
+        return False
+
+    def _chances(self) -> Chances:
+        admitted = self._admitted
+        return Chances(
+            idempotent=self._route.idempotent,
+            runs_left=self._route.max_attempts - self._runs,
+            sends_left=MAX_SENDS - len(self._tried),
+            time_left_s=admitted.deadline - self._desk.now(),
+            other_upstream=self._desk.has_other(admitted, self._tried),
+            may_have_run=self._may_have_run,
+        )
+
+    def _answer_finally(self, final: Next, ended: Ended) -> None:
+        if self._answer.begun:
+            # A broken answer must not look like a whole one.
+            self._answer.abort()
+            return
+        match final:
+            case Next.PASS_ON if ended.answer is not None:
+                self._pass_on(ended.answer)
+            case Next.REFUSE:
+                self._refuse(
+                    problems.busy(self._desk.wait_s(), ended.reason)
+                )
+            case _:
+                self._refuse(problems.lost(ended.reason))
+
+    def _refuse_full(self) -> None:
+        if self._answer.begun:
+            self._answer.abort()
+        elif self._may_have_run and not self._route.idempotent:
+            self._refuse(problems.lost('the call broke'))
+        else:
+            self._refuse(
+                problems.busy(self._desk.wait_s(), 'no upstream is free')
+            )
+
+    def _time_out(self) -> None:
+        if self._answer.ended:
+            return
+        if self._answer.begun:
+            self._answer.abort()
+            return
+        if self._may_have_run:
+            self._refuse(problems.too_late(Outcome.UNKNOWN))
+        else:
+            self._refuse(problems.busy(self._desk.wait_s(), 'too late'))
+
+    def _pass_on(self, answer: WholeAnswer) -> None:
+        head = answer.begun.head
+        self._answer.begin(
+            head.status,
+            head.reason,
+            list(end_to_end(head.headers)),
+            len(answer.body),
+        )
+        self._answer.write(answer.body)
+        self._answer.end()
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._desk.refuse(self._answer, refusal, self._admitted.facts)
+
+    def _give_up(self, call: Call) -> None:
+        """Break a call off that nobody waits for, unless it must run once."""
+        if self._route.idempotent or self._route.kind is Kind.STREAM:
+            call.break_off()
+        else:
+            self._desk.finish_behind(call, self._admitted.deadline)
+
+
+def refuse(
+    answer: AnswerWriter, refusal: Refusal, headers: list[tuple[bytes, bytes]]
+) -> None:
+    """Write an own answer."""
+    answer.refuse(
+        Problem(
+            refusal.status.value,
+            refusal.title,
+            refusal.detail,
+            refusal.outcome,
+        ),
+        headers,
+    )
--- /dev/null
+++ b/src/snipebend/edge/stream_relay.py
@@ -0,0 +1,68 @@
+"""A stream of events on its way to the caller, over one or more calls."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from snipebend.edge.http_headers import end_to_end
+from snipebend.transport.events import EventBuffer
+
+if TYPE_CHECKING:
+    from snipebend.edge.answer_writer import AnswerWriter
+    from snipebend.relay.facts import AnswerHead
+
+_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+
+
+class StreamRelay:
+    """Passes whole events on, and knows the last one.
+
+    The caller gets the head of the first call with its first event. A later
+    call goes on behind the last event; its head is dropped.
+    """
+
+    def __init__(self, answer: AnswerWriter) -> None:
+        """Start before the first call."""
+        self.resume_after: int | None = None
+        self.events = 0
+        self._answer = answer
+        self._head: AnswerHead | None = None
+        self._buffer = EventBuffer()
+
+    def begin(self, head: AnswerHead) -> None:
+        """Begin a call; what an earlier one left unfinished is dropped."""
+        self._buffer = EventBuffer()
+        if not self._answer.begun:
+            self._head = head
+
+    def take(self, data: bytes) -> bool:
+        """Pass on what is whole; tell whether there was any."""
+        events = self._buffer.feed(data)
+        if not events:
+            return False
+        self._begin_answer()
+        for event in events:
+            self._note(event)
+        self._answer.write(b''.join(events))
+        return True
+
+    def end(self) -> None:
+        """End the answer; bytes behind the last event belong to it."""
+        self._begin_answer()
+        self._answer.write(self._buffer.rest())
+        self._answer.end()
+
+    def _begin_answer(self) -> None:
+        if self._answer.begun or self._head is None:
+            return
+        head = self._head
+        self._answer.begin(
+            head.status, head.reason, list(end_to_end(head.headers))
+        )
+
+    def _note(self, event: bytes) -> None:
+        self.events += 1
+        found = _EVENT_ID.search(event)
+        if found:
+            self.resume_after = int(found[1])
--- /dev/null
+++ b/src/snipebend/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that go straight to upstreams without an agent."""
--- /dev/null
+++ b/src/snipebend/relay/upstreams.py
@@ -0,0 +1,117 @@
+"""The upstreams of each service as one entry sees them (pure)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from snipebend.state.roster import RosterPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from snipebend.state.roster import UpstreamRecord
+
+#: Seconds that an upstream is left alone after a failure, doubled with each
+#: further one in a row. The first is about a round trip and a retry; the last
+#: is the time in which a process restarts, so that its return is noticed.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One life of an upstream, and what this entry has seen of it."""
+
+    record: UpstreamRecord
+    #: Calls of this entry that are under way.
+    own_calls: int = 0
+    #: Calls of the other entries, as they last told, by entry.
+    others_calls: dict[str, int] = field(default_factory=dict)
+    failures: int = 0
+    paused_until: float = 0
+    #: Another life answers at its address.
+    displaced: bool = False
+
+    @property
+    def calls(self) -> int:
+        """Return the calls of all entries, as far as known."""
+        return self.own_calls + sum(self.others_calls.values())
+
+    @property
+    def free_slots(self) -> int:
+        """Return the slots that nobody uses, as far as known."""
+        return max(0, self.record.slots - self.calls)
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether it may be given work."""
+        if self.displaced or self.record.phase is not RosterPhase.READY:
+            return False
+        return now >= self.paused_until
+
+    def note_failure(self, now: float) -> None:
+        """Leave it alone for a while."""
+        pause_s = FIRST_PAUSE_S * 2 ** min(self.failures, 8)
+        self.failures += 1
+        self.paused_until = now + min(LONGEST_PAUSE_S, pause_s)
+
+    def note_answer(self) -> None:
+        """Trust it again."""
+        self.failures = 0
+        self.paused_until = 0
+
+
+class UpstreamTable:
+    """All upstreams by identity and by service."""
+
+    def __init__(self) -> None:
+        """Start without upstreams."""
+        self._known: dict[str, Upstream] = {}
+        self._services: dict[str, dict[str, Upstream]] = {}
+
+    def __iter__(self) -> Iterator[Upstream]:
+        """Iterate over all that haven't ended."""
+        return iter(tuple(self._known.values()))
+
+    def take(self, records: Iterable[UpstreamRecord]) -> list[Upstream]:
+        """Take over records; return the upstreams that have ended."""
+        ended: list[Upstream] = []
+        for record in records:
+            if record.phase is RosterPhase.ENDED:
+                gone = self._drop(record.identity)
+                ended.extend(gone)
+                continue
+            known = self._known.get(record.identity)
+            if known is None:
+                known = Upstream(record)
+                self._known[record.identity] = known
+                members = self._services.setdefault(record.service, {})
+                members[record.identity] = known
+            if record.phase >= known.record.phase:
+                known.record = record
+        return ended
+
+    def of_service(self, service: str) -> tuple[Upstream, ...]:
+        """Return a service's upstreams."""
+        return tuple(self._services.get(service, {}).values())
+
+    def find(self, identity: str) -> Upstream | None:
+        """Return the upstream of that identity."""
+        return self._known.get(identity)
+
+    def take_calls(self, entry: str, calls: dict[str, int]) -> None:
+        """Take over what another entry has under way."""
+        for upstream in self._known.values():
+            count = calls.get(upstream.record.identity, 0)
+            if count:
+                upstream.others_calls[entry] = count
+            else:
+                upstream.others_calls.pop(entry, None)
+
+    def _drop(self, identity: str) -> list[Upstream]:
+        gone = self._known.pop(identity, None)
+        if gone is None:
+            return []
+        self._services[gone.record.service].pop(identity)
+        gone.displaced = True
+        return [gone]
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -144,6 +144,23 @@
     snapshot_every: Annotated[int, Field(ge=10)] = 1000
 
 
+class SeedsSection(Section):
+    """Some control daemons, from which a process learns the others."""
+
+    #: Addresses of control daemons; only their hosts are used.
+    addresses: Annotated[list[Address], Field(min_length=1)]
+    #: The port of every control daemon's gRPC server.
+    grpc_port: Annotated[int, Field(ge=1, le=MAX_PORT)]
+    #: Whether the seeds may found a group: only where there never was one.
+    bootstrap: bool = False
+
+    @property
+    def grpc_addresses(self) -> tuple[str, ...]:
+        """Return the gRPC addresses in one order on all daemons."""
+        hosts = {address.rpartition(':')[0] for address in self.addresses}
+        return tuple(f'{host}:{self.grpc_port}' for host in sorted(hosts))
+
+
 class ElectionSection(Section):
     """Timing of the agreement between control daemons."""
 
@@ -160,10 +177,28 @@
     election: ElectionSection = ElectionSection()
     #: The first members, the same list on each; empty: a group of one.
     members: list[MemberSection] = []
+    #: Where upstreams and operators call, if they don't speak gRPC.
+    outer: Address = '127.0.0.1:0'
+    #: In place of ``members``: found the group by seeds, take in any daemon.
+    seeds: SeedsSection | None = None
+
+    @property
+    def member_name(self) -> str:
+        """Return the own name among the members: with seeds, the host."""
+        return self.listen.host if self.seeds else self.process.name
+
+    @property
+    def listed_addresses(self) -> tuple[str, ...]:
+        """Return the gRPC addresses of the listed daemons or seeds."""
+        if self.seeds:
+            return self.seeds.grpc_addresses
+        return tuple(member.address for member in self.members)
 
     @model_validator(mode='after')
     def check_members(self) -> ControlSettings:
         """Refuse a list that repeats a member or lacks this one."""
+        if self.members and self.seeds:
+            raise ValueError('members and seeds exclude each other')
         names = [member.name for member in self.members]
         addresses = {member.address for member in self.members}
         if len(set(names)) < len(names) or len(addresses) < len(names):
@@ -171,3 +206,40 @@
         if names and self.process.name not in names:
             raise ValueError(f'members must include {self.process.name!r}')
         return self
+
+
+class RelaySection(Section):
+    """How an entry calls upstreams that have no agent."""
+
+    #: Seconds for a new connection to an upstream.
+    connect_timeout_s: Seconds = 0.4
+    #: Seconds without an acknowledgement from the other end, after which a
+    #: connection is given up.
+    silent_after_s: Seconds = 1.5
+    #: Share of the requests that may be sent once more, over the whole fleet.
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    #: Retries that the whole fleet has on top of that share in one window.
+    retry_slack: Annotated[float, Field(ge=0)] = 20
+    #: Seconds of that window.
+    retry_window_s: Seconds = 10.0
+
+
+class RelaySettings(DaemonSettings):
+    """The settings of an entry that calls its upstreams directly."""
+
+    control: SeedsSection
+    relay: RelaySection = RelaySection()
+    #: Where callers connect.
+    callers: Address = '127.0.0.1:0'
+    #: Where the balancer asks whether this entry is ready.
+    readiness: Address = '127.0.0.1:0'
+    #: UDP port for the loads that entries tell each other; 0: chosen.
+    gossip_port: Port = 0
+    #: Seconds from the signal to stop until the process must have ended.
+    stop_within_s: Seconds = 8.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/src/snipebend/state/commands.py
+++ b/src/snipebend/state/commands.py
@@ -18,9 +18,11 @@
     SettleRequest,
 )
 from snipebend.state.crashes import CrashReport, SuspectCleared, SuspectList
+from snipebend.state.documents import PutReply, PutRequest
 from snipebend.state.expert_maps import DecideMapReply, MapDecision
 from snipebend.state.fences import FenceReply, FenceRequest
 from snipebend.state.messages import ApplyReply, ApplyRequest
+from snipebend.state.roster import RecordReply, RecordRequest
 
 
 class ApplyFleet(Struct, frozen=True, tag=True):
@@ -72,6 +74,20 @@
     at: float
 
 
+class PutDocument(Struct, frozen=True, tag=True):
+    """Put a numbered document in force."""
+
+    req: PutRequest
+    at: float
+
+
+class RecordUpstream(Struct, frozen=True, tag=True):
+    """Note an upstream in the roster."""
+
+    req: RecordRequest
+    at: float
+
+
 Command = (
     ApplyFleet
     | Claim
@@ -80,6 +96,8 @@
     | ReportCrash
     | ClearSuspect
     | DecideExpertMap
+    | PutDocument
+    | RecordUpstream
 )
 
 Reply = (
@@ -89,6 +107,8 @@
     | FenceReply
     | SuspectList
     | DecideMapReply
+    | PutReply
+    | RecordReply
 )
 
 #: What each command is answered with, to decode a reply from the leader.
@@ -101,6 +121,8 @@
         ReportCrash: SuspectList,
         ClearSuspect: SuspectList,
         DecideExpertMap: DecideMapReply,
+        PutDocument: PutReply,
+        RecordUpstream: RecordReply,
     }
 )
 
--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -15,6 +15,8 @@
     ClearSuspect,
     Command,
     DecideExpertMap,
+    PutDocument,
+    RecordUpstream,
     Reply,
     ReportCrash,
     Settle,
@@ -22,8 +24,10 @@
 )
 from snipebend.state.configuration import ConfigurationState
 from snipebend.state.crash_book import CrashBook
+from snipebend.state.documents import DocumentBook
 from snipebend.state.expert_maps import MapBook
 from snipebend.state.fence_book import FenceBook
+from snipebend.state.roster import Roster
 
 
 class MachineState(Struct):
@@ -37,6 +41,8 @@
     fences: FenceBook = field(default_factory=FenceBook)
     crashes: CrashBook = field(default_factory=CrashBook)
     maps: MapBook = field(default_factory=MapBook)
+    documents: DocumentBook = field(default_factory=DocumentBook)
+    roster: Roster = field(default_factory=Roster)
 
 
 class Machine:
@@ -66,6 +72,8 @@
             'answer_bytes': sum(ledger.answer_bytes for ledger in ledgers),
             'fences': len(state.fences.fences),
             'deaths': len(state.crashes.deaths),
+            'document': state.documents.number,
+            'upstreams': len(state.roster.upstreams),
         }
 
     def execute(self, command: Command) -> Reply:
@@ -96,3 +104,7 @@
             case DecideExpertMap(req=req):
                 fence = state.fences.read(req.group).fence
                 return state.maps.decide(req, fence)
+            case PutDocument(req=req):
+                return state.documents.put(req)
+            case RecordUpstream(req=req):
+                return state.roster.record(req)
--- a/src/snipebend/transport/applier.py
+++ b/src/snipebend/transport/applier.py
@@ -44,6 +44,16 @@
         """Return the configuration's revision."""
         return self.machine.state.configuration.revision
 
+    @property
+    def news(self) -> tuple[int, int, int]:
+        """Return the revisions of all that watchers are told of."""
+        state = self.machine.state
+        return (
+            state.configuration.revision,
+            state.documents.number,
+            state.roster.revision,
+        )
+
     def apply(self, entry: LogEntry) -> Reply | None:
         """Execute an entry; only commands have replies.
 
--- a/src/snipebend/transport/events.py
+++ b/src/snipebend/transport/events.py
@@ -26,6 +26,10 @@
         """Tell whether the start of an event waits for its rest."""
         return bool(self._buffer)
 
+    def rest(self) -> bytes:
+        """Return the bytes behind the last event."""
+        return self._buffer
+
     def feed(self, received: bytes) -> list[bytes]:
         """Return the events that are complete now.
 
--- a/src/snipebend/transport/founding.py
+++ b/src/snipebend/transport/founding.py
@@ -47,6 +47,8 @@
         listed: Sequence[str],
         clients: RpcClients,
         keep: Callable[[Members], None],
+        *,
+        may_found: bool = True,
     ) -> None:
         """Keep the addresses in the order of the list, the own one included.
 
@@ -56,6 +58,7 @@
         self._listed = tuple(listed)
         self._clients = clients
         self._keep = keep
+        self._may_found = may_found
 
     async def find(self) -> Members:
         """Return the members to begin with; none: wait for the leader's log."""
@@ -73,12 +76,16 @@
         founded = [reply for reply in replies if reply.members.voters]
         if founded:
             return await self._enter(founded)
-        if self._listed[0] != self._own.address or None in asked:
+        if not self._founds_first or None in asked:
             return None
         voters = (self._own, *(reply.member for reply in replies))
         logger.info('event=group_founded voters={}', len(voters))
         return await self._store(Members(voters))
 
+    @property
+    def _founds_first(self) -> bool:
+        return self._may_found and self._listed[0] == self._own.address
+
     async def _enter(self, replies: list[HelloReply]) -> Members | None:
         """Enter a group that exists: as one of its voters, or as a learner.
 
--- a/src/snipebend/transport/group.py
+++ b/src/snipebend/transport/group.py
@@ -65,7 +65,7 @@
         self.repairs = Repairs(
             self.replica,
             self.questions,
-            frozenset(member.name for member in cfg.members),
+            _may_join(cfg),
             clients,
         )
 
@@ -144,7 +144,7 @@
 def core_config(cfg: ControlSettings) -> CoreConfig:
     """Return the core's settings."""
     election = cfg.election
-    alone = len(cfg.members) < 2
+    alone = len(cfg.listed_addresses) < 2
     return CoreConfig(
         heartbeat_s=election.heartbeat_s,
         election_timeout_s=(
@@ -152,3 +152,9 @@
         ),
         clock_drift=election.clock_drift,
     )
+
+
+def _may_join(cfg: ControlSettings) -> frozenset[str] | None:
+    if cfg.seeds:
+        return None
+    return frozenset(member.name for member in cfg.members)
--- a/src/snipebend/transport/group_start.py
+++ b/src/snipebend/transport/group_start.py
@@ -90,12 +90,12 @@
     def _own(self) -> Member:
         listed = {one.name: one.address for one in self._cfg.members}
         listen = self._cfg.listen
-        name = self._cfg.process.name
+        name = self._cfg.member_name
         default = f'{listen.host}:{listen.grpc_port}'
         return Member(self._read.member_id, name, listed.get(name, default))
 
     async def _find_members(self) -> Members:
-        if not self._cfg.members:
+        if not self._cfg.listed_addresses:
             members = Members((self._own,))
             await asyncio.to_thread(self._storage.found, members)
             return members
@@ -104,7 +104,8 @@
     def _founding(self) -> Founding:
         return Founding(
             self._own,
-            [member.address for member in self._cfg.members],
+            self._cfg.listed_addresses,
             self._clients,
             self._storage.found,
+            may_found=self._cfg.seeds is None or self._cfg.seeds.bootstrap,
         )
--- /dev/null
+++ b/src/snipebend/transport/host_keeper.py
@@ -0,0 +1,163 @@
+"""The control daemon's keeper of the numbered document and the roster."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import GRPCError
+from loguru import logger
+from result import Err, Ok, Result
+
+from snipebend.errors.hierarchy import UnavailableError
+from snipebend.kernel.service import Service
+from snipebend.state.commands import PutDocument, RecordUpstream
+from snipebend.state.documents import DocumentBook, PutReply, PutRequest
+from snipebend.state.host_news import HostNews, HostWatch
+from snipebend.state.roster import RecordReply, RecordRequest
+from snipebend.transport.methods import WATCH_HOSTS
+from snipebend.transport.replicated_state import ReplicatedState
+from snipebend.transport.rpc_server import Endpoint, RpcServer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+    from snipebend.kernel.registry import Registry
+    from snipebend.state.commands import Command
+    from snipebend.state.roster import UpstreamRecord
+
+#: Seconds between two signs of life to a watcher. A change must be in force
+#: everywhere within 2 s, a reconnection included: four of these.
+NEWS_EVERY_S = 0.5
+
+
+class HostKeeper(Service):
+    """Commits documents and upstreams, and tells entries of them."""
+
+    def __init__(self, name: str, server: RpcServer) -> None:
+        """Add the endpoint to the server."""
+        super().__init__(name)
+        self._stopping = False
+        self._store: ReplicatedState | None = None
+        self._watchers: dict[str, str] = {}
+        server.add(Endpoint(WATCH_HOSTS, self.watch))
+
+    async def start(self, registry: Registry) -> None:
+        """Find the state."""
+        self._store = registry.find('state', ReplicatedState)
+
+    async def stop(self) -> None:
+        """End the watchers' streams."""
+        self._stopping = True
+        if self._store is None:
+            return
+        async with self._store.changed:
+            self._store.changed.notify_all()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return what is in force and who watches."""
+        state = self._store.machine.state
+        return {
+            'document': state.documents.number,
+            'roster_revision': state.roster.revision,
+            'watchers': dict(self._watchers),
+        }
+
+    async def put(self, req: PutRequest) -> Result[PutReply, UnavailableError]:
+        """Put a checked document in force once a majority has synced it."""
+        reply = await self._execute(PutDocument(req, self._store.wall()))
+        logger.info(
+            'event=document_put number={} bytes={} outcome={}',
+            req.number,
+            len(req.body),
+            reply.value,
+        )
+        return reply
+
+    async def read(self) -> Result[DocumentBook, UnavailableError]:
+        """Return the document that no other has overtaken by now."""
+        try:
+            machine = await self._store.read()
+        except GRPCError as exc:
+            return Err(UnavailableError(str(exc.message), step='read'))
+        return Ok(machine.state.documents)
+
+    async def record(
+        self, upstream: UpstreamRecord
+    ) -> Result[RecordReply, UnavailableError]:
+        """Note an upstream; only news is committed."""
+        roster = self._store.machine.state.roster
+        known = roster.upstreams.get(upstream.identity)
+        if known is not None and known.phase >= upstream.phase:
+            return Ok(RecordReply(known.phase, roster.revision))
+        req = RecordRequest(upstream)
+        reply = await self._execute(RecordUpstream(req, self._store.wall()))
+        logger.info(
+            'event=upstream_recorded upstream={} service={} phase={} '
+            + 'address={} outcome={}',
+            upstream.identity,
+            upstream.service,
+            upstream.phase.name,
+            upstream.address,
+            reply.value,
+        )
+        return reply
+
+    def knows(self, identity: str) -> bool:
+        """Tell whether the roster holds an upstream."""
+        return identity in self._store.machine.state.roster.upstreams
+
+    async def watch(self, req: HostWatch) -> AsyncIterator[HostNews]:
+        """Yield what is newer than the watcher's, and that nothing is."""
+        logger.info('event=watch_opened process={}', req.process)
+        self._watchers[req.process] = req.gossip_address
+        number, revision = req.number, req.roster_revision
+        try:
+            while not self._stopping:
+                news = self._news_after(number, revision)
+                yield news
+                number = max(number, news.number)
+                revision = max(revision, news.roster_revision)
+                await self._wait_for_newer(number, revision)
+        finally:
+            self._watchers.pop(req.process, None)
+            logger.info('event=watch_closed process={}', req.process)
+
+    def _news_after(self, number: int, revision: int) -> HostNews:
+        state = self._store.machine.state
+        group = self._store.group
+        ago = group.confirmed_ago if group else None
+        voters = group.replica.status.members.voters if group else ()
+        book = state.documents
+        return HostNews(
+            book.number,
+            state.roster.revision,
+            -1 if ago is None else ago,
+            book.body if book.number > number else b'',
+            state.roster.since(revision),
+            tuple(member.address for member in voters),
+            tuple(filter(None, self._watchers.values())),
+        )
+
+    async def _execute(
+        self, command: Command
+    ) -> Result[PutReply | RecordReply, UnavailableError]:
+        try:
+            return Ok(await self._store.execute(command))
+        except GRPCError as exc:
+            return Err(UnavailableError(str(exc.message), step='execute'))
+
+    async def _wait_for_newer(self, number: int, revision: int) -> None:
+        try:
+            async with asyncio.timeout(NEWS_EVERY_S), self._store.changed:
+                await self._store.changed.wait_for(
+                    lambda: self._stopping or self._is_newer(number, revision),
+                )
+        except TimeoutError:
+            return
+
+    def _is_newer(self, number: int, revision: int) -> bool:
+        state = self._store.machine.state
+        return (
+            state.documents.number > number or state.roster.revision > revision
+        )
--- a/src/snipebend/transport/http_server.py
+++ b/src/snipebend/transport/http_server.py
@@ -56,7 +56,7 @@
 
     async def start(self, registry: Registry) -> None:
         """Listen and serve."""
-        sock = _listen(self._host, self._port)
+        sock = open_listener(self._host, self._port)
         self._port = sock.getsockname()[1]
         self._server = _QuietServer(_configuration(self._app))
         self._task = asyncio.create_task(self._serve(sock), name=self.name)
@@ -97,7 +97,8 @@
     )
 
 
-def _listen(host: str, port: int) -> socket.socket:
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket; port 0 lets the system choose."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setsockopt(
--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -23,6 +23,7 @@
 )
 from snipebend.state.expert_maps import DecideMapReply, MapDecision, MapQuery
 from snipebend.state.fences import FenceQuery, FenceReply, FenceRequest
+from snipebend.state.host_news import HostNews, HostWatch
 from snipebend.state.messages import (
     ApplyReply,
     ApplyRequest,
@@ -55,6 +56,12 @@
     Configuration,
     streams_replies=True,
 )
+WATCH_HOSTS = Method(
+    '/snipebend.Control/WatchHosts',
+    HostWatch,
+    HostNews,
+    streams_replies=True,
+)
 ANNOUNCE = Method(
     '/snipebend.Control/Announce',
     Announcement,
--- a/src/snipebend/transport/repairs.py
+++ b/src/snipebend/transport/repairs.py
@@ -41,10 +41,10 @@
         self,
         replica: Replica,
         questions: GroupQuestions,
-        names: frozenset[str],
+        names: frozenset[str] | None,
         clients: RpcClients,
     ) -> None:
-        """Keep the replica; only the listed names may join."""
+        """Keep the replica; only the listed names may join, if there are."""
         self._replica = replica
         self._questions = questions
         self._names = names
@@ -65,7 +65,7 @@
         identity's request changes nothing.
         """
         joiner = req.member
-        if joiner.name not in self._names:
+        if self._names is not None and joiner.name not in self._names:
             return JoinReply(accepted=False, reason='not in the list')
         if not await self._is_at_home(joiner):
             return JoinReply(accepted=False, reason='another identity answers')
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -50,7 +50,7 @@
 class Replica:
     """Steps the core with the letters of other tasks.
 
-    ``notify`` is called whenever the configuration has changed.
+    ``notify`` is called whenever something that watchers follow has changed.
     """
 
     def __init__(
@@ -130,13 +130,13 @@
         return letters
 
     def _step(self, letters: list[Letter]) -> None:
-        revision = self.applier.revision
+        news = self.applier.news
         events: list[Event] = []
         for letter in letters:
             events.extend(self._to_events(letter))
         actions = self._core.step_all(events, self._clock.now(), self._rng)
         self._effects.carry_out(actions)
-        if self.applier.revision > revision:
+        if self.applier.news != news:
             self._notify()
 
     def _to_events(self, letter: Letter) -> list[Event]:
