Balance expert maps from the control leader, by orders straight to engines

A map is searched within what one change may bring to a rank, decided in the replicated state, and switched to by hold, arm and go.

--- a/src/snipebend/daemons/host_control.py
+++ b/src/snipebend/daemons/host_control.py
@@ -8,17 +8,20 @@
 from snipebend.kernel.process import Process
 from snipebend.settings.model import split_address
 from snipebend.transport.group_api import GroupApi
+from snipebend.transport.group_balancer import EngineLink, GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import RpcServer
 
 if TYPE_CHECKING:
+    from snipebend.edge.host_follower import ReadTable
+    from snipebend.hosts.model import HostTable
     from snipebend.settings.model import ControlSettings
 
 
 def build_host_control(
-    cfg: ControlSettings,
+    cfg: ControlSettings, link: EngineLink, read_table: ReadTable
 ) -> tuple[Process, HostKeeper, HttpServer]:
     """Build the process, its keeper and the server of its outer calls."""
     admin = build_admin(cfg.listen)
@@ -29,9 +32,29 @@
         ReplicatedState('state', cfg),
         keeper,
         GroupApi('group-api', grpc),
+        GroupBalancer('balancer', link, TableReader(keeper, read_table).read),
         grpc,
         outer,
         admin,
     ]
     process = connect_admin(Process(cfg.process.name, services), admin)
     return process, keeper, outer
+
+
+class TableReader:
+    """Reads the document in force once for each number."""
+
+    def __init__(self, keeper: HostKeeper, read_table: ReadTable) -> None:
+        """Start without a document."""
+        self._keeper = keeper
+        self._read_table = read_table
+        self._number = 0
+        self._table: HostTable | None = None
+
+    def read(self) -> HostTable | None:
+        """Return the table of the document in force; none: none came yet."""
+        book = self._keeper.book
+        if book.number > self._number:
+            self._number = book.number
+            self._table = self._read_table(book.body).unwrap_or(self._table)
+        return self._table
--- /dev/null
+++ b/src/snipebend/experts/direct_switch.py
@@ -0,0 +1,312 @@
+"""One group's switch to a decided map, by orders straight to its engines.
+
+The engines obey any order that fits their state, whoever sent it, answer some
+orders not at all and carry those out seconds later. No pass may begin while
+two ranks have different maps. What keeps that, at every moment and with any
+number of coordinators:
+
+- ``Hold`` stops the group before one pass, and only ``Go`` lets it on.
+- ``Arm`` is sent only while a rank is known to hold before just that pass, and
+  after all ranks reported the map prepared.
+- ``Go`` is sent only when every rank is known to be armed for that pass.
+  Nothing disarms a rank, so that this knowledge doesn't age.
+- An order that is carried out late names a pass that has begun or a version
+  that has been overtaken, and engines refuse both.
+
+So a switch that has held is never given up, only finished, by this
+coordinator or the next one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from snipebend.experts.bounded_search import LayerMap
+
+
+class Armed(NamedTuple):
+    """A rank will switch to a version as a pass begins."""
+
+    version: int
+    step: int
+
+
+class RankReport(NamedTuple):
+    """What one engine says of itself; some hundred milliseconds old."""
+
+    identity: str
+    group: str
+    epoch: int
+    rank: int
+    #: Ranks of the group.
+    size: int
+    #: Whether the group works.
+    is_open: bool
+    #: The last pass that was begun.
+    step: int
+    map_version: int
+    prepared: int | None = None
+    armed: Armed | None = None
+    held: int | None = None
+
+
+class Prepare(NamedTuple):
+    """Fetch the experts that a map newly brings to the rank."""
+
+    rank: int
+    epoch: int
+    version: int
+    layers: tuple[LayerMap, ...]
+
+
+class Arm(NamedTuple):
+    """Switch to a prepared map as a pass begins."""
+
+    rank: int
+    epoch: int
+    version: int
+    step: int
+
+
+class Hold(NamedTuple):
+    """Don't begin a pass before ``Go``."""
+
+    rank: int
+    epoch: int
+    step: int
+
+
+class Go(NamedTuple):
+    """Begin a pass that was held."""
+
+    rank: int
+    epoch: int
+    step: int
+
+
+RankOrder = Prepare | Arm | Hold | Go
+
+
+class Reply(Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = 'accepted'
+    #: It doesn't fit the engine's state, and won't be carried out.
+    REFUSED = 'refused'
+    #: Not answered: it may be carried out now, later or never.
+    LOST = 'lost'
+
+
+class Phase(Enum):
+    """What a switch waits for."""
+
+    PREPARING = 'preparing'
+    HOLDING = 'holding'
+    ARMING = 'arming'
+    GOING = 'going'
+    DONE = 'done'
+    #: The group formed anew; its maps and holds are gone.
+    DEAD = 'dead'
+    #: A rank refused to prepare, and nothing was held or armed yet.
+    REFUSED = 'refused'
+
+
+#: Seconds before an order without an answer is sent again.
+RETRY_S = 0.15
+
+#: Seconds before a pass that was let go, but hasn't begun, is let go again: a
+#: group without work begins none.
+GO_AGAIN_S = 1.0
+
+#: Passes between the last one known and the one to hold before: a report is
+#: some hundred milliseconds old, a pass takes 50 ms and more, and the order
+#: must arrive before the pass begins.
+AHEAD = 6
+
+#: Refusals of one rank to prepare after which the plan is given up.
+MAX_REFUSALS = 3
+
+
+@dataclass(slots=True)
+class _Rank:
+    """What is known of one rank."""
+
+    sent_at: float = -1
+    told_prepare: bool = False
+    prepared: bool = False
+    armed: bool = False
+    in_force: bool = False
+    refusals: int = 0
+
+
+@dataclass(slots=True)
+class DirectSwitch:
+    """One coordinator's knowledge of one switch."""
+
+    group: str
+    epoch: int
+    version: int
+    layers: tuple[LayerMap, ...]
+    size: int
+    step: int = 0
+    hold_step: int | None = None
+    phase: Phase = Phase.PREPARING
+    held_at: float = 0
+    _hold_tries: int = 0
+    _hold_sent_at: float = -1
+    _go_again_at: float = -1
+    _ranks: dict[int, _Rank] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Start without knowledge of any rank."""
+        self._ranks = {rank: _Rank() for rank in range(self.size)}
+
+    @property
+    def over(self) -> bool:
+        """Tell whether nothing is left to do."""
+        return self.phase in {Phase.DONE, Phase.DEAD, Phase.REFUSED}
+
+    def note_report(self, report: RankReport) -> None:
+        """Take over what an engine says."""
+        if report.group != self.group or report.rank not in self._ranks:
+            return
+        if report.epoch != self.epoch or not report.is_open:
+            self.phase = Phase.DEAD
+            return
+        rank = self._ranks[report.rank]
+        self.step = max(self.step, report.step)
+        if report.prepared == self.version:
+            rank.prepared = True
+        if report.map_version >= self.version:
+            rank.prepared = True
+            rank.in_force = True
+        self._drop_passed_hold(report)
+        self._note_held(report)
+        if report.armed and self._is_for_hold(report.armed):
+            rank.armed = True
+        self._advance()
+
+    def next_orders(self, now: float) -> list[RankOrder]:
+        """Return what is to be sent now."""
+        match self.phase:
+            case Phase.PREPARING:
+                return self._prepare(now)
+            case Phase.HOLDING:
+                return self._hold(now)
+            case Phase.ARMING:
+                return self._arm(now)
+            case Phase.GOING:
+                return self._go(now)
+            case _:
+                return []
+
+    def note_reply(self, order: RankOrder, reply: Reply, now: float) -> None:
+        """Take over what became of an order."""
+        rank = self._ranks[order.rank]
+        match order, reply:
+            case Prepare(), Reply.ACCEPTED:
+                rank.told_prepare = True
+            case Prepare(), Reply.REFUSED:
+                self._note_refusal(rank)
+            case Hold(), Reply.ACCEPTED:
+                self._note_hold(order.step, now)
+            case Hold(), Reply.REFUSED:
+                self._hold_tries += 1
+            case Go(), Reply.ACCEPTED:
+                self._go_again_at = now + GO_AGAIN_S
+            case Arm(), Reply.ACCEPTED if order.step == self.hold_step:
+                rank.armed = True
+            case _:
+                pass
+        self._advance()
+
+    def _note_refusal(self, rank: _Rank) -> None:
+        """Refused: it may have been told before, by a lost order say."""
+        rank.refusals += 1
+        rank.told_prepare = True
+        if rank.refusals >= MAX_REFUSALS and self.hold_step is None:
+            self.phase = Phase.REFUSED
+
+    def _note_held(self, report: RankReport) -> None:
+        """Adopt a hold: our own, whose answer was lost, or another's."""
+        if report.held is None or report.held <= self.step:
+            return
+        if self.hold_step is None and report.rank == 0:
+            self.hold_step = report.held
+
+    def _drop_passed_hold(self, report: RankReport) -> None:
+        """Begin anew when the pass has begun without the switch.
+
+        Another coordinator let it go for an earlier version. Orders for that
+        pass are refused from now on.
+        """
+        if self.hold_step is None or report.step < self.hold_step:
+            return
+        if report.map_version < self.version:
+            self.hold_step = None
+            for rank in self._ranks.values():
+                rank.armed = False
+
+    def _note_hold(self, step: int, now: float) -> None:
+        if self.hold_step is None:
+            self.hold_step = step
+            self.held_at = now
+
+    def _is_for_hold(self, armed: Armed) -> bool:
+        return armed == (self.version, self.hold_step)
+
+    def _advance(self) -> None:
+        if self.over:
+            return
+        ranks = self._ranks.values()
+        if all(rank.in_force for rank in ranks):
+            self.phase = Phase.DONE
+        elif not all(rank.prepared for rank in ranks):
+            self.phase = Phase.PREPARING
+        elif self.hold_step is None:
+            self.phase = Phase.HOLDING
+        elif all(rank.armed for rank in ranks):
+            self.phase = Phase.GOING
+        else:
+            self.phase = Phase.ARMING
+
+    def _prepare(self, now: float) -> list[RankOrder]:
+        orders: list[RankOrder] = []
+        for number, rank in self._ranks.items():
+            if rank.prepared or rank.told_prepare:
+                continue
+            if now >= rank.sent_at + RETRY_S:
+                rank.sent_at = now
+                orders.append(
+                    Prepare(number, self.epoch, self.version, self.layers)
+                )
+        return orders
+
+    def _hold(self, now: float) -> list[RankOrder]:
+        if now < self._hold_sent_at + RETRY_S and not self._hold_tries:
+            return []
+        self._hold_sent_at = now
+        ahead = AHEAD * (1 + self._hold_tries)
+        self._hold_tries = 0
+        return [Hold(0, self.epoch, self.step + ahead)]
+
+    def _arm(self, now: float) -> list[RankOrder]:
+        orders: list[RankOrder] = []
+        for number, rank in self._ranks.items():
+            if rank.armed or now < rank.sent_at + RETRY_S:
+                continue
+            if self.hold_step is not None:
+                rank.sent_at = now
+                orders.append(
+                    Arm(number, self.epoch, self.version, self.hold_step)
+                )
+        return orders
+
+    def _go(self, now: float) -> list[RankOrder]:
+        if now < self._go_again_at or self.hold_step is None:
+            return []
+        self._go_again_at = now + RETRY_S
+        return [Go(0, self.epoch, self.hold_step)]
--- a/src/snipebend/state/commands.py
+++ b/src/snipebend/state/commands.py
@@ -21,6 +21,7 @@
 from snipebend.state.documents import PutReply, PutRequest
 from snipebend.state.expert_maps import DecideMapReply, MapDecision
 from snipebend.state.fences import FenceReply, FenceRequest
+from snipebend.state.group_plans import PlanReply, PlanRequest
 from snipebend.state.messages import ApplyReply, ApplyRequest
 from snipebend.state.roster import RecordReply, RecordRequest
 
@@ -88,6 +89,13 @@
     at: float
 
 
+class DecideGroupPlan(Struct, frozen=True, tag=True):
+    """Decide on the next map of a group of engines."""
+
+    req: PlanRequest
+    at: float
+
+
 Command = (
     ApplyFleet
     | Claim
@@ -98,6 +106,7 @@
     | DecideExpertMap
     | PutDocument
     | RecordUpstream
+    | DecideGroupPlan
 )
 
 Reply = (
@@ -109,6 +118,7 @@
     | DecideMapReply
     | PutReply
     | RecordReply
+    | PlanReply
 )
 
 #: What each command is answered with, to decode a reply from the leader.
@@ -123,6 +133,7 @@
         DecideExpertMap: DecideMapReply,
         PutDocument: PutReply,
         RecordUpstream: RecordReply,
+        DecideGroupPlan: PlanReply,
     }
 )
 
--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -15,6 +15,7 @@
     ClearSuspect,
     Command,
     DecideExpertMap,
+    DecideGroupPlan,
     PutDocument,
     RecordUpstream,
     Reply,
@@ -27,6 +28,7 @@
 from snipebend.state.documents import DocumentBook
 from snipebend.state.expert_maps import MapBook
 from snipebend.state.fence_book import FenceBook
+from snipebend.state.group_plans import PlanBook
 from snipebend.state.roster import Roster
 
 
@@ -43,6 +45,7 @@
     maps: MapBook = field(default_factory=MapBook)
     documents: DocumentBook = field(default_factory=DocumentBook)
     roster: Roster = field(default_factory=Roster)
+    plans: PlanBook = field(default_factory=PlanBook)
 
 
 class Machine:
@@ -108,3 +111,5 @@
                 return state.documents.put(req)
             case RecordUpstream(req=req):
                 return state.roster.record(req)
+            case DecideGroupPlan(req=req):
+                return state.plans.decide(req)
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -63,6 +63,11 @@
             'watchers': dict(self._watchers),
         }
 
+    @property
+    def book(self) -> DocumentBook:
+        """Return the document as this daemon has it, perhaps behind others."""
+        return self._store.machine.state.documents
+
     async def put(self, req: PutRequest) -> Result[PutReply, UnavailableError]:
         """Put a checked document in force once a majority has synced it."""
         reply = await self._execute(PutDocument(req, self._store.wall()))
