Take over changed settings by SIGHUP and by a look at the file

Beside it: the relay's modules split by job, voters that are gone for good removed once a successor is heard.

--- a/src/snipebend/consensus/core.py
+++ b/src/snipebend/consensus/core.py
@@ -98,6 +98,23 @@
             handed_out=node.handed_out,
         )
 
+    def silences(self) -> dict[str, float]:
+        """Return, on a leader, how long each other member has been silent.
+
+        In seconds since the last message that it is known to have taken in;
+        nobody counts as silent for longer than this leadership lasts.
+        """
+        node = self._node
+        leadership = node.leadership
+        if leadership is None:
+            return {}
+        return {
+            member_id: node.now
+            - max(progress.contact_at, leadership.elected_at)
+            for member_id, progress in leadership.progress.items()
+            if member_id != node.member_id
+        }
+
     def members_at(self, index: int) -> Members:
         """Give the members as of ``index``, from the log's base on."""
         return self._node.members.at(index)
--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -8,6 +8,7 @@
 from snipebend.edge.gossip import Gossip
 from snipebend.edge.host_follower import HostFollower, ReadTable
 from snipebend.edge.relay_desk import RelayDesk
+from snipebend.edge.relay_server import RelayServer
 from snipebend.kernel.process import Process
 from snipebend.settings.model import split_address
 from snipebend.transport.http_server import HttpServer
@@ -40,6 +41,7 @@
         HostFollower('hosts', cfg, clients, read_table),
         desk,
         gossip,
+        RelayServer('callers', cfg),
         ready,
         admin,
     ]
--- a/src/snipebend/daemons/running.py
+++ b/src/snipebend/daemons/running.py
@@ -11,6 +11,7 @@
 
 import uvloop
 
+from snipebend.daemons.settings_watch import SettingsWatch
 from snipebend.errors.hierarchy import SnipebendError
 from snipebend.kernel.process import Process
 from snipebend.kernel.registry import Registry
@@ -80,8 +81,10 @@
     cfg = loaded.unwrap()
     set_up_logs(cfg.process.name, cfg.log.level)
     set_up_metrics(cfg.process.name)
+    process = build(cfg)
+    process.registry.register(SettingsWatch(path, model, process))
     try:
-        uvloop.run(build(cfg).run())
+        uvloop.run(process.run())
     except SnipebendError as exc:
         sys.stderr.write(f'{program}: {exc}\n')
         return EXIT_FAILED
--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, cast
 
 from loguru import logger
 
 from snipebend.edge.answer_writer import AnswerWriter
+from snipebend.edge.caller_timer import CallerTimer, Due
 from snipebend.edge.caller_parser import CallerParser, WholeRequest
 from snipebend.edge.framing import FramingFault
 from snipebend.transport.problems import Problem
@@ -24,7 +25,7 @@
 MAX_PIPELINED = 4
 
 #: Seconds for a caller to take the last answer before its connection is cut.
-CLOSE_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 5.0
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -60,23 +61,17 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._parser = CallerParser(lambda: server.limits, self._continue)
+        self._timer = CallerTimer(lambda: server.limits, self._late)
         self._writable = asyncio.Event()
         self._writable.set()
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._timed_for = ''
         self._closing = False
 
-    @property
-    def idle(self) -> bool:
-        """Tell whether no request is in work or half read."""
-        return self._task is None and not self._parser.partial
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
-        self._transport: asyncio.Transport = transport  # type: ignore[assignment]
+        self._transport = cast(asyncio.Transport, transport)
         self._server.opened(self)
-        self._watch_caller()
+        self._advance()
 
     def data_received(self, data: bytes) -> None:
         """Read on, and begin what is whole."""
@@ -100,14 +95,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Break off what the caller waited for."""
         self._closing = True
-        self._stop_timer()
+        self._timer.stop()
         if self._task is not None:
             self._task.cancel()
         self._server.closed(self)
 
     def close_if_idle(self) -> None:
         """Close between two requests."""
-        if self.idle and not self._parser.requests:
+        if self._task is None and not self._parser.partial:
             self._close()
 
     def cut(self) -> None:
@@ -116,20 +111,17 @@
         self._transport.abort()
 
     def _advance(self) -> None:
+        """Begin the next request, if there is one and none is in work."""
         if self._task is None and not self._closing:
-            self._begin_next()
+            if self._parser.requests:
+                self._begin(self._parser.requests.popleft())
+            elif self._parser.fault is not None:
+                self._refuse(self._parser.fault)
         if self._closing:
             return
         if len(self._parser.requests) >= MAX_PIPELINED:
             self._transport.pause_reading()
-        self._watch_caller()
-
-    def _begin_next(self) -> None:
-        if self._parser.requests:
-            self._begin(self._parser.requests.popleft())
-            return
-        if self._parser.fault is not None:
-            self._refuse(self._parser.fault)
+        self._timer.expect(self._due())
 
     def _begin(self, req: WholeRequest) -> None:
         answer = AnswerWriter(
@@ -149,8 +141,6 @@
     async def _serve(self, req: WholeRequest, answer: AnswerWriter) -> None:
         try:
             await self._server.serve(req, answer)
-        except asyncio.CancelledError:
-            raise
         except Exception as exc:
             logger.error('event=serve_failed error={!r}', exc)
         finally:
@@ -161,11 +151,9 @@
         self._task = None
         if not keep:
             self._close()
-            return
-        if self._closing:
-            return
-        self._transport.resume_reading()
-        self._advance()
+        elif not self._closing:
+            self._transport.resume_reading()
+            self._advance()
 
     def _refuse(self, fault: FramingFault) -> None:
         logger.info(
@@ -178,10 +166,12 @@
             self._transport,
             self._writable,
             chunks=False,
-            keeps_open=lambda: False,
+            keeps_open=lambda: False,  # noqa: WPS522  # `bool` reads worse
             on_end=self._ended,
         )
-        answer.refuse(Problem(fault.status, fault.status.phrase, fault.detail), [])
+        answer.refuse(
+            Problem(fault.status, fault.status.phrase, fault.detail), []
+        )
 
     def _continue(self) -> None:
         if self._task is None and not self._parser.requests:
@@ -191,48 +181,23 @@
         if self._closing:
             return
         self._closing = True
-        self._stop_timer()
+        self._timer.stop()
         self._transport.close()
-        self._timer = self._loop.call_later(
-            CLOSE_TIMEOUT_S, self._transport.abort
-        )
+        self._loop.call_later(CLOSE_TIMEOUT_S, self._transport.abort)
 
-    def _watch_caller(self) -> None:
-        """Bound how long the caller takes for what is due next from it."""
-        due = self._due()
-        if due == self._timed_for:
-            return
-        self._stop_timer()
-        self._timed_for = due
-        limits = self._server.limits
-        match due:
-            case 'head':
-                span_s = limits.header_timeout_s
-            case 'body' | 'request':
-                span_s = limits.idle_timeout_s
-            case _:
-                return
-        self._timer = self._loop.call_later(span_s, self._timed_out, due)
-
-    def _due(self) -> str:
+    def _due(self) -> Due:
         if self._task is not None:
-            return 'nothing'
+            return Due.NOTHING
         if not self._parser.partial:
-            return 'request'
-        return 'body' if self._parser.head_read else 'head'
+            return Due.REQUEST
+        return Due.BODY if self._parser.head_read else Due.HEAD
 
-    def _timed_out(self, due: str) -> None:
-        if due == 'request':
+    def _late(self, due: Due) -> None:
+        if due is Due.REQUEST:
             self._close()
             return
         self._refuse(
             FramingFault(
-                HTTPStatus.REQUEST_TIMEOUT, f'the {due} took too long'
+                HTTPStatus.REQUEST_TIMEOUT, f'the {due.value} took too long'
             )
         )
-
-    def _stop_timer(self) -> None:
-        self._timed_for = ''
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- a/src/snipebend/edge/caller_parser.py
+++ b/src/snipebend/edge/caller_parser.py
@@ -37,7 +37,9 @@
     """The requests of one connection, in their order."""
 
     def __init__(
-        self, limits: Callable[[], CallerLimits], on_continue: Callable[[], None]
+        self,
+        limits: Callable[[], CallerLimits],
+        on_continue: Callable[[], None],
     ) -> None:
         """Start a connection; ``on_continue`` sends an interim answer."""
         self.requests: deque[WholeRequest] = deque()
@@ -50,7 +52,11 @@
         self._on_continue = on_continue
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
-        self._reset()
+        self._head = RequestHead(b'', b'', ())
+        self._target = b''
+        self._version = ''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body = bytearray()
 
     def feed(self, received: bytes) -> None:
         """Take in bytes; nothing more is read after a fault."""
@@ -124,10 +130,8 @@
 
     def _reset(self) -> None:
         self.head_read = False
-        self._head = RequestHead(b'', b'', ())
         self._target = b''
-        self._version = ''
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers = []
         self._body = bytearray()
 
     def _head_is_too_long(self) -> bool:
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -8,13 +8,17 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
+from result import Result
 
-from snipebend.errors.hierarchy import UnavailableError
+from snipebend.errors.hierarchy import InvalidInputError, UnavailableError
 from snipebend.hosts.lookup import HostIndex
+from snipebend.hosts.model import HostTable
 from snipebend.kernel.service import Service
+from snipebend.settings.model import RelaySettings
 from snipebend.state.host_news import HostWatch
 from snipebend.transport.methods import WATCH_HOSTS
 from snipebend.transport.rpc_clients import RpcClients
@@ -22,16 +26,12 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from result import Result
-
-    from snipebend.errors.hierarchy import InvalidInputError
-    from snipebend.hosts.model import HostTable
     from snipebend.kernel.registry import Registry
-    from snipebend.settings.model import RelaySettings
     from snipebend.state.host_news import HostNews
     from snipebend.state.roster import UpstreamRecord
 
-ReadTable = Callable[[bytes], 'Result[HostTable, InvalidInputError]']
+#: Reads the body of a document.
+ReadTable = Callable[[bytes], Result[HostTable, InvalidInputError]]
 
 #: Seconds without news, sent every half second, after which a watch is opened
 #: anew: with the way back it stays within the 2 s for a change.
@@ -86,6 +86,12 @@
         self._tasks = registry.tasks
         registry.tasks.once('watch-seeds', self._watch_seeds)
 
+    async def reload(self, cfg: object) -> None:
+        """Take over other seeds."""
+        if isinstance(cfg, RelaySettings):
+            self._seeds = frozenset(cfg.control.grpc_addresses)
+            self._watch_all()
+
     async def stop(self) -> None:
         """Close the connections."""
         self._clients.close()
@@ -126,7 +132,7 @@
         wanted = self._seeds | self._members
         for address in wanted - self._watched.keys():
             self._watched[address] = self._tasks.start(
-                f'watch-{address}', lambda peer=address: self._watch(peer)
+                f'watch-{address}', partial(self._watch, address)
             )
         for address in self._watched.keys() - wanted:
             self._watched.pop(address).cancel()
--- a/src/snipebend/edge/http_headers.py
+++ b/src/snipebend/edge/http_headers.py
@@ -63,9 +63,7 @@
     return name in _PER_CONNECTION or name in listed
 
 
-def encode_head(
-    first_line: bytes, headers: list[tuple[bytes, bytes]]
-) -> bytes:
+def encode_head(first_line: bytes, headers: list[tuple[bytes, bytes]]) -> bytes:
     """Return the bytes of a message's head."""
     lines = [first_line]
     lines.extend(
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -1,4 +1,4 @@
-"""Admits requests, chooses upstreams, and keeps count of both."""
+"""Admits requests, chooses their upstreams, and keeps count of the calls."""
 
 from __future__ import annotations
 
@@ -8,20 +8,17 @@
 
 from loguru import logger
 
-from snipebend.edge.caller_connection import CallerConnection
 from snipebend.edge.host_follower import HostFollower
-from snipebend.edge.relayed_request import Admitted, RelayedRequest, refuse
+from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
-from snipebend.hosts.lookup import pick_service
-from snipebend.hosts.model import CallerLimits
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
+from snipebend.relay.admitting import Admitted, admit
 from snipebend.relay.choosing import Wish, choose
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.routing.retry_budget import RetryBudget
-from snipebend.settings.model import split_address
-from snipebend.transport.http_server import open_listener
+from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -29,6 +26,7 @@
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.call import Call
     from snipebend.edge.caller_parser import WholeRequest
+    from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
     from snipebend.relay.facts import Dialect
     from snipebend.relay.problems import Refusal
@@ -44,66 +42,32 @@
 LEAST_WAIT_S = 0.1
 MOST_WAIT_S = 0.4
 
-#: Seconds of a graceful stop in which new connections are still taken: the
-#: balancer needs two failed looks, one a second, to send them elsewhere.
-ACCEPT_S = 2.6
-
-#: Seconds before the end of a graceful stop in which what is left is cut.
-LEAVE_EARLY_S = 0.4
-
 
 class RelayDesk(Service):
-    """Serves callers' connections."""
+    """Serves requests."""
 
-    def __init__(
-        self, name: str, cfg: RelaySettings, dialect: Dialect
-    ) -> None:
-        """Keep the settings; nothing listens yet."""
+    def __init__(self, name: str, cfg: RelaySettings, dialect: Dialect) -> None:
+        """Keep the settings."""
         super().__init__(name)
         self.dialect = dialect
-        self.draining = False
         self._cfg = cfg
         self._upstreams = UpstreamTable()
         self._budgets: dict[str, RetryBudget] = {}
-        self._connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
         # Spreads entries' choices only; nobody gains by guessing it.
         self._rng = random.Random()
         self._in_work = 0
 
     async def start(self, registry: Registry) -> None:
-        """Follow the document, then listen."""
+        """Follow the document and the roster."""
         self._clock = registry.clock
         self._tasks = registry.tasks
         self.pool = UpstreamPool(self._cfg.relay, self.dialect, self._clock)
         self._follower = registry.find('hosts', HostFollower)
         self._follower.on_upstreams = self._take_upstreams
-        sock = open_listener(*split_address(self._cfg.callers))
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock
-        )
         self._tasks.start('sweep', self._sweep_for_ever)
-        host, port = sock.getsockname()[:2]
-        self.address = f'{host}:{port}'
-        logger.info('event=listening proto=relay address={}', self.address)
-
-    async def drain(self) -> None:
-        """Take what still comes, then end connections between requests."""
-        stop_by = self._clock.now() + self._cfg.stop_within_s - LEAVE_EARLY_S
-        self.draining = True
-        await asyncio.sleep(min(ACCEPT_S, self._cfg.stop_within_s / 3))
-        if self._server is not None:
-            self._server.close()
-        while self._connections and self._clock.now() < stop_by:
-            for conn in tuple(self._connections):
-                conn.close_if_idle()
-            await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
-        """Cut what is left."""
-        for conn in tuple(self._connections):
-            conn.cut()
+        """Close idle connections."""
         self.pool.close()
 
     def ready(self) -> bool:
@@ -111,39 +75,17 @@
         return any(True for _ in self._upstreams)
 
     def dump(self) -> Mapping[str, object]:
-        """Return connections, calls and upstreams."""
+        """Return calls and upstreams."""
         return {
-            'connections': len(self._connections),
             'in_work': self._in_work,
             'idle_to_upstreams': self.pool.sizes(),
-            'upstreams': {
-                upstream.record.identity: {
-                    'service': upstream.record.service,
-                    'phase': upstream.record.phase.name,
-                    'own_calls': upstream.own_calls,
-                    'calls': upstream.calls,
-                    'failures': upstream.failures,
-                    'displaced': upstream.displaced,
-                }
-                for upstream in self._upstreams
-            },
+            'upstreams': self._upstreams.dump(),
         }
 
-    # What connections ask for.
-
     @property
-    def limits(self) -> CallerLimits:
-        """Return the bounds on what callers send."""
-        index = self._follower.index
-        return index.table.limits if index else CallerLimits()
-
-    def opened(self, conn: CallerConnection) -> None:
-        """Note a new connection."""
-        self._connections.add(conn)
-
-    def closed(self, conn: CallerConnection) -> None:
-        """Forget a connection."""
-        self._connections.discard(conn)
+    def index(self) -> HostIndex | None:
+        """Return the document in force, if one is known."""
+        return self._follower.index
 
     async def serve(self, req: WholeRequest, answer: AnswerWriter) -> None:
         """Answer one request."""
@@ -151,7 +93,10 @@
         if facts is None:
             self.refuse(answer, problems.malformed(), CallerFacts())
             return
-        admitted = self._admit(req, facts)
+        target = req.head.target.decode('latin-1')
+        admitted = admit(
+            self.index, facts, target, self.now(), self._rng.random()
+        )
         if not isinstance(admitted, Admitted):
             self.refuse(answer, admitted, facts)
             return
@@ -162,43 +107,26 @@
         finally:
             self._in_work -= 1
 
-    # What requests ask for.
-
-    @property
-    def number(self) -> int:
-        """Return the number of the document in force."""
-        return self._follower.number
-
-    @property
-    def news_age_s(self) -> float:
-        """Return seconds since control last told something."""
-        return self._follower.age_s
+    def knowledge(self) -> str:
+        """Return for a log line what decisions go by, and how old it is."""
+        age_ms = 1000 * self._follower.age_s
+        return f'document={self._follower.number} news_age_ms={age_ms:.0f}'
 
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
 
-    async def choose(
+    def choose(
         self, admitted: Admitted, tried: Sequence[str]
     ) -> Upstream | None:
         """Return an upstream for a call; none: all are full or away."""
-        return self._pick(admitted, tried)
-
-    def has_other(self, admitted: Admitted, tried: Sequence[str]) -> bool:
-        """Tell whether an upstream is left that wasn't tried."""
-        return self._pick(admitted, tried) is not None
+        wish = Wish(self._cfg.process.data_center, tried)
+        members = self._upstreams.of_service(admitted.service)
+        return choose(members, wish, self.now(), self._rng)
 
     def take_retry(self, service: str) -> bool:
         """Take one retry of a service's budget, if it has any."""
-        return self._budget(service).take(self._clock.now())
-
-    def begin_call(self, upstream: Upstream) -> None:
-        """Count a call."""
-        upstream.own_calls += 1
-
-    def end_call(self, upstream: Upstream) -> None:
-        """Count the end of a call."""
-        upstream.own_calls -= 1
+        return self._budget(service).take(self.now())
 
     def own_calls(self) -> dict[str, int]:
         """Return the calls under way, by the upstream's identity."""
@@ -214,11 +142,9 @@
 
     def finish_behind(self, call: Call, deadline: float) -> None:
         """Let a call end that must not be broken off; its answer is lost."""
-        if call.over:
-            return
-        self._tasks.once(
-            'finish-behind', lambda: _read_out(call, deadline - self._clock.now())
-        )
+        if not call.over:
+            span_s = deadline - self.now()
+            self._tasks.once('finish-behind', lambda: _read_out(call, span_s))
 
     def wait_s(self) -> float:
         """Return when a refused caller shall come back, with jitter."""
@@ -230,55 +156,23 @@
         """Write an own answer, and say why."""
         logger.info(
             'event=refused request={} status={} outcome={} detail={!r} '
-            + 'retry_after={:.2f} document={} news_age_ms={:.0f}',
+            + 'retry_after={:.2f} {}',
             facts.request_id,
             refusal.status.value,
             refusal.outcome.value,
             refusal.detail,
             refusal.wait_s,
-            self.number,
-            1000 * self.news_age_s,
+            self.knowledge(),
         )
-        headers = self.dialect.refusal_headers(
-            facts.request_id, refusal.wait_s
+        problem = Problem(
+            refusal.status.value,
+            refusal.title,
+            refusal.detail,
+            refusal.outcome,
         )
-        refuse(answer, refusal, headers)
-
-    def _pick(
-        self, admitted: Admitted, tried: Sequence[str]
-    ) -> Upstream | None:
-        wish = Wish(self._cfg.process.data_center, tried)
-        members = self._upstreams.of_service(admitted.service)
-        return choose(members, wish, self._clock.now(), self._rng)
-
-    def _admit(
-        self, req: WholeRequest, facts: CallerFacts
-    ) -> Admitted | Refusal:
-        index = self._follower.index
-        if index is None:
-            return problems.no_document()
-        target = req.head.target.decode('latin-1')
-        route = index.find_route(facts.host, target)
-        if route is None:
-            return problems.no_route()
-        workspace = index.find_workspace(facts.key) if facts.key else None
-        if workspace is None and index.needs_keys and not route.anonymous:
-            return problems.unknown_key()
-        priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
-        now = self._clock.now()
-        patience_s = route.timeout_s
-        if facts.patience_s is not None:
-            patience_s = min(patience_s, facts.patience_s)
-        return Admitted(
-            facts,
-            route,
-            pick_service(route, self._rng.random()),
-            workspace.name if workspace else '',
-            priority,
-            now,
-            now + patience_s,
+        answer.refuse(
+            problem,
+            self.dialect.refusal_headers(facts.request_id, refusal.wait_s),
         )
 
     def _budget(self, service: str) -> RetryBudget:
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -18,14 +18,13 @@
 from snipebend.relay import problems
 from snipebend.relay.endings import Chances, Ending, Next, decide, when_over
 from snipebend.relay.facts import UpstreamCall
-from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.caller_parser import WholeRequest
     from snipebend.edge.relay_desk import RelayDesk
-    from snipebend.hosts.model import HostRoute
-    from snipebend.relay.facts import AnswerHead, CallerFacts
+    from snipebend.relay.admitting import Admitted
+    from snipebend.relay.facts import AnswerHead
     from snipebend.relay.problems import Refusal
     from snipebend.relay.upstreams import Upstream
 
@@ -36,19 +35,6 @@
 _STATUS_FAILED = 500
 
 
-class Admitted(NamedTuple):
-    """What was decided of a request before its first call."""
-
-    facts: CallerFacts
-    route: HostRoute
-    service: str
-    workspace: str
-    priority: int
-    #: Monotonic seconds.
-    began_at: float
-    deadline: float
-
-
 class Ended(NamedTuple):
     """How a call ended, and the upstream's failure if it gave a whole one."""
 
@@ -77,7 +63,6 @@
         self._route = admitted.route
         self._tried: list[str] = []
         self._runs = 0
-        self._may_have_run = False
         self._stream = StreamRelay(answer)
 
     async def run(self) -> None:
@@ -90,9 +75,14 @@
         except TimeoutError:
             self._time_out()
 
+    @property
+    def _may_have_run(self) -> bool:
+        """Tell whether an upstream got it and didn't prove 'not run'."""
+        return self._runs > 0
+
     async def _call_until_answered(self) -> None:
         while True:
-            upstream = await self._desk.choose(self._admitted, self._tried)
+            upstream = self._desk.choose(self._admitted, self._tried)
             if upstream is None:
                 self._refuse_full()
                 return
@@ -105,7 +95,7 @@
     async def _call(self, upstream: Upstream) -> Ended | None:
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
-        self._desk.begin_call(upstream)
+        upstream.own_calls += 1
         call: Call | None = None
         try:
             call = await self._open(upstream)
@@ -113,7 +103,7 @@
         except UnavailableError as exc:
             ended = Ended(Ending.UNSENT, str(exc), faulty=True)
         finally:
-            self._desk.end_call(upstream)
+            upstream.own_calls -= 1
             if call is not None:
                 self._give_up(call)
         self._note(upstream, ended)
@@ -149,13 +139,11 @@
         call.send(
             self._req, admitted.facts.request_id, facts, self._desk.dialect
         )
-        self._may_have_run = True
         self._runs += 1
 
     async def _read_answer(self, call: Call, head: AnswerHead) -> Ended | None:
         facts = self._desk.dialect.read_answer(head)
         if facts.not_run or facts.other_identity:
-            self._may_have_run = self._runs > 1
             self._runs -= 1
             if facts.other_identity:
                 call.upstream.displaced = True
@@ -209,14 +197,13 @@
             upstream.note_failure(self._desk.now())
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'failures={} document={} news_age_ms={:.0f}',
+            + 'failures={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
             ended.ending.value,
             ended.reason,
             upstream.failures,
-            self._desk.number,
-            1000 * self._desk.news_age_s,
+            self._desk.knowledge(),
         )
 
     def _goes_on(self, ended: Ended) -> bool:
@@ -236,7 +223,7 @@
             runs_left=self._route.max_attempts - self._runs,
             sends_left=MAX_SENDS - len(self._tried),
             time_left_s=admitted.deadline - self._desk.now(),
-            other_upstream=self._desk.has_other(admitted, self._tried),
+            other_upstream=self._desk.choose(admitted, self._tried) is not None,
             may_have_run=self._may_have_run,
         )
 
@@ -249,9 +236,7 @@
             case Next.PASS_ON if ended.answer is not None:
                 self._pass_on(ended.answer)
             case Next.REFUSE:
-                self._refuse(
-                    problems.busy(self._desk.wait_s(), ended.reason)
-                )
+                self._refuse(problems.busy(self._desk.wait_s(), ended.reason))
             case _:
                 self._refuse(problems.lost(ended.reason))
 
@@ -296,18 +281,3 @@
             call.break_off()
         else:
             self._desk.finish_behind(call, self._admitted.deadline)
-
-
-def refuse(
-    answer: AnswerWriter, refusal: Refusal, headers: list[tuple[bytes, bytes]]
-) -> None:
-    """Write an own answer."""
-    answer.refuse(
-        Problem(
-            refusal.status.value,
-            refusal.title,
-            refusal.detail,
-            refusal.outcome,
-        ),
-        headers,
-    )
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -166,12 +166,11 @@
 
 
 def _shares(counts: Counts) -> Counts:
-    return counts / counts.sum(axis=1, keepdims=True)
+    shares: Counts = counts / counts.sum(axis=1, keepdims=True)
+    return shares
 
 
-def _mean_skew(
-    layers: tuple[LayerMap, ...], loads: list[list[float]]
-) -> float:
+def _mean_skew(layers: tuple[LayerMap, ...], loads: list[list[float]]) -> float:
     skews = [
         layer_skew(layer, load)
         for layer, load in zip(layers, loads, strict=True)
--- a/src/snipebend/kernel/process.py
+++ b/src/snipebend/kernel/process.py
@@ -53,6 +53,12 @@
             state[service.name] = dict(service.dump())
         return state
 
+    async def reload(self, cfg: object) -> None:
+        """Tell all services of changed settings."""
+        logger.info('event=reloaded process={}', self.name)
+        for service in self.registry:
+            await service.reload(cfg)
+
     def request_stop(self) -> None:
         """Ask the process to drain and end; safe to call twice."""
         self._stopping.set()
--- a/src/snipebend/kernel/service.py
+++ b/src/snipebend/kernel/service.py
@@ -25,6 +25,9 @@
     async def start(self, registry: Registry) -> None:
         """Find peers in the registry, open sockets and start tasks."""
 
+    async def reload(self, cfg: object) -> None:
+        """Take over changed settings, as far as that is possible."""
+
     async def drain(self) -> None:
         """Take no new work and return when the work in flight has ended."""
 
--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -74,8 +74,6 @@
     not_run: bool = False
     #: Whether another life of an upstream answered at this address.
     other_identity: bool = False
-    #: Whether the upstream closes the connection, or is about to leave.
-    closing: bool = False
 
 
 class Dialect(Protocol):
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -108,6 +108,20 @@
             else:
                 upstream.others_calls.pop(entry, None)
 
+    def dump(self) -> dict[str, object]:
+        """Return each upstream's standing."""
+        return {
+            identity: {
+                'service': upstream.record.service,
+                'phase': upstream.record.phase.name,
+                'own_calls': upstream.own_calls,
+                'calls': upstream.calls,
+                'failures': upstream.failures,
+                'displaced': upstream.displaced,
+            }
+            for identity, upstream in self._known.items()
+        }
+
     def _drop(self, identity: str) -> list[Upstream]:
         gone = self._known.pop(identity, None)
         if gone is None:
--- a/src/snipebend/transport/founding.py
+++ b/src/snipebend/transport/founding.py
@@ -86,6 +86,21 @@
     def _founds_first(self) -> bool:
         return self._may_found and self._listed[0] == self._own.address
 
+    async def ask_back_in(self) -> bool:
+        """Ask to be taken in again by a group that has removed this member."""
+        others = [one for one in self._listed if one != self._own.address]
+        asked = await asyncio.gather(*(self._ask(one) for one in others))
+        for reply in asked:
+            if reply is None or not reply.members.voters:
+                continue
+            members = reply.members.voters + reply.members.learners
+            if self._own in members:
+                continue
+            if await self._join_at(reply.member.address):
+                logger.info('event=rejoined member={}', self._own.member_id)
+                return True
+        return False
+
     async def _enter(self, replies: list[HelloReply]) -> Members | None:
         """Enter a group that exists: as one of its voters, or as a learner.
 
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -59,9 +59,7 @@
     async def counts(self, upstream: UpstreamRecord) -> RankCounts | None:
         """Return what an engine's requests chose."""
 
-    async def order(
-        self, upstream: UpstreamRecord, order: RankOrder
-    ) -> Reply:
+    async def order(self, upstream: UpstreamRecord, order: RankOrder) -> Reply:
         """Give an order."""
 
     async def close(self) -> None:
@@ -148,9 +146,7 @@
                     engine.expert_share,
                     engine.fetch_s,
                 )
-                pause_s = min(
-                    pause_s, await self._look_at(service.name, sizes)
-                )
+                pause_s = min(pause_s, await self._look_at(service.name, sizes))
         return pause_s
 
     async def _look_at(self, service: str, sizes: ExpertSizes) -> float:
--- a/src/snipebend/transport/group_start.py
+++ b/src/snipebend/transport/group_start.py
@@ -11,7 +11,7 @@
 from snipebend.consensus.folder_lock import FolderLock
 from snipebend.consensus.records import Member, Members
 from snipebend.consensus.storage import Storage
-from snipebend.transport.founding import Founding
+from snipebend.transport.founding import ROUND_S, Founding
 from snipebend.transport.group import Group
 from snipebend.transport.rpc_clients import RpcClients
 
@@ -22,7 +22,7 @@
 
 
 #: Seconds between two requests of a learner that got no log yet.
-REJOIN_EVERY_S = 2.0
+REJOIN_EVERY_S = 1.5
 
 
 class GroupStart:
@@ -37,6 +37,10 @@
         self._clients = RpcClients()
         self._opened: Opened | None = None
 
+    def take_settings(self, cfg: ControlSettings) -> None:
+        """Take over other seeds for a later search of the group."""
+        self._cfg = cfg
+
     def open(self) -> Member:
         """Lock and read the folder; return who this daemon is.
 
@@ -67,14 +71,18 @@
         )
 
     async def rejoin(self, group: Group) -> None:
-        """Ask again until the leader's log has come.
+        """Ask for admission whenever this member is outside of its group.
 
-        A leader may have fallen before the admission was committed.
+        A leader may have fallen before the admission was committed, or may
+        have removed this member while it was away.
         """
-        while not group.replica.status.members.voters:
+        while True:
             await asyncio.sleep(REJOIN_EVERY_S)
-            if not group.replica.status.members.voters:
+            status = group.replica.status
+            if not status.members.voters:
                 await self._founding().ask_round()
+            elif status.leader is None and self._cfg.seeds:
+                await self._founding(status.members).ask_back_in()
 
     def close(self) -> None:
         """Close connections and give the folder back."""
@@ -99,12 +107,18 @@
             members = Members((self._own,))
             await asyncio.to_thread(self._storage.found, members)
             return members
-        return await self._founding().find()
-
-    def _founding(self) -> Founding:
+        while True:
+            # Made anew each time: the settings may name other seeds by now.
+            found = await self._founding().ask_round()
+            if found is not None:
+                return found
+            await asyncio.sleep(ROUND_S)
+
+    def _founding(self, members: Members = Members()) -> Founding:
+        known = [voter.address for voter in members.voters]
         return Founding(
             self._own,
-            self._cfg.listed_addresses,
+            tuple(dict.fromkeys((*self._cfg.listed_addresses, *known))),
             self._clients,
             self._storage.found,
             may_found=self._cfg.seeds is None or self._cfg.seeds.bootstrap,
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from grpclib.exceptions import GRPCError
 from loguru import logger
@@ -38,18 +38,19 @@
         """Add the endpoint to the server."""
         super().__init__(name)
         self._stopping = False
-        self._store: ReplicatedState | None = None
+        self._started = False
         self._watchers: dict[str, str] = {}
         server.add(Endpoint(WATCH_HOSTS, self.watch))
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
         self._store = registry.find('state', ReplicatedState)
+        self._started = True
 
     async def stop(self) -> None:
         """End the watchers' streams."""
         self._stopping = True
-        if self._store is None:
+        if not self._started:
             return
         async with self._store.changed:
             self._store.changed.notify_all()
@@ -146,7 +147,7 @@
 
     async def _execute(
         self, command: Command
-    ) -> Result[PutReply | RecordReply, UnavailableError]:
+    ) -> Result[Any, UnavailableError]:
         try:
             return Ok(await self._store.execute(command))
         except GRPCError as exc:
--- a/src/snipebend/transport/repairs.py
+++ b/src/snipebend/transport/repairs.py
@@ -13,6 +13,7 @@
     PromoteLearner,
     RemoveMember,
 )
+from snipebend.consensus.replacing import find_gone
 from snipebend.transport.group_messages import HelloRequest, JoinReply
 from snipebend.transport.methods import HELLO
 
@@ -57,6 +58,8 @@
             if self._replica.leads:
                 for learner in self._replica.status.members.learners:
                     await self._promote(learner)
+                if self._names is None:
+                    await self._remove_gone()
 
     async def join(self, req: JoinRequest) -> JoinReply:
         """Take in a member with a new disk in the place of its old identity.
@@ -87,6 +90,18 @@
             learner.member_id,
         )
 
+    async def _remove_gone(self) -> None:
+        members = self._replica.status.members
+        gone = find_gone(members, self._replica.silences())
+        if gone is None:
+            return
+        if await self._change(RemoveMember(gone.member_id)):
+            logger.info(
+                'event=member_removed name={} member={}',
+                gone.name,
+                gone.member_id,
+            )
+
     async def _is_at_home(self, member: Member) -> bool:
         answer = await self._clients.call(
             member.address,
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -88,6 +88,10 @@
         """Return the core's view of the group."""
         return self._core.status()
 
+    def silences(self) -> dict[str, float]:
+        """Return, on the leader, the others' silences in seconds."""
+        return self._core.silences()
+
     @property
     def leads(self) -> bool:
         """Tell whether this member leads, as far as it knows."""
--- a/src/snipebend/transport/replicated_state.py
+++ b/src/snipebend/transport/replicated_state.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError
 
 from snipebend.kernel.service import Service
+from snipebend.settings.model import ControlSettings
 from snipebend.state.machine import Machine
 from snipebend.transport.group_start import GroupStart
 
@@ -16,7 +17,6 @@
     from collections.abc import Mapping
 
     from snipebend.kernel.registry import Registry
-    from snipebend.settings.model import ControlSettings
     from snipebend.state.commands import Command
     from snipebend.transport.group import Group
 
@@ -43,6 +43,11 @@
         self.own = await asyncio.to_thread(self._start.open)
         registry.tasks.start('replica', self._live)
 
+    async def reload(self, cfg: object) -> None:
+        """Take over other seeds."""
+        if isinstance(cfg, ControlSettings):
+            self._start.take_settings(cfg)
+
     async def drain(self) -> None:
         """Hand the leadership over before the process stops."""
         if self.group is not None:
