--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-CODE := src tests bench
-export PYTHONPATH := $(CURDIR)/src
+CODE := src tests bench platform
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)/platform
 
 .PHONY: setup demo test lint bench lock format
 
--- a/src/snipebend/consensus/core.py
+++ b/src/snipebend/consensus/core.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.consensus.dispatch import take_in
 from snipebend.consensus.node import restore_node
+from snipebend.consensus.reads import lease_until
 from snipebend.consensus.settling import settle
 
 if TYPE_CHECKING:
@@ -98,6 +100,13 @@
             handed_out=node.handed_out,
         )
 
+    def lease_until(self) -> float:
+        """Return until when nobody else can lead; the past on a follower."""
+        node = self._node
+        if node.leadership is None:
+            return -math.inf
+        return lease_until(node, node.leadership)
+
     def silences(self) -> dict[str, float]:
         """Return, on a leader, how long each other member has been silent.
 
--- a/src/snipebend/console/connection.py
+++ b/src/snipebend/console/connection.py
@@ -13,7 +13,8 @@
 
 from snipebend.errors.hierarchy import InvalidInputError, SnipebendError
 from snipebend.settings.loading import load_settings
-from snipebend.settings.model import ControlSection, Section
+from snipebend.settings.base import Section
+from snipebend.settings.model import ControlSection
 from snipebend.transport.rpc import Method
 from snipebend.transport.rpc_clients import RpcClients
 
--- a/src/snipebend/daemons/host_control.py
+++ b/src/snipebend/daemons/host_control.py
@@ -6,9 +6,9 @@
 
 from snipebend.daemons.running import build_admin, connect_admin
 from snipebend.kernel.process import Process
-from snipebend.settings.model import split_address
+from snipebend.settings.seeds import split_address
 from snipebend.transport.group_api import GroupApi
-from snipebend.transport.group_balancer import EngineLink, GroupBalancer
+from snipebend.transport.group_balancer import GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.replicated_state import ReplicatedState
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from snipebend.edge.host_follower import ReadTable
     from snipebend.hosts.model import HostTable
+    from snipebend.transport.group_eyes import EngineLink
     from snipebend.settings.model import ControlSettings
 
 
--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -10,13 +10,13 @@
 from snipebend.edge.relay_desk import RelayDesk
 from snipebend.edge.relay_server import RelayServer
 from snipebend.kernel.process import Process
-from snipebend.settings.model import split_address
+from snipebend.settings.seeds import split_address
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.rpc_clients import RpcClients
 
 if TYPE_CHECKING:
     from snipebend.relay.facts import Dialect
-    from snipebend.settings.model import RelaySettings
+    from snipebend.settings.relay import RelaySettings
 
 #: Seconds between pings to control daemons, and for their answers.
 PING_S = 0.5
--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -16,7 +16,7 @@
     from snipebend.relay.upstreams import Upstream
 
 #: Bytes of an answer that is kept whole before it is passed on.
-MAX_KEPT_BYTES = 16 * 1024 * 1024
+MAX_KEPT_BYTES = 16_777_216
 
 
 class WholeAnswer(NamedTuple):
--- a/src/snipebend/edge/caller_timer.py
+++ b/src/snipebend/edge/caller_timer.py
@@ -34,7 +34,7 @@
         self._limits = limits
         self._on_late = on_late
         self._due = Due.NOTHING
-        self._handle: asyncio.TimerHandle | None = None
+        self._running: asyncio.TimerHandle | None = None
 
     def expect(self, due: Due) -> None:
         """Wait for this from now on; what is due already keeps its time."""
@@ -50,11 +50,11 @@
                 span_s = limits.header_timeout_s
             case Due.BODY | Due.REQUEST:
                 span_s = limits.idle_timeout_s
-        self._handle = self._loop.call_later(span_s, self._on_late, due)
+        self._running = self._loop.call_later(span_s, self._on_late, due)
 
     def stop(self) -> None:
         """Wait for nothing."""
         self._due = Due.NOTHING
-        if self._handle is not None:
-            self._handle.cancel()
-            self._handle = None
+        if self._running is not None:
+            self._running.cancel()
+            self._running = None
--- /dev/null
+++ b/src/snipebend/edge/final_answer.py
@@ -0,0 +1,82 @@
+"""The end of a request whose answer didn't come by itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.delivery.outcomes import Outcome
+from snipebend.edge.http_headers import end_to_end
+from snipebend.relay import problems
+from snipebend.relay.endings import Next
+
+if TYPE_CHECKING:
+    from snipebend.edge.answer_writer import AnswerWriter
+    from snipebend.edge.call import WholeAnswer
+    from snipebend.edge.refuser import Refuser
+    from snipebend.relay.facts import CallerFacts
+    from snipebend.relay.problems import Refusal
+
+
+class FinalAnswer:
+    """Ends one answer, once."""
+
+    def __init__(
+        self, answer: AnswerWriter, refuser: Refuser, facts: CallerFacts
+    ) -> None:
+        """Keep the answer and the request's facts."""
+        self._answer = answer
+        self._refuser = refuser
+        self._facts = facts
+
+    def pass_on(self, whole: WholeAnswer) -> None:
+        """Give the caller an upstream's whole answer."""
+        head = whole.begun.head
+        self._answer.begin(
+            head.status,
+            head.reason,
+            list(end_to_end(head.headers)),
+            len(whole.body),
+        )
+        self._answer.write(whole.body)
+        self._answer.end()
+
+    def finish(
+        self, step: Next, reason: str, failure: WholeAnswer | None
+    ) -> None:
+        """Answer after the last call; ``failure`` is the upstream's own."""
+        match step:
+            case Next.PASS_ON if failure is not None and not self._begun:
+                self.pass_on(failure)
+            case Next.REFUSE:
+                self._refuse(problems.busy(self._refuser.wait_s(), reason))
+            case _:
+                self._refuse(problems.lost(reason))
+
+    def refuse_full(self, *, may_have_run: bool) -> None:
+        """Answer that no upstream can take it now."""
+        if may_have_run:
+            self._refuse(problems.lost('the call broke, and none is free'))
+            return
+        wait_s = self._refuser.wait_s()
+        self._refuse(problems.busy(wait_s, 'no upstream is free'))
+
+    def time_out(self, *, may_have_run: bool) -> None:
+        """Answer that the time is over."""
+        if may_have_run:
+            self._refuse(problems.too_late(Outcome.UNKNOWN))
+            return
+        wait_s = self._refuser.wait_s()
+        self._refuse(problems.busy(wait_s, 'no upstream in time'))
+
+    @property
+    def _begun(self) -> bool:
+        return self._answer.begun
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self._answer.ended:
+            return
+        if self._begun:
+            # A broken answer must not look like a whole one.
+            self._answer.abort()
+            return
+        self._refuser.refuse(self._answer, refusal, self._facts)
--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -99,7 +99,7 @@
             )
             return
         stamp = (told.started_at, told.number)
-        if stamp <= self._last.get(told.entry, (0.0, 0)):
+        if stamp <= self._last.get(told.entry, (0, 0)):
             return
         self._last[told.entry] = stamp
         self._heard_at[told.entry] = self._clock.now()
@@ -112,7 +112,7 @@
     async def _tell_for_ever(self) -> None:
         number = 0
         told: dict[str, int] = {}
-        repeat_at = 0.0
+        repeat_at: float = 0
         while True:
             await asyncio.sleep(TELL_EVERY_S)
             self._forget_silent()
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -18,7 +18,7 @@
 from snipebend.hosts.lookup import HostIndex
 from snipebend.hosts.model import HostTable
 from snipebend.kernel.service import Service
-from snipebend.settings.model import RelaySettings
+from snipebend.settings.relay import RelaySettings
 from snipebend.state.host_news import HostWatch
 from snipebend.transport.methods import WATCH_HOSTS
 from snipebend.transport.rpc_clients import RpcClients
--- a/src/snipebend/edge/http_headers.py
+++ b/src/snipebend/edge/http_headers.py
@@ -7,6 +7,9 @@
 if TYPE_CHECKING:
     from snipebend.relay.facts import Headers
 
+#: Behind the last header come its line end and an empty line.
+_END_OF_HEAD = b'\r\n'
+
 CONNECTION = b'connection'
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
@@ -69,4 +72,5 @@
     lines.extend(
         b'%b: %b' % (name, header_value) for name, header_value in headers
     )
-    return b'\r\n'.join(lines) + b'\r\n\r\n'
+    lines.append(_END_OF_HEAD)
+    return b'\r\n'.join(lines)
--- /dev/null
+++ b/src/snipebend/edge/refuser.py
@@ -0,0 +1,66 @@
+"""Gives callers the entry's own answers, and logs why."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from snipebend.transport.problems import Problem
+
+if TYPE_CHECKING:
+    from snipebend.edge.answer_writer import AnswerWriter
+    from snipebend.edge.host_follower import HostFollower
+    from snipebend.relay.facts import CallerFacts, Dialect
+    from snipebend.relay.problems import Refusal
+
+#: Bounds of the time after which a refused caller shall come back, in
+#: seconds: about one work item of a full pool.
+LEAST_WAIT_S = 0.1
+MOST_WAIT_S = 0.4
+
+
+class Refuser:
+    """Writes refusals in the platform's form."""
+
+    def __init__(self, dialect: Dialect, follower: HostFollower) -> None:
+        """Keep how refusals are written, and what decisions go by."""
+        self._dialect = dialect
+        self._follower = follower
+        # Spreads the callers' returns only; nobody gains by guessing it.
+        self._rng = random.Random()
+
+    def knowledge(self) -> str:
+        """Return for a log line what decisions go by, and how old it is."""
+        age_ms = 1000 * self._follower.age_s
+        return f'document={self._follower.number} news_age_ms={age_ms:.0f}'
+
+    def wait_s(self) -> float:
+        """Return when a refused caller shall come back, with jitter."""
+        return self._rng.uniform(LEAST_WAIT_S, MOST_WAIT_S)
+
+    def refuse(
+        self, answer: AnswerWriter, refusal: Refusal, facts: CallerFacts
+    ) -> None:
+        """Write an own answer."""
+        logger.info(
+            'event=refused request={} status={} outcome={} detail={!r} '
+            + 'retry_after={:.2f} {}',
+            facts.request_id,
+            refusal.status.value,
+            refusal.outcome.value,
+            refusal.detail,
+            refusal.wait_s,
+            self.knowledge(),
+        )
+        problem = Problem(
+            refusal.status.value,
+            refusal.title,
+            refusal.detail,
+            refusal.outcome,
+        )
+        answer.refuse(
+            problem,
+            self._dialect.refusal_headers(facts.request_id, refusal.wait_s),
+        )
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from snipebend.edge.host_follower import HostFollower
+from snipebend.edge.refuser import Refuser
 from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
 from snipebend.kernel.service import Service
@@ -18,7 +19,6 @@
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.routing.retry_budget import RetryBudget
-from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -29,19 +29,13 @@
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
     from snipebend.relay.facts import Dialect
-    from snipebend.relay.problems import Refusal
     from snipebend.relay.upstreams import Upstream
-    from snipebend.settings.model import RelaySettings
+    from snipebend.settings.relay import RelaySettings
     from snipebend.state.roster import UpstreamRecord
 
 #: Seconds between two looks at idle connections.
 SWEEP_EVERY_S = 1.0
 
-#: Bounds of the time after which a refused caller shall come back, in
-#: seconds: about one work item of a full pool.
-LEAST_WAIT_S = 0.1
-MOST_WAIT_S = 0.4
-
 
 class RelayDesk(Service):
     """Serves requests."""
@@ -63,6 +57,7 @@
         self._tasks = registry.tasks
         self.pool = UpstreamPool(self._cfg.relay, self.dialect, self._clock)
         self._follower = registry.find('hosts', HostFollower)
+        self.refuser = Refuser(self.dialect, self._follower)
         self._follower.on_upstreams = self._take_upstreams
         self._tasks.start('sweep', self._sweep_for_ever)
 
@@ -91,14 +86,14 @@
         """Answer one request."""
         facts = self.dialect.read_caller(req.head)
         if facts is None:
-            self.refuse(answer, problems.malformed(), CallerFacts())
+            self.refuser.refuse(answer, problems.malformed(), CallerFacts())
             return
         target = req.head.target.decode('latin-1')
         admitted = admit(
             self.index, facts, target, self.now(), self._rng.random()
         )
         if not isinstance(admitted, Admitted):
-            self.refuse(answer, admitted, facts)
+            self.refuser.refuse(answer, admitted, facts)
             return
         self._budget(admitted.service).note_request()
         self._in_work += 1
@@ -107,11 +102,6 @@
         finally:
             self._in_work -= 1
 
-    def knowledge(self) -> str:
-        """Return for a log line what decisions go by, and how old it is."""
-        age_ms = 1000 * self._follower.age_s
-        return f'document={self._follower.number} news_age_ms={age_ms:.0f}'
-
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
@@ -146,35 +136,6 @@
             span_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: _read_out(call, span_s))
 
-    def wait_s(self) -> float:
-        """Return when a refused caller shall come back, with jitter."""
-        return self._rng.uniform(LEAST_WAIT_S, MOST_WAIT_S)
-
-    def refuse(
-        self, answer: AnswerWriter, refusal: Refusal, facts: CallerFacts
-    ) -> None:
-        """Write an own answer, and say why."""
-        logger.info(
-            'event=refused request={} status={} outcome={} detail={!r} '
-            + 'retry_after={:.2f} {}',
-            facts.request_id,
-            refusal.status.value,
-            refusal.outcome.value,
-            refusal.detail,
-            refusal.wait_s,
-            self.knowledge(),
-        )
-        problem = Problem(
-            refusal.status.value,
-            refusal.title,
-            refusal.detail,
-            refusal.outcome,
-        )
-        answer.refuse(
-            problem,
-            self.dialect.refusal_headers(facts.request_id, refusal.wait_s),
-        )
-
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/snipebend/edge/relay_server.py
+++ b/src/snipebend/edge/relay_server.py
@@ -11,7 +11,7 @@
 from snipebend.edge.relay_desk import RelayDesk
 from snipebend.hosts.model import CallerLimits
 from snipebend.kernel.service import Service
-from snipebend.settings.model import split_address
+from snipebend.settings.seeds import split_address
 from snipebend.transport.http_server import open_listener
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.caller_parser import WholeRequest
     from snipebend.kernel.registry import Registry
-    from snipebend.settings.model import RelaySettings
+    from snipebend.settings.relay import RelaySettings
 
 #: Seconds of a graceful stop in which new connections are still taken: the
 #: balancer needs two failed looks, one a second, to send them elsewhere.
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -8,14 +8,12 @@
 
 from loguru import logger
 
-from snipebend.delivery.outcomes import Outcome
 from snipebend.edge.call import Call, WholeAnswer
 from snipebend.edge.exchange import Begun, Broken, Piece, Whole
-from snipebend.edge.http_headers import end_to_end
+from snipebend.edge.final_answer import FinalAnswer
 from snipebend.edge.stream_relay import StreamRelay
 from snipebend.errors.hierarchy import UnavailableError
 from snipebend.hosts.model import Kind
-from snipebend.relay import problems
 from snipebend.relay.endings import Chances, Ending, Next, decide, when_over
 from snipebend.relay.facts import UpstreamCall
 
@@ -25,7 +23,6 @@
     from snipebend.edge.relay_desk import RelayDesk
     from snipebend.relay.admitting import Admitted
     from snipebend.relay.facts import AnswerHead
-    from snipebend.relay.problems import Refusal
     from snipebend.relay.upstreams import Upstream
 
 #: Upstreams that one request is offered to at most, while each proves that it
@@ -64,6 +61,7 @@
         self._tried: list[str] = []
         self._runs = 0
         self._stream = StreamRelay(answer)
+        self._end = FinalAnswer(answer, desk.refuser, admitted.facts)
 
     async def run(self) -> None:
         """Work until the answer has ended, or the time is over."""
@@ -73,7 +71,7 @@
             ):
                 await self._call_until_answered()
         except TimeoutError:
-            self._time_out()
+            self._end.time_out(may_have_run=self._may_have_run)
 
     @property
     def _may_have_run(self) -> bool:
@@ -84,7 +82,7 @@
         while True:
             upstream = self._desk.choose(self._admitted, self._tried)
             if upstream is None:
-                self._refuse_full()
+                self._end.refuse_full(may_have_run=self._may_have_run)
                 return
             ended = await self._call(upstream)
             if ended is None:
@@ -167,24 +165,22 @@
         answer = await call.receive_whole(begun)
         if isinstance(answer, Broken):
             return self._unknown(answer.reason)
-        self._pass_on(answer)
+        self._end.pass_on(answer)
         return None
 
     async def _relay_stream(self, call: Call, head: AnswerHead) -> Ended | None:
         self._stream.begin(head)
-        while True:
+        message = await call.receive()
+        while isinstance(message, Piece):
+            if self._stream.take(message.data):
+                await self._answer.drain()
             message = await call.receive()
-            match message:
-                case Piece(data):
-                    if self._stream.take(data):
-                        await self._answer.drain()
-                case Whole():
-                    self._stream.end()
-                    return None
-                case Broken(reason):
-                    return self._unknown(reason)
-                case Begun():
-                    return self._unknown('a second head')
+        if isinstance(message, Whole):
+            self._stream.end()
+            return None
+        if isinstance(message, Broken):
+            return self._unknown(message.reason)
+        return self._unknown('a second head')
 
     def _unknown(self, reason: str) -> Ended:
         return Ended(Ending.UNKNOWN, reason, faulty=True)
@@ -203,17 +199,16 @@
             ended.ending.value,
             ended.reason,
             upstream.failures,
-            self._desk.knowledge(),
+            self._desk.refuser.knowledge(),
         )
 
     def _goes_on(self, ended: Ended) -> bool:
         """Tell whether another upstream shall be called; else answer."""
-        chances = self._chances()
-        step = decide(ended.ending, chances)
+        step = decide(ended.ending, self._chances())
         if step is Next.RETRY and self._desk.take_retry(self._admitted.service):
             return True
         final = when_over(ended.ending, may_have_run=self._may_have_run)
-        self._answer_finally(final, ended)
+        self._end.finish(final, ended.reason, ended.answer)
         return False
 
     def _chances(self) -> Chances:
@@ -227,54 +222,6 @@
             may_have_run=self._may_have_run,
         )
 
-    def _answer_finally(self, final: Next, ended: Ended) -> None:
-        if self._answer.begun:
-            # A broken answer must not look like a whole one.
-            self._answer.abort()
-            return
-        match final:
-            case Next.PASS_ON if ended.answer is not None:
-                self._pass_on(ended.answer)
-            case Next.REFUSE:
-                self._refuse(problems.busy(self._desk.wait_s(), ended.reason))
-            case _:
-                self._refuse(problems.lost(ended.reason))
-
-    def _refuse_full(self) -> None:
-        if self._answer.begun:
-            self._answer.abort()
-        elif self._may_have_run and not self._route.idempotent:
-            self._refuse(problems.lost('the call broke'))
-        else:
-            self._refuse(
-                problems.busy(self._desk.wait_s(), 'no upstream is free')
-            )
-
-    def _time_out(self) -> None:
-        if self._answer.ended:
-            return
-        if self._answer.begun:
-            self._answer.abort()
-            return
-        if self._may_have_run:
-            self._refuse(problems.too_late(Outcome.UNKNOWN))
-        else:
-            self._refuse(problems.busy(self._desk.wait_s(), 'too late'))
-
-    def _pass_on(self, answer: WholeAnswer) -> None:
-        head = answer.begun.head
-        self._answer.begin(
-            head.status,
-            head.reason,
-            list(end_to_end(head.headers)),
-            len(answer.body),
-        )
-        self._answer.write(answer.body)
-        self._answer.end()
-
-    def _refuse(self, refusal: Refusal) -> None:
-        self._desk.refuse(self._answer, refusal, self._admitted.facts)
-
     def _give_up(self, call: Call) -> None:
         """Break a call off that nobody waits for, unless it must run once."""
         if self._route.idempotent or self._route.kind is Kind.STREAM:
--- a/src/snipebend/edge/upstream_pool.py
+++ b/src/snipebend/edge/upstream_pool.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from snipebend.kernel.clock import Clock
     from snipebend.relay.facts import Dialect
-    from snipebend.settings.model import RelaySection
+    from snipebend.settings.relay import RelaySection
 
 #: An idle connection is dropped after this long, in seconds, if the upstream
 #: doesn't tell its own time.
--- a/src/snipebend/experts/bounded_search.py
+++ b/src/snipebend/experts/bounded_search.py
@@ -8,10 +8,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-#: Experts by rank: one layer of a map.
-LayerMap = tuple[tuple[int, ...], ...]
+from snipebend.experts.layer_state import LayerState, LayerStep
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from snipebend.experts.layer_state import LayerMap
 
 #: The coldest ranks that a step may use as its target. Trials on random loads
 #: of 16 ranks gained under 0.01 of skew from looking at all of them.
@@ -50,29 +54,23 @@
     def __init__(
         self,
         before: LayerMap,
-        loads: list[float],
+        loads: Sequence[float],
         bounds: Bounds,
-        fetching: list[int] | None = None,
+        fetching: Sequence[int] = (),
     ) -> None:
         """Start from the map in force; loads by expert, mean rank load 1.
 
         ``fetching`` counts what each rank fetches for other layers already.
         """
-        self._fetching = fetching or [0] * len(before)
         self._before = [frozenset(held) for held in before]
-        self._held = [set(held) for held in before]
-        self._loads = loads
+        self._state = LayerState(before, loads)
         self._bounds = bounds
-        self._holders: list[set[int]] = [set() for _ in loads]
-        for rank, held in enumerate(self._held):
-            for expert in held:
-                self._holders[expert].add(rank)
-        self._heat = [self._rank_load(rank) for rank in range(len(before))]
+        self._fetching = fetching or (0,) * len(before)
 
     @property
     def skew(self) -> float:
         """Return the load of the hottest rank; the mean is 1."""
-        return max(self._heat)
+        return self._state.skew
 
     def run(self) -> LayerMap:
         """Improve the map until no step is worth its loads."""
@@ -80,70 +78,59 @@
             step = self._best_step()
             if step is None:
                 break
-            self._apply(step)
-        return tuple(tuple(sorted(held)) for held in self._held)
-
-    def _rank_load(self, rank: int) -> float:
-        return sum(
-            self._loads[expert] / len(self._holders[expert])
-            for expert in self._held[rank]
-        )
-
-    def _best_step(self) -> _Step | None:
-        hot = max(range(len(self._heat)), key=self._heat.__getitem__)
-        base = self._heat[hot] ** _SHARPNESS
-        best: _Step | None = None
-        best_gain = 0.0
+            self._state.apply(step)
+        return self._state.layer
+
+    def _best_step(self) -> LayerStep | None:
+        heat = self._state.heat
+        hot = heat.index(max(heat))
+        base = heat[hot] ** _SHARPNESS
+        best: LayerStep | None = None
+        best_gain = self._bounds.least_gain
         for step in self._steps(hot):
             gain = self._gain(step) / base / max(1, self._cost(step))
-            if gain > max(best_gain, self._bounds.least_gain):
+            if gain > best_gain:
                 best, best_gain = step, gain
         return best
 
-    def _steps(self, hot: int) -> list[_Step]:
-        by_heat = sorted(range(len(self._heat)), key=self._heat.__getitem__)
-        targets = [rank for rank in by_heat[:TARGETS] if rank != hot]
-        return [
-            step
-            for expert in self._held[hot]
-            for target in targets
-            if expert not in self._held[target]
-            for step in self._steps_to(hot, expert, target)
-        ]
-
-    def _steps_to(self, hot: int, expert: int, target: int) -> list[_Step]:
-        steps = []
-        for dropped in (None, *self._held[target]):
-            if dropped is None and self._is_full(target):
+    def _steps(self, hot: int) -> Iterator[LayerStep]:
+        """Yield the steps that take load off the hot rank."""
+        heat = self._state.heat
+        by_heat = sorted(range(len(heat)), key=heat.__getitem__)
+        for target in by_heat[:TARGETS]:
+            if target == hot:
+                continue
+            for expert in self._state.held[hot] - self._state.held[target]:
+                if self._may_take(target, expert):
+                    yield from self._steps_to(hot, expert, target)
+
+    def _steps_to(
+        self, hot: int, expert: int, target: int
+    ) -> Iterator[LayerStep]:
+        """Yield the ways to give one expert to one target."""
+        state = self._state
+        if len(state.held[target]) < self._bounds.places:
+            yield LayerStep(hot, expert, target, None, 'copy')
+            yield LayerStep(hot, expert, target, None, 'move')
+        for dropped in state.held[target]:
+            if len(state.holders[dropped]) > 1:
+                yield LayerStep(hot, expert, target, dropped, 'copy')
+                yield LayerStep(hot, expert, target, dropped, 'move')
+            if dropped in state.held[hot]:
                 continue
-            redundant = dropped is None or len(self._holders[dropped]) > 1
-            if redundant:
-                steps.append(_Step(hot, expert, target, dropped, 'copy'))
-                steps.append(_Step(hot, expert, target, dropped, 'move'))
-            if dropped is not None and dropped not in self._held[hot]:
-                steps.append(_Step(hot, expert, target, dropped, 'swap'))
-        return [step for step in steps if self._allowed(step)]
-
-    def _is_full(self, rank: int) -> bool:
-        return len(self._held[rank]) >= self._bounds.places
-
-    def _allowed(self, step: _Step) -> bool:
-        if not self._may_take(step.target, step.expert):
-            return False
-        if step.kind == 'swap' and step.dropped is not None:
-            return self._may_take(step.hot, step.dropped)
-        return True
+            if self._may_take(hot, dropped):
+                yield LayerStep(hot, expert, target, dropped, 'swap')
 
     def _may_take(self, rank: int, expert: int) -> bool:
         if expert in self._before[rank]:
             return True
-        new = len(self._held[rank] - self._before[rank])
+        new = len(self._state.held[rank] - self._before[rank])
         return new < self._bounds.spare
 
-    def _cost(self, step: _Step) -> float:
+    def _cost(self, step: LayerStep) -> float:
         cost = self._load_cost(step.target, step.expert)
-        if step.kind == 'swap' and step.dropped is not None:
-            cost += self._load_cost(step.hot, step.dropped)
+        if step.returned is not None:
+            cost += self._load_cost(step.hot, step.returned)
         return cost
 
     def _load_cost(self, rank: int, expert: int) -> float:
@@ -152,69 +139,9 @@
             return 0
         return 1 + BUSY_COST * self._fetching[rank]
 
-    def _changes(self, step: _Step) -> dict[int, float]:
-        """Return by how much each rank's load changes."""
-        change: dict[int, float] = {}
-        gone = {step.hot} if step.kind in {'move', 'swap'} else set()
-        self._shift(change, step.expert, {step.target}, gone)
-        if step.dropped is not None:
-            back = {step.hot} if step.kind == 'swap' else set()
-            self._shift(change, step.dropped, back, {step.target})
-        return change
-
-    def _shift(
-        self,
-        change: dict[int, float],
-        expert: int,
-        added: set[int],
-        gone: set[int],
-    ) -> None:
-        old = self._holders[expert]
-        new = (old - gone) | added
-        load = self._loads[expert]
-        for rank in old:
-            change[rank] = change.get(rank, 0) - load / len(old)
-        for rank in new:
-            change[rank] = change.get(rank, 0) + load / len(new)
-
-    def _gain(self, step: _Step) -> float:
+    def _gain(self, step: LayerStep) -> float:
+        heat = self._state.heat
         return sum(
-            self._heat[rank] ** _SHARPNESS
-            - max(0, self._heat[rank] + delta) ** _SHARPNESS
-            for rank, delta in self._changes(step).items()
+            heat[rank] ** _SHARPNESS - max(0, heat[rank] + delta) ** _SHARPNESS
+            for rank, delta in self._state.changes(step).items()
         )
-
-    def _apply(self, step: _Step) -> None:
-        changes = self._changes(step)
-        self._give(step.expert, step.target)
-        if step.kind in {'move', 'swap'}:
-            self._take(step.expert, step.hot)
-        if step.dropped is not None:
-            self._take(step.dropped, step.target)
-            if step.kind == 'swap':
-                self._give(step.dropped, step.hot)
-        for rank, delta in changes.items():
-            self._heat[rank] += delta
-
-    def _give(self, expert: int, rank: int) -> None:
-        self._held[rank].add(expert)
-        self._holders[expert].add(rank)
-
-    def _take(self, expert: int, rank: int) -> None:
-        self._held[rank].discard(expert)
-        self._holders[expert].discard(rank)
-
-
-class _Step(NamedTuple):
-    """Give the hot rank's expert to a target, which may drop one for it."""
-
-    hot: int
-    expert: int
-    target: int
-    dropped: int | None
-    kind: str
-
-
-def layer_skew(layer: LayerMap, loads: list[float]) -> float:
-    """Return the load of the hottest rank; the mean is 1."""
-    return LayerSearch(layer, loads, Bounds(0, 0)).skew
--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -10,6 +10,8 @@
   rank that hasn't fetched its experts yet refuses it, and is asked again.
 - ``Go`` is sent only when every rank is known to be armed for that pass.
   Nothing disarms a rank, so that this knowledge doesn't age.
+- One coordinator gives orders at a time, under a lease. The next one first
+  waits until reports show what the last one did, and goes on with its hold.
 - An order that is carried out late names a pass that has begun or a version
   that has been overtaken, and engines refuse both.
 
@@ -24,7 +26,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from snipebend.experts.bounded_search import LayerMap
+    from snipebend.experts.layer_state import LayerMap
 
 
 class Armed(NamedTuple):
@@ -160,7 +162,6 @@
     step: int = 0
     hold_step: int | None = None
     phase: Phase = Phase.PREPARING
-    held_at: float = 0
     _hold_tries: int = 0
     _hold_refused: bool = False
     _hold_sent_at: float = -1
@@ -197,8 +198,7 @@
             rank.in_force = True
         self._drop_passed_hold(report)
         self._note_held(report)
-        if report.armed and self._is_for_hold(report.armed):
-            rank.armed = True
+        self._note_armed(report, rank)
         self._advance()
 
     def next_orders(self, now: float) -> list[RankOrder]:
@@ -222,9 +222,9 @@
             case Prepare(), Reply.ACCEPTED:
                 rank.prepared_at = now + self.fetch_s
             case Prepare(), Reply.REFUSED:
-                self._note_refusal(rank, now)
+                rank.refusals += 1
             case Hold(), Reply.ACCEPTED:
-                self._note_hold(order.step, now)
+                self.hold_step = self.hold_step or order.step
             case Hold(), Reply.REFUSED:
                 self._hold_refused = True
                 self._hold_tries += AHEAD
@@ -236,13 +236,6 @@
                 pass
         self._advance()
 
-    def _note_refusal(self, rank: _Rank, now: float) -> None:
-        """Refused: it may have been told before, by a lost order say."""
-        rank.refusals += 1
-        rank.prepared_at = now + self.fetch_s
-        if rank.refusals >= MAX_REFUSALS and self.hold_step is None:
-            self.phase = Phase.REFUSED
-
     def _note_held(self, report: RankReport) -> None:
         """Adopt a hold: our own, whose answer was lost, or another's."""
         if report.held is None or report.held <= self.step:
@@ -250,6 +243,15 @@
         if self.hold_step is None and report.rank == 0:
             self.hold_step = report.held
 
+    def _note_armed(self, report: RankReport, rank: _Rank) -> None:
+        """Take over what an earlier coordinator has armed for a later pass."""
+        armed = report.armed
+        if armed is None or armed.version != self.version:
+            return
+        if self.hold_step is None and armed.step > self.step:
+            self.hold_step = armed.step
+        rank.armed = armed.step == self.hold_step
+
     def _drop_passed_hold(self, report: RankReport) -> None:
         """Begin anew when the pass has begun without the switch.
 
@@ -263,18 +265,14 @@
             for rank in self._ranks.values():
                 rank.armed = False
 
-    def _note_hold(self, step: int, now: float) -> None:
-        if self.hold_step is None:
-            self.hold_step = step
-            self.held_at = now
-
-    def _is_for_hold(self, armed: Armed) -> bool:
-        return armed == (self.version, self.hold_step)
-
     def _advance(self) -> None:
         if self.over:
             return
         ranks = self._ranks.values()
+        if self.hold_step is None and any(map(_is_refused, ranks)):
+            # Nothing was held yet: the plan can be given up without harm.
+            self.phase = Phase.REFUSED
+            return
         if all(rank.in_force for rank in ranks):
             self.phase = Phase.DONE
         elif any(rank.prepared_at is None for rank in ranks):
@@ -324,3 +322,7 @@
             return []
         self._go_again_at = now + RETRY_S
         return [Go(0, self.epoch, self.hold_step)]
+
+
+def _is_refused(rank: _Rank) -> bool:
+    return rank.prepared_at is None and rank.refusals >= MAX_REFUSALS
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -6,12 +6,8 @@
 
 import numpy as np
 
-from snipebend.experts.bounded_search import (
-    Bounds,
-    LayerMap,
-    LayerSearch,
-    layer_skew,
-)
+from snipebend.experts.bounded_search import Bounds, LayerSearch
+from snipebend.experts.layer_state import LayerMap, layer_skew
 
 if TYPE_CHECKING:
     from numpy.typing import NDArray
@@ -63,13 +59,13 @@
     """A better map, and how much shorter it makes a pass."""
 
     layers: tuple[LayerMap, ...]
-    skew_before: float
-    skew_after: float
+    skew_before: float = 0
+    skew_after: float = 0
     #: Relative to the length of a pass now.
-    saving: float
+    saving: float = 0
     #: Experts that ranks would fetch, over all layers, and the most of one.
-    loads: int
-    most_loads: int
+    loads: int = 0
+    most_loads: int = 0
 
 
 def first_map(sizes: ExpertSizes, ranks: int) -> tuple[LayerMap, ...]:
@@ -148,7 +144,7 @@
         self, layers: tuple[LayerMap, ...], loads: list[list[float]]
     ) -> tuple[LayerMap, ...]:
         bounds = Bounds(self._sizes.places, self._sizes.spare)
-        fetching = [0] * self.size
+        fetching = [0 for _ in range(self.size)]
         better = []
         for layer, load in zip(layers, loads, strict=True):
             found = LayerSearch(layer, load, bounds, fetching).run()
--- a/src/snipebend/kernel/clock.py
+++ b/src/snipebend/kernel/clock.py
@@ -20,8 +20,12 @@
     """The machine's own clocks."""
 
     def now(self) -> float:
-        """Return the monotonic clock's seconds."""
-        return time.monotonic()
+        """Return seconds since the machine started, its sleep included.
+
+        The monotonic clock stands still while a VM is suspended: a lease that
+        is counted on it would outlive the time that others wait for its end.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
--- a/src/snipebend/settings/loading.py
+++ b/src/snipebend/settings/loading.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from snipebend.errors.hierarchy import InvalidInputError
-from snipebend.settings.model import Section
+from snipebend.settings.base import Section
 
 AnySettings = TypeVar('AnySettings', bound=Section)
 
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -4,41 +4,22 @@
 
 from typing import Annotated, Literal
 
-from pydantic import (
-    BaseModel,
-    ConfigDict,
-    Field,
-    StringConstraints,
-    model_validator,
+from pydantic import Field, model_validator
+
+from snipebend.settings.base import (
+    Address,
+    HostIp,
+    MAX_CLOCK_DRIFT,
+    MAX_SPAN_S,
+    MIN_SUBSET,
+    Name,
+    Port,
+    Seconds,
+    Section,
+)
+from snipebend.settings.seeds import (
+    SeedsSection,
 )
-
-MAX_PORT = 65535
-MAX_SPAN_S = 3600.0
-MAX_CLOCK_DRIFT = 0.2
-#: Pools up to this size are never cut.
-MIN_SUBSET = 20
-
-#: ``host:port`` with a host by IP number.
-Address = Annotated[
-    str,
-    StringConstraints(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'),
-]
-HostIp = Annotated[
-    str,
-    StringConstraints(pattern=r'^\d{1,3}(\.\d{1,3}){3}$'),
-]
-Name = Annotated[
-    str,
-    StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'),
-]
-Port = Annotated[int, Field(ge=0, le=MAX_PORT)]
-Seconds = Annotated[float, Field(gt=0, le=MAX_SPAN_S)]
-
-
-class Section(BaseModel):
-    """A table of the file: unknown keys and loose types are errors."""
-
-    model_config = ConfigDict(extra='forbid', strict=True, frozen=True)
 
 
 class ProcessSection(Section):
@@ -144,23 +125,6 @@
     snapshot_every: Annotated[int, Field(ge=10)] = 1000
 
 
-class SeedsSection(Section):
-    """Some control daemons, from which a process learns the others."""
-
-    #: Addresses of control daemons; only their hosts are used.
-    addresses: Annotated[list[Address], Field(min_length=1)]
-    #: The port of every control daemon's gRPC server.
-    grpc_port: Annotated[int, Field(ge=1, le=MAX_PORT)]
-    #: Whether the seeds may found a group: only where there never was one.
-    bootstrap: bool = False
-
-    @property
-    def grpc_addresses(self) -> tuple[str, ...]:
-        """Return the gRPC addresses in one order on all daemons."""
-        hosts = {address.rpartition(':')[0] for address in self.addresses}
-        return tuple(f'{host}:{self.grpc_port}' for host in sorted(hosts))
-
-
 class ElectionSection(Section):
     """Timing of the agreement between control daemons."""
 
@@ -206,40 +170,3 @@
         if names and self.process.name not in names:
             raise ValueError(f'members must include {self.process.name!r}')
         return self
-
-
-class RelaySection(Section):
-    """How an entry calls upstreams that have no agent."""
-
-    #: Seconds for a new connection to an upstream.
-    connect_timeout_s: Seconds = 0.4
-    #: Seconds without an acknowledgement from the other end, after which a
-    #: connection is given up.
-    silent_after_s: Seconds = 1.5
-    #: Share of the requests that may be sent once more, over the whole fleet.
-    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
-    #: Retries that the whole fleet has on top of that share in one window.
-    retry_slack: Annotated[float, Field(ge=0)] = 20
-    #: Seconds of that window.
-    retry_window_s: Seconds = 10.0
-
-
-class RelaySettings(DaemonSettings):
-    """The settings of an entry that calls its upstreams directly."""
-
-    control: SeedsSection
-    relay: RelaySection = RelaySection()
-    #: Where callers connect.
-    callers: Address = '127.0.0.1:0'
-    #: Where the balancer asks whether this entry is ready.
-    readiness: Address = '127.0.0.1:0'
-    #: UDP port for the loads that entries tell each other; 0: chosen.
-    gossip_port: Port = 0
-    #: Seconds from the signal to stop until the process must have ended.
-    stop_within_s: Seconds = 8.0
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/src/snipebend/state/group_plans.py
+++ b/src/snipebend/state/group_plans.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from snipebend.experts.bounded_search import LayerMap
+from snipebend.experts.layer_state import LayerMap
 
 
 class GroupPlan(Struct, frozen=True):
--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -107,9 +107,17 @@
             case DecideExpertMap(req=req):
                 fence = state.fences.read(req.group).fence
                 return state.maps.decide(req, fence)
+            case _:
+                return self._execute_for_hosts(command)
+
+    def _execute_for_hosts(
+        self, command: PutDocument | RecordUpstream | DecideGroupPlan
+    ) -> Reply:
+        """Carry out a command of entries that route by host and path."""
+        match command:
             case PutDocument(req=req):
-                return state.documents.put(req)
+                return self.state.documents.put(req)
             case RecordUpstream(req=req):
-                return state.roster.record(req)
+                return self.state.roster.record(req)
             case DecideGroupPlan(req=req):
-                return state.plans.decide(req)
+                return self.state.plans.decide(req)
--- a/src/snipebend/transport/group_start.py
+++ b/src/snipebend/transport/group_start.py
@@ -82,7 +82,8 @@
             if not status.members.voters:
                 await self._founding().ask_round()
             elif status.leader is None and self._cfg.seeds:
-                await self._founding(status.members).ask_back_in()
+                voters = [voter.address for voter in status.members.voters]
+                await self._founding(*voters).ask_back_in()
 
     def close(self) -> None:
         """Close connections and give the folder back."""
@@ -114,8 +115,7 @@
                 return found
             await asyncio.sleep(ROUND_S)
 
-    def _founding(self, members: Members = Members()) -> Founding:
-        known = [voter.address for voter in members.voters]
+    def _founding(self, *known: str) -> Founding:
         return Founding(
             self._own,
             tuple(dict.fromkeys((*self._cfg.listed_addresses, *known))),
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -145,9 +145,7 @@
             tuple(filter(None, self._watchers.values())),
         )
 
-    async def _execute(
-        self, command: Command
-    ) -> Result[Any, UnavailableError]:
+    async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
         try:
             return Ok(await self._store.execute(command))
         except GRPCError as exc:
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -88,6 +88,11 @@
         """Return the core's view of the group."""
         return self._core.status()
 
+    @property
+    def has_lease(self) -> bool:
+        """Tell whether this member leads and nobody else can."""
+        return self._clock.now() < self._core.lease_until()
+
     def silences(self) -> dict[str, float]:
         """Return, on the leader, the others' silences in seconds."""
         return self._core.silences()
--- /dev/null
+++ b/src/snipebend/transport/switch_driver.py
@@ -0,0 +1,109 @@
+"""Drives one switch of a group's map: its orders out, their replies in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from snipebend.experts.direct_switch import DirectSwitch, Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from snipebend.experts.direct_switch import Phase, RankOrder
+    from snipebend.kernel.clock import Clock
+    from snipebend.state.group_plans import GroupPlan
+    from snipebend.transport.group_eyes import EngineLink, Seen
+
+#: Seconds between two steps of a switch.
+STEP_EVERY_S = 0.02
+
+#: Seconds between two rounds of reports while a switch goes on.
+REPORT_EVERY_S = 0.2
+
+
+class SwitchDriver:
+    """One switch, as long as this daemon leads."""
+
+    def __init__(
+        self,
+        link: EngineLink,
+        clock: Clock,
+        plan: GroupPlan,
+        seen: Seen,
+        *,
+        fetch_s: float = 0,
+        step: int = 0,
+    ) -> None:
+        """Start from what was seen; ``step`` is the last pass known."""
+        self._link = link
+        self._clock = clock
+        self._seen = seen
+        self._fetch_s = fetch_s
+        self._switch = DirectSwitch(
+            plan.group,
+            plan.epoch,
+            plan.version,
+            plan.layers,
+            seen.any_report.size,
+            fetch_s,
+            step,
+        )
+        for report in seen.reports.values():
+            self._switch.note_report(report)
+
+    async def run(self, may_order: Callable[[], bool]) -> Phase:
+        """Drive to the end, or until this daemon may no longer order."""
+        self._may_order = may_order
+        switch = self._switch
+        began_at = self._clock.now()
+        report_at = began_at + self._fetch_s
+        while not switch.over and may_order():
+            await self._send_orders()
+            await asyncio.sleep(STEP_EVERY_S)
+            if self._clock.now() >= report_at:
+                await self._read_reports()
+                report_at = self._clock.now() + REPORT_EVERY_S
+        logger.info(
+            'event=map_switch group={} version={} phase={} took_ms={:.0f} '
+            + 'held_at_step={}',
+            switch.group,
+            switch.version,
+            switch.phase.value,
+            1000 * (self._clock.now() - began_at),
+            switch.hold_step,
+        )
+        return switch.phase
+
+    async def _send_orders(self) -> None:
+        """Send what is due until the switch must wait for something."""
+        while True:
+            orders = self._switch.next_orders(self._clock.now())
+            if not orders or not self._may_order():
+                return
+            await asyncio.gather(*(self._send(order) for order in orders))
+
+    async def _send(self, order: RankOrder) -> None:
+        upstream = self._seen.upstreams[order.rank]
+        if not self._may_order():
+            return
+        reply = await self._link.order(upstream, order)
+        if reply is not Reply.ACCEPTED:
+            logger.info(
+                'event=order_unaccepted group={} rank={} order={} reply={}',
+                self._switch.group,
+                order.rank,
+                type(order).__name__.lower(),
+                reply.value,
+            )
+        self._switch.note_reply(order, reply, self._clock.now())
+
+    async def _read_reports(self) -> None:
+        reports = await asyncio.gather(
+            *(self._link.report(one) for one in self._seen.upstreams.values())
+        )
+        for report in reports:
+            if report is not None:
+                self._switch.note_report(report)
--- /dev/null
+++ b/tests/experts/direct_world.py
@@ -0,0 +1,353 @@
+"""A group of engines that obey direct orders, with faults, on virtual time.
+
+The engines follow the published rules: an order that doesn't fit is refused,
+an order may be lost, or be carried out seconds after its sender gave up.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from itertools import count
+from typing import TYPE_CHECKING
+
+from snipebend.experts.direct_switch import (
+    Arm,
+    Armed,
+    DirectSwitch,
+    Go,
+    Hold,
+    Prepare,
+    RankReport,
+    Reply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from snipebend.experts.direct_switch import RankOrder
+
+RANKS = 3
+GROUP = 'g'
+PASS_S = 0.05
+REPORT_LAG_S = 0.2
+STEP_S = 0.02
+#: A draw of 100 at which an order arrives.
+QUIET_DRAW = 99
+
+#: From the end of one leader's lease to the next leader's first look.
+LEASE_S = 1.0
+SETTLE_S = 0.6
+
+
+class MixedMapsError(AssertionError):
+    """A pass began while two ranks had different maps."""
+
+
+class Rank:
+    """One engine."""
+
+    def __init__(self) -> None:
+        self.map_version = 0
+        self.highest = 0
+        self.prepared = None
+        self.ready_at = 0.0
+        self.armed = None
+        self.held = None
+
+
+class Engines:
+    """The group: its passes, its orders and what it reports."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.epoch = 1
+        self.step = 0
+        self.ranks = [Rank() for _ in range(RANKS)]
+
+    def begin_pass(self) -> None:
+        """Begin the next pass unless a rank holds before it."""
+        following = self.step + 1
+        if any(one.held == following for one in self.ranks):
+            return
+        self.step = following
+        for rank in self.ranks:
+            if rank.armed and rank.armed.step == following:
+                rank.map_version = rank.armed.version
+                rank.armed = None
+                rank.prepared = None
+        versions = {one.map_version for one in self.ranks}
+        if len(versions) > 1:
+            raise MixedMapsError(f'pass {following}: versions {versions}')
+
+    def crash(self) -> None:
+        """Lose a rank: the group forms anew."""
+        self.epoch += 1
+        for rank in self.ranks:
+            rank.map_version = 0
+            rank.prepared = None
+            rank.armed = None
+            rank.held = None
+
+    def obey(self, order: RankOrder, now: float) -> bool:
+        """Carry an order out; return whether it fitted."""
+        if order.epoch != self.epoch:
+            return False
+        rank = self.ranks[order.rank]
+        match order:
+            case Prepare(version=version):
+                return self._prepare(rank, version, now)
+            case Arm(version=version, step=step):
+                return self._arm(rank, Armed(version, step), now)
+            case Hold(step=step):
+                if step <= self.step or rank.held not in {None, step}:
+                    return False
+                rank.held = step
+                return True
+            case Go(step=step):
+                if rank.held != step:
+                    return False
+                rank.held = None
+                return True
+
+    def report(self, number: int, now: float) -> RankReport:
+        """Return what a rank says of itself."""
+        rank = self.ranks[number]
+        ready = rank.prepared if now >= rank.ready_at else None
+        return RankReport(
+            str(number),
+            GROUP,
+            self.epoch,
+            number,
+            RANKS,
+            is_open=True,
+            step=self.step,
+            map_version=rank.map_version,
+            prepared=ready,
+            armed=rank.armed,
+            held=rank.held,
+        )
+
+    def _prepare(self, rank: Rank, version: int, now: float) -> bool:
+        if rank.prepared == version:
+            return True
+        if version <= rank.highest or rank.armed:
+            return False
+        rank.highest = version
+        rank.prepared = version
+        rank.ready_at = now + self.rng.uniform(0, 0.6)
+        return True
+
+    def _arm(self, rank: Rank, armed: Armed, now: float) -> bool:
+        if rank.armed == armed:
+            return True
+        ready = rank.prepared == armed.version and now >= rank.ready_at
+        if armed.step <= self.step or not ready:
+            return False
+        rank.armed = armed
+        return True
+
+
+class Coordinator:
+    """One daemon that believes it leads, until it is told otherwise."""
+
+    ignores_lease = False
+
+    def __init__(self, world: World, make: Callable[..., DirectSwitch]) -> None:
+        self.world = world
+        self.make = make
+        self.switch = None
+        self.report_at = 0.0
+        self.frozen_until = 0.0
+        self.replaced = False
+        self.ended = False
+        self.look_at = None
+        self.reports = None
+        self.read_at = 0.0
+
+    def run(self) -> None:
+        """Take one step and plan the next one."""
+        world = self.world
+        if self.ended:
+            return
+        if world.now >= self.frozen_until:
+            self._work()
+        world.at(STEP_S, self.run)
+
+    def _work(self) -> None:
+        world = self.world
+        if self.replaced and not self.ignores_lease:
+            self.ended = True
+            return
+        if self.switch is None or self.switch.over:
+            self._begin()
+            return
+        for order in self.switch.next_orders(world.now):
+            world.send(self, order)
+        if world.now >= self.report_at:
+            self.report_at = world.now + REPORT_LAG_S
+            for number in range(RANKS):
+                world.ask(self, number)
+
+    def _begin(self) -> None:
+        """Look for a while after the last orders, then go by what was seen."""
+        world = self.world
+        if self.look_at is None:
+            self.look_at = world.now + SETTLE_S
+        if world.now < self.look_at:
+            return
+        if self.reports is None:
+            self.reports = [
+                world.engines.report(number, world.now)
+                for number in range(RANKS)
+            ]
+            self.read_at = world.now + 0.3
+        if world.now < self.read_at:
+            return
+        reports = self.reports
+        self.reports = None
+        self.look_at = None
+        self._decide(reports)
+
+    def _decide(self, reports) -> None:
+        world = self.world
+        epoch = reports[0].epoch
+        planned, version = world.plan
+        finished = all(one.map_version == version for one in reports)
+        held = any(one.held and one.held > one.step for one in reports)
+        if planned != epoch or finished:
+            if self.replaced or (world.quiet and not held):
+                return
+            version += 1
+            world.plan = (epoch, version)
+        self.switch = self.make(
+            GROUP, epoch, version, (), RANKS, 0.3, reports[0].step
+        )
+        for report in reports:
+            self.switch.note_report(report)
+
+
+class World:
+    """Schedules of passes, orders, coordinators and faults by one seed."""
+
+    def __init__(
+        self,
+        seed: int,
+        make: Callable[..., DirectSwitch] = DirectSwitch,
+        coordinator: type[Coordinator] = Coordinator,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.engines = Engines(self.rng)
+        self.plan = (0, 0)
+        self.quiet = False
+        self._make = make
+        self._events = []
+        self._numbers = count()
+        self._coordinator = coordinator
+        self.leader = coordinator(self, make)
+        self.at(0, self.leader.run)
+        self.at(PASS_S, self._pass)
+        self.at(0.5, self._fault)
+
+    def at(self, after_s: float, act: Callable[[], None]) -> None:
+        """Plan an act."""
+        entry = (self.now + after_s, next(self._numbers), act)
+        heapq.heappush(self._events, entry)
+
+    def run(self, span_s: float) -> None:
+        """Let time pass."""
+        end = self.now + span_s
+        while self._events[0][0] <= end:
+            entry = heapq.heappop(self._events)
+            self.now = entry[0]
+            entry[2]()
+        self.now = end
+
+    def settle(self) -> None:
+        """Stop the faults and let the last switch end."""
+        self.quiet = True
+        self.run(40)
+
+    def send(self, sender: Coordinator, order: RankOrder) -> None:
+        """Bring an order to its engine: now, late or never."""
+        draw = QUIET_DRAW if self.quiet else self.rng.randrange(100)
+        if draw < 10:
+            self._reply(sender, order, Reply.LOST, 0.4)
+            return
+        if draw < 35:
+            self.at(self.rng.uniform(0.5, 12), lambda: self._obey(order))
+            self._reply(sender, order, Reply.LOST, 0.4)
+            return
+        switch = sender.switch
+        self.at(
+            self.rng.uniform(0.001, 0.01),
+            lambda: self._obey_and_tell(sender, switch, order),
+        )
+
+    def ask(self, sender: Coordinator, number: int) -> None:
+        """Bring a report to a coordinator, some time after it was made."""
+        if not self.quiet and self.rng.randrange(10) == 0:
+            return
+        report = self.engines.report(number, self.now)
+        switch = sender.switch
+        self.at(
+            self.rng.uniform(0.01, 0.3),
+            lambda: self._tell(sender, switch, report),
+        )
+
+    def _tell(self, sender, switch, report) -> None:
+        if not self._defer(sender, self._tell, sender, switch, report):
+            switch.note_report(report)
+
+    def _defer(self, sender, act, *arguments) -> bool:
+        """A frozen coordinator reads its mail when it wakes."""
+        if self.now >= sender.frozen_until:
+            return False
+        wait_s = sender.frozen_until - self.now
+        self.at(wait_s, lambda: act(*arguments))
+        return True
+
+    def _obey(self, order: RankOrder) -> bool:
+        return self.engines.obey(order, self.now)
+
+    def _obey_and_tell(self, sender, switch, order) -> None:
+        reply = Reply.ACCEPTED if self._obey(order) else Reply.REFUSED
+        self._note(sender, switch, order, reply)
+
+    def _reply(self, sender, order, reply, after_s) -> None:
+        switch = sender.switch
+        self.at(after_s, lambda: self._note(sender, switch, order, reply))
+
+    def _note(self, sender, switch, order, reply) -> None:
+        if not self._defer(sender, self._note, sender, switch, order, reply):
+            switch.note_reply(order, reply, self.now)
+
+    def _pass(self) -> None:
+        if self.rng.randrange(10):
+            self.engines.begin_pass()
+        self.at(PASS_S * self.rng.uniform(0.5, 2), self._pass)
+
+    def _fault(self) -> None:
+        if self.quiet:
+            return
+        match self.rng.randrange(8):
+            case 0:
+                self.engines.crash()
+            case 1 | 2:
+                self._replace_leader(dies=True)
+            case 3 | 4:
+                self._replace_leader(dies=False)
+            case _:
+                self.leader.frozen_until = self.now + self.rng.uniform(0, 3)
+        self.at(self.rng.uniform(0.3, 4), self._fault)
+
+    def _replace_leader(self, *, dies: bool) -> None:
+        """Elect another one; the old one dies, or wakes up and goes on."""
+        old = self.leader
+        old.replaced = True
+        old.ended = dies
+        if not dies:
+            old.frozen_until = self.now + self.rng.uniform(0, 6)
+        self.leader = self._coordinator(self, self._make)
+        self.at(LEASE_S, self.leader.run)
