--- a/src/snipebend/consensus/core.py
+++ b/src/snipebend/consensus/core.py
@@ -111,7 +111,9 @@
         """Return, on a leader, how long each other member has been silent.
 
         In seconds since the last message that it is known to have taken in;
-        nobody counts as silent for longer than this leadership lasts.
+        nobody counts as silent for longer than this leadership lasts. A
+        learner that was never heard has only just been taken in, and is left
+        out.
         """
         node = self._node
         leadership = node.leadership
@@ -122,6 +124,7 @@
             - max(progress.contact_at, leadership.elected_at)
             for member_id, progress in leadership.progress.items()
             if member_id != node.member_id
+            and (member_id in node.voters or progress.contact_at > 0)
         }
 
     def members_at(self, index: int) -> Members:
