--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Puts the libraries and the two packages, byte-compiled, under target/deps.
+# What is there already isn't touched: a program may be running from it.
 set -eu
 stamp=target/deps/.installed
 if [ ! "$stamp" -nt deploy/requirements.lock ]; then
@@ -9,6 +10,11 @@
   python3 -m compileall -q target/deps || true
   touch "$stamp"
 fi
-rm -rf target/deps/snipebend target/deps/snipebend_platform
-cp -R src/snipebend platform/snipebend_platform target/deps/
-python3 -m compileall -q target/deps/snipebend target/deps/snipebend_platform
+for package in src/snipebend platform/snipebend_platform; do
+  placed=target/deps/$(basename "$package")
+  if ! diff -rq -x __pycache__ "$package" "$placed" > /dev/null 2>&1; then
+    rm -rf "$placed"
+    cp -R "$package" target/deps/
+    python3 -m compileall -q "$placed"
+  fi
+done
