--- /dev/null
+++ b/tests/edge/rig.py
@@ -0,0 +1,297 @@
+"""A relay on loopback, with a dialect and upstreams of the tests' own."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+from types import SimpleNamespace
+
+from snipebend.edge.host_follower import HostFollower
+from snipebend.edge.relay_desk import RelayDesk
+from snipebend.edge.relay_server import RelayServer
+from snipebend.hosts.lookup import HostIndex
+from snipebend.hosts.model import (
+    CallerLimits,
+    HostRoute,
+    HostService,
+    HostTable,
+    HostWorkspace,
+    Kind,
+    Split,
+)
+from snipebend.kernel.clock import SystemClock
+from snipebend.kernel.registry import Registry
+from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.relay.facts import AnswerFacts, CallerFacts
+from snipebend.settings.model import ProcessSection
+from snipebend.settings.relay import RelaySection, RelaySettings
+from snipebend.settings.seeds import SeedsSection
+from snipebend.state.roster import RosterPhase, UpstreamRecord
+from snipebend.transport.rpc_clients import RpcClients
+
+HOST = 'h.example'
+PATIENCE_S = 10.0
+
+
+class Dialect:
+    """Headers that only these tests use."""
+
+    def read_caller(self, head):
+        sent = {name.lower(): line.decode() for name, line in head.headers}
+        if sent.get(b'x-left') == 'never':
+            return None
+        left = sent.get(b'x-left')
+        return CallerFacts(
+            request_id=sent.get(b'x-id', ''),
+            host=sent[b'host'],
+            key=sent.get(b'x-key', ''),
+            patience_s=float(left) if left else None,
+        )
+
+    def upstream_headers(self, headers, call):
+        dropped = {b'x-key', b'x-left', b'x-for', b'x-after'}
+        lines = [
+            (name, line)
+            for name, line in headers
+            if name.lower() not in dropped
+        ]
+        lines.append((b'X-For', call.identity.encode()))
+        lines.append((b'X-Workspace', call.workspace.encode()))
+        if call.resume_after is not None:
+            lines.append((b'X-After', b'%d' % call.resume_after))
+        return lines
+
+    def read_answer(self, head):
+        sent = {name.lower(): line.decode() for name, line in head.headers}
+        return AnswerFacts(
+            request_id=sent.get(b'x-id', ''),
+            proved=b'x-proof' in sent,
+            not_run=b'x-not-run' in sent,
+            other_identity=head.status == 421,
+        )
+
+    def refusal_headers(self, request_id, wait_s):
+        lines = [(b'X-Id', request_id.encode())]
+        if wait_s:
+            lines.append((b'Retry-After', b'%.2f' % wait_s))
+        return lines
+
+
+class FakeUpstream:
+    """Answers each request by the script that the test sets."""
+
+    def __init__(self, script):
+        self.script = script
+        self.seen = []
+        self.closed_early = 0
+        self.connections = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+
+    async def stop(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                req = await read_request(reader)
+                self.seen.append(req)
+                if not await self.script(req, writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed_early += 1
+        finally:
+            writer.close()
+
+
+async def read_request(reader):
+    """Read one request with a length."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    lines = head.strip().split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _, text = line.partition(':')
+        headers[name.lower()] = text.strip()
+    length = int(headers.get('content-length', 0))
+    body = await reader.readexactly(length)
+    return SimpleNamespace(
+        line=lines[0], headers=headers, body=body, reader=reader
+    )
+
+
+def answer(req, body=b'whole', status='200 OK', extra='X-Proof: p\r\n'):
+    """Return the bytes of an answer to a request."""
+    request_id = req.headers.get('x-id', '')
+    head = (
+        f'HTTP/1.1 {status}\r\nX-Id: {request_id}\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+def stream_head(req):
+    """Return the head of an answer in chunks."""
+    return (
+        f'HTTP/1.1 200 OK\r\nX-Id: {req.headers["x-id"]}\r\nX-Proof: p\r\n'
+        'Content-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(data):
+    """Return one chunk."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+def route(name, kind, **fields):
+    """Return a route below a prefix of its own name."""
+    made = HostRoute(
+        name, HOST, f'/{name}/', kind, 2.0, 0.5, 1, (Split('s', 1),), 2
+    )
+    return made._replace(**fields)
+
+
+TABLE = HostTable(
+    7,
+    (
+        route('safe', Kind.SAFE),
+        route('unsafe', Kind.UNSAFE),
+        route('stream', Kind.STREAM, resumable=True),
+        route('once', Kind.STREAM),
+        route('short', Kind.SAFE, timeout_s=0.2),
+        route('open', Kind.SAFE, anonymous=True),
+    ),
+    (HostService('s', '/healthz', 10),),
+    (HostWorkspace('w', ('key',)),),
+    CallerLimits(2048, 4096, 0.5, 5.0),
+)
+
+
+class Relay:
+    """One entry's part, with its upstreams."""
+
+    def __init__(self, follower, desk, server):
+        self.follower = follower
+        self.desk = desk
+        self.server = server
+        self.upstreams = []
+
+    @property
+    def port(self):
+        return int(self.server.address.rpartition(':')[2])
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    def announce(self, identity, address, phase=RosterPhase.READY, slots=4):
+        record = UpstreamRecord(identity, 's', address, 'dc-a', slots, phase)
+        self.follower.on_upstreams((record,))
+
+
+@asynccontextmanager
+async def running(*scripts, table=TABLE, stop_within_s=2.0, slots=4):
+    """Run a relay before upstreams that follow these scripts."""
+    cfg = RelaySettings(
+        process=ProcessSection(name='entry-1', data_center='dc-a'),
+        control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
+        relay=RelaySection(),
+        stop_within_s=stop_within_s,
+    )
+    registry = Registry(SystemClock(), TaskSupervisor())
+    follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
+    desk = RelayDesk('relay', cfg, Dialect())
+    server = RelayServer('callers', cfg)
+    for service in (follower, desk, server):
+        registry.register(service)
+    follower._clock = registry.clock
+    follower.index = HostIndex(table) if table else None
+    relay = Relay(follower, desk, server)
+    async with AsyncExitStack() as stack:
+        await desk.start(registry)
+        await server.start(registry)
+        stack.push_async_callback(registry.tasks.stop)
+        stack.push_async_callback(desk.stop)
+        stack.push_async_callback(server.stop)
+        for number, script in enumerate(scripts):
+            upstream = FakeUpstream(script)
+            await upstream.start()
+            stack.push_async_callback(upstream.stop)
+            relay.upstreams.append(upstream)
+            relay.announce(f'i-{number}', upstream.address, slots=slots)
+        yield relay
+
+
+def request(path, method='POST', body=b'ask', **headers):
+    """Return the bytes of a request; ``x_id`` stands for ``x-id``."""
+    lines = {'Host': HOST, 'X-Id': 'r1', 'X-Key': 'key'}
+    lines.update(
+        {name.replace('_', '-'): line for name, line in headers.items()}
+    )
+    if body:
+        lines['Content-Length'] = str(len(body))
+    head = ''.join(
+        f'{name}: {line}\r\n' for name, line in lines.items() if line
+    )
+    return f'{method} {path} HTTP/1.1\r\n{head}\r\n'.encode() + body
+
+
+async def read_answer(reader):
+    """Read one answer; ``whole`` tells whether it ended as it should."""
+    try:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    except asyncio.IncompleteReadError:
+        return SimpleNamespace(status=0, headers={}, body=b'', whole=False)
+    lines = head.strip().split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _, text = line.partition(':')
+        headers[name.lower()] = text.strip()
+    body, whole = await _read_body(reader, headers)
+    status = int(lines[0].split()[1])
+    return SimpleNamespace(
+        status=status, headers=headers, body=body, whole=whole
+    )
+
+
+async def _read_body(reader, headers):
+    told = headers.get('content-length')
+    if told is not None:
+        length = int(told)
+        body = await reader.read(length) if length else b''
+        while len(body) < length:
+            more = await reader.read(length - len(body))
+            if not more:
+                return body, False
+            body += more
+        return body, True
+    body = b''
+    while True:
+        size = await reader.readline()
+        if not size.strip():
+            return body, False
+        length = int(size, 16)
+        try:
+            body += (await reader.readexactly(length + 2))[:length]
+        except asyncio.IncompleteReadError:
+            return body, False
+        if not length:
+            return body, True
+
+
+async def ask(relay, data):
+    """Send bytes over a new connection and read one answer."""
+    reader, writer = await relay.connect()
+    writer.write(data)
+    async with asyncio.timeout(PATIENCE_S):
+        got = await read_answer(reader)
+    writer.close()
+    return got
--- /dev/null
+++ b/tests/experts/test_group_watch.py
@@ -0,0 +1,93 @@
+"""Demand told from one rank's counts."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from snipebend.experts.direct_switch import RankReport
+from snipebend.experts.group_watch import (
+    ExpertSizes,
+    GroupWatch,
+    RankCounts,
+    first_map,
+)
+
+SIZES = ExpertSizes(2, 64, 5, 2, 0.85, 0.1)
+REPORT = RankReport('i', 'g', 3, 0, 16, is_open=True, step=10, map_version=0)
+
+
+class Counter:
+    """One rank's growing counts."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.step = 10
+        self.counts = [0 for _ in range(128)]
+        self.turn()
+
+    def turn(self):
+        self.weights = [1 / (place + 1) ** 1.1 for place in range(64)]
+        self.rng.shuffle(self.weights)
+
+    def span(self, choices=3000):
+        for layer in range(2):
+            for expert in self.rng.choices(range(64), self.weights, k=choices):
+                self.counts[64 * layer + expert] += 1
+        self.step += 5
+        return RankCounts(3, self.step, tuple(self.counts))
+
+
+class TestGroupWatch(unittest.TestCase):
+    """When a better map is proposed."""
+
+    def setUp(self):
+        self.counter = Counter(1)
+        self.watch = GroupWatch(SIZES, REPORT)
+        self.layers = first_map(SIZES, 16)
+
+    def feed(self, spans=1, choices=3000):
+        for _ in range(spans):
+            self.watch.note_counts(0, self.counter.span(choices))
+
+    def test_nothing_before_two_readings(self):
+        self.feed()
+        self.assertIsNone(self.watch.look(self.layers))
+        self.feed()
+        outlook = self.watch.look(self.layers)
+        self.assertGreater(outlook.skew_before, 3)
+        self.assertLess(outlook.skew_after, 1.4)
+        self.assertGreater(outlook.loads, 0)
+        self.assertLessEqual(outlook.most_loads, 4)
+
+    def test_a_good_map_stays(self):
+        self.feed(3)
+        better = self.watch.look(self.layers).layers
+        self.feed(5)
+        self.assertIsNone(self.watch.look(better))
+
+    def test_a_span_with_a_turn_in_it_tells_nothing(self):
+        self.feed(4)
+        self.assertFalse(self.watch.turning)
+        self.counter.turn()
+        self.feed()
+        self.assertTrue(self.watch.turning)
+        self.assertIsNone(self.watch.look(self.layers))
+        self.feed()
+        self.assertFalse(self.watch.turning)
+        self.assertIsNotNone(self.watch.look(self.layers))
+
+    def test_short_spans_are_passed_over(self):
+        self.feed()
+        self.feed(3, choices=100)
+        self.assertIsNone(self.watch.look(self.layers))
+
+    def test_another_epoch_counts_nothing(self):
+        self.feed()
+        late = self.counter.span()._replace(epoch=2)
+        self.watch.note_counts(0, late)
+        self.assertIsNone(self.watch.look(self.layers))
+
+    def test_first_map_has_experts_in_turn(self):
+        self.assertEqual(self.layers[0][2], (2, 18, 34, 50))
+        self.assertEqual(len(self.layers), SIZES.layers)
--- /dev/null
+++ b/tests/relay/test_choosing.py
@@ -0,0 +1,106 @@
+"""The choice of an upstream."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from snipebend.relay.choosing import Wish, choose
+from snipebend.relay.upstreams import (
+    FIRST_PAUSE_S,
+    LONGEST_PAUSE_S,
+    Upstream,
+    UpstreamTable,
+)
+from snipebend.state.roster import RosterPhase, UpstreamRecord
+
+WISH = Wish('dc-a')
+
+
+def upstream(identity, data_center='dc-a', **fields):
+    record = UpstreamRecord(identity, 's', '10.0.0.1:80', data_center, 4)
+    return Upstream(record, **fields)
+
+
+class TestChoose(unittest.TestCase):
+    """The least work, then the own data center."""
+
+    def pick(self, *candidates, wish=WISH, now=10.0):
+        chosen = choose(candidates, wish, now, Random(1))
+        return chosen and chosen.record.identity
+
+    def test_least_work_of_all_entries(self):
+        busy = upstream('busy', own_calls=1, others_calls={'e2': 2})
+        self.assertEqual(self.pick(busy, upstream('b', own_calls=2)), 'b')
+
+    def test_own_data_center_among_equals(self):
+        far = upstream('far', 'dc-b')
+        self.assertEqual(self.pick(far, upstream('near')), 'near')
+        near = upstream('near', own_calls=1)
+        self.assertEqual(self.pick(far, near), 'far')
+
+    def test_closed_ones_are_passed_over(self):
+        leaving = UpstreamRecord(
+            'l', 's', '10.0.0.1:80', 'dc-a', 4, RosterPhase.LEAVING
+        )
+        closed = (
+            Upstream(leaving),
+            upstream('paused', paused_until=11.0),
+            upstream('displaced', displaced=True),
+            upstream('full', own_calls=8),
+        )
+        self.assertIsNone(self.pick(*closed))
+        self.assertEqual(self.pick(*closed, upstream('open')), 'open')
+
+    def test_tried_ones_are_passed_over(self):
+        wish = WISH._replace(tried=('a',))
+        self.assertIsNone(self.pick(upstream('a'), wish=wish))
+
+    def test_equals_share_the_work(self):
+        rng = Random(3)
+        ones = [upstream(str(number)) for number in range(4)]
+        drawn = {choose(ones, WISH, 0, rng).record.identity for _ in range(60)}
+        self.assertEqual(len(drawn), 4)
+
+
+class TestUpstreams(unittest.TestCase):
+    """What an entry keeps of each."""
+
+    def test_pauses_grow_and_an_answer_ends_them(self):
+        one = upstream('a')
+        one.note_failure(5.0)
+        self.assertFalse(one.is_open(5.0 + FIRST_PAUSE_S / 2))
+        self.assertTrue(one.is_open(5.0 + FIRST_PAUSE_S))
+        for _ in range(20):
+            one.note_failure(5.0)
+        self.assertEqual(one.paused_until, 5.0 + LONGEST_PAUSE_S)
+        one.note_answer()
+        self.assertTrue(one.is_open(5.0))
+
+    def test_ended_ones_leave_the_table(self):
+        table = UpstreamTable()
+        ready = UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4)
+        table.take([ready])
+        gone = UpstreamRecord(
+            'a', 's', '10.0.0.1:80', 'dc-a', 4, RosterPhase.ENDED
+        )
+        self.assertEqual(len(table.take([gone])), 1)
+        self.assertEqual(table.of_service('s'), ())
+        self.assertEqual(table.take([gone]), [])
+
+    def test_a_late_record_takes_nothing_back(self):
+        table = UpstreamTable()
+        leaving = UpstreamRecord(
+            'a', 's', '10.0.0.1:80', 'dc-a', 4, RosterPhase.LEAVING
+        )
+        table.take([leaving])
+        table.take([UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4)])
+        self.assertFalse(table.find('a').is_open(0))
+
+    def test_other_entries_calls_are_replaced(self):
+        table = UpstreamTable()
+        table.take([UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4)])
+        table.take_calls('e2', {'a': 3, 'unknown': 1})
+        self.assertEqual(table.find('a').calls, 3)
+        table.take_calls('e2', {})
+        self.assertEqual(table.find('a').calls, 0)
