--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -116,8 +116,9 @@
     REFUSED = 'refused'
 
 
-#: Seconds before an order without an answer is sent again.
-RETRY_S = 0.15
+#: Seconds before an order without an answer is sent again, on top of the time
+#: for which its answer was awaited.
+RETRY_S = 0.02
 
 #: Seconds before a pass that was let go, but hasn't begun, is let go again: a
 #: group without work begins none.
@@ -125,13 +126,18 @@
 
 #: Seconds before a rank that refused to be armed is asked again: the group may
 #: stand still meanwhile.
-ARM_AGAIN_S = 0.03
+ARM_AGAIN_S = 0.015
 
 #: Passes between the last one known and the one to hold before. A pass takes
 #: 50 ms and more, an order a few; one that comes too late is refused, and a
 #: later pass is named at once.
 AHEAD = 2
 
+#: Further passes for each round in which some order got no answer: arming will
+#: take as many rounds, and the group stands still if it reaches the held pass
+#: before all ranks are armed.
+PER_ROUND = 2
+
 #: Refusals of one rank to prepare after which the plan is given up.
 MAX_REFUSALS = 3
 
@@ -146,6 +152,7 @@
     armed: bool = False
     in_force: bool = False
     refusals: int = 0
+    prepares: int = 0
 
 
 @dataclass(slots=True)
@@ -291,6 +298,7 @@
                 continue
             if now >= rank.sent_at + RETRY_S:
                 rank.sent_at = now
+                rank.prepares += 1
                 orders.append(
                     Prepare(number, self.epoch, self.version, self.layers)
                 )
@@ -303,7 +311,9 @@
             return []
         self._hold_sent_at = now
         self._hold_refused = False
-        return [Hold(0, self.epoch, self.step + AHEAD + self._hold_tries)]
+        rounds = max(rank.prepares for rank in self._ranks.values())
+        ahead = AHEAD + self._hold_tries + PER_ROUND * max(0, rounds - 1)
+        return [Hold(0, self.epoch, self.step + ahead)]
 
     def _arm(self, now: float) -> list[RankOrder]:
         orders: list[RankOrder] = []
