Write logs to standard output without ever blocking; explain a request by them

Logs go through a bounded buffer and a thread of its own: a reader that stops reading stops no process (tested with a pipe that is never read), lines of one event are limited a second, what is left out is counted and told. Each call, its inputs with their age, and each end of a request writes a line; snipebend explain reads a request's life from the files of all processes.

Process tests of the platform's programs found that an entry with open watches didn't end on SIGTERM: a cancelled watch took its closing connection for a lost one and began again. Ruled out: the drain, the listeners.

--- a/src/snipebend/console/application.py
+++ b/src/snipebend/console/application.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from snipebend.console import apply, check, demo, show, status
+from snipebend.console import apply, check, demo, explain, show, status
 from snipebend.console import dump as dump_command
 from snipebend.console.exit_codes import EPILOG
 
@@ -29,6 +29,7 @@
         'show': show,
         'status': status,
         'dump': dump_command,
+        'explain': explain,
         'demo': demo,
     }
     return tuple(
--- a/src/snipebend/console/demo.py
+++ b/src/snipebend/console/demo.py
@@ -28,7 +28,7 @@
 from snipebend.standin.embedding import EmbeddedEngine
 from snipebend.standin.settings import EngineConfig
 from snipebend.state.messages import ApplyRequest
-from snipebend.telemetry.logs import set_up_logs
+from snipebend.telemetry.logs import STANDARD_ERROR, set_up_logs
 from snipebend.transport.http_server import HttpServer
 from snipebend.transport.methods import APPLY
 from snipebend.transport.rpc_server import RpcServer
@@ -66,7 +66,8 @@
 
 def run(args: Namespace) -> int:
     """Start all, stream one answer, stop all gracefully."""
-    set_up_logs('demo', 'INFO' if args.verbose else 'ERROR')
+    # Standard output is for the answer.
+    set_up_logs('demo', 'INFO' if args.verbose else 'ERROR', STANDARD_ERROR)
     return asyncio.run(_demonstrate(args.prompt))
 
 
--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -27,7 +27,7 @@
 ) -> tuple[Process, HttpServer]:
     """Build the process, and the server that tells whether it is ready."""
     admin = build_admin(cfg.listen)
-    ready = HttpServer('ready', *split_address(cfg.readiness))
+    ready = HttpServer('readiness', *split_address(cfg.readiness))
     clients = RpcClients(PING_S, PING_S)
     desk = RelayDesk('relay', cfg, dialect)
     gossip = Gossip(
--- a/src/snipebend/daemons/running.py
+++ b/src/snipebend/daemons/running.py
@@ -79,7 +79,7 @@
         sys.stderr.write(f'{loaded.unwrap_err().message}\n')
         return EXIT_BAD_INPUT
     cfg = loaded.unwrap()
-    set_up_logs(cfg.process.name, cfg.log.level)
+    writer = set_up_logs(cfg.process.name, cfg.log.level)
     set_up_metrics(cfg.process.name)
     process = build(cfg)
     process.registry.register(SettingsWatch(path, model, process))
@@ -88,6 +88,8 @@
     except SnipebendError as exc:
         sys.stderr.write(f'{program}: {exc}\n')
         return EXIT_FAILED
+    finally:
+        writer.close()
     return 0
 
 
--- a/src/snipebend/edge/answer_writer.py
+++ b/src/snipebend/edge/answer_writer.py
@@ -24,6 +24,7 @@
         transport: asyncio.Transport,
         writable: asyncio.Event,
         *,
+        now: Callable[[], float],
         chunks: bool,
         keeps_open: Callable[[], bool],
         on_end: Callable[[bool], None],
@@ -31,8 +32,13 @@
         """Keep the connection; ``chunks`` tells whether it knows chunks."""
         self.begun = False
         self.ended = False
+        #: The status that the caller got; 0: none, or not the whole answer.
+        self.status = 0
+        #: When the first piece of the body went out; the clock's seconds.
+        self.first_at: float | None = None
         self._transport = transport
         self._writable = writable
+        self._now = now
         self._chunks = chunks
         self._keeps_open = keeps_open
         self._on_end = on_end
@@ -48,6 +54,7 @@
     ) -> None:
         """Write the head; without a length the body goes in chunks."""
         self.begun = True
+        self.status = status
         self._chunked = length is None and self._chunks
         self._open_after = self._keeps_open() and (
             self._chunked or length is not None
@@ -67,6 +74,8 @@
         """Write a piece of the body at once."""
         if not data:
             return
+        if self.first_at is None:
+            self.first_at = self._now()
         if self._chunked:
             data = b'%x\r\n%b\r\n' % (len(data), data)
         self._transport.write(data)
@@ -83,6 +92,7 @@
 
     def abort(self) -> None:
         """Break the answer off, so that nobody takes it for whole."""
+        self.status = 0
         self._finish(keep=False)
 
     def refuse(
--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from loguru import logger
+
 from snipebend.edge.exchange import Begun, Broken, Piece, Whole
 from snipebend.edge.http_headers import encode_head, end_to_end
 
@@ -87,6 +90,20 @@
             if len(body) > MAX_KEPT_BYTES:
                 return Broken('the answer is too large')
 
+    async def read_out(self, span_s: float) -> None:
+        """Read an answer that nobody waits for, for so many seconds."""
+        try:
+            async with asyncio.timeout(span_s):
+                while not self.over:
+                    await self.receive()
+        except TimeoutError:
+            logger.info(
+                'event=call_abandoned upstream={}',
+                self.upstream.record.identity,
+            )
+        finally:
+            self.break_off()
+
     def break_off(self) -> None:
         """Close the connection unless the answer has ended."""
         if not self.over:
--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -41,6 +41,9 @@
     def draining(self) -> bool:
         """Tell whether connections are to end after their answer."""
 
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
     def serve(
         self, req: WholeRequest, answer: AnswerWriter
     ) -> Coroutine[Any, Any, None]:
@@ -127,6 +130,7 @@
         answer = AnswerWriter(
             self._transport,
             self._writable,
+            now=self._server.now,
             chunks=req.chunks,
             keeps_open=lambda: self._keeps_open(req),
             on_end=self._ended,
@@ -165,6 +169,7 @@
         answer = AnswerWriter(
             self._transport,
             self._writable,
+            now=self._server.now,
             chunks=False,
             keeps_open=lambda: False,  # noqa: WPS522  # `bool` reads worse
             on_end=self._ended,
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -76,6 +76,7 @@
         self._number = 0
         self._members: frozenset[str] = frozenset()
         self._watched: dict[str, asyncio.Task[None]] = {}
+        self._stopping = False
         self._confirmed = False
         self._first_news_at: float | None = None
         self.news_at: float = 0
@@ -93,7 +94,14 @@
             self._watch_all()
 
     async def stop(self) -> None:
-        """Close the connections."""
+        """End the watches, then close the connections.
+
+        A watch that is cancelled while its connection closes may take the
+        cancellation for a lost connection, and must not begin again.
+        """
+        self._stopping = True
+        for task in self._watched.values():
+            task.cancel()
         self._clients.close()
 
     def ready(self) -> bool:
@@ -141,7 +149,7 @@
     async def _watch(self, address: str) -> None:
         """Follow one daemon for ever."""
         lost = False
-        while True:
+        while not self._stopping:
             try:
                 await self._follow(address)
             except (UnavailableError, TimeoutError) as exc:
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -10,6 +10,7 @@
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.refuser import Refuser
+from snipebend.edge.relay_meters import RelayMeters
 from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
 from snipebend.kernel.service import Service
@@ -59,6 +60,9 @@
         self._follower = registry.find('hosts', HostFollower)
         self.refuser = Refuser(self.dialect, self._follower)
         self._follower.on_upstreams = self._take_upstreams
+        self.meters = RelayMeters(
+            lambda: self._in_work, lambda: self._follower.number
+        )
         self._tasks.start('sweep', self._sweep_for_ever)
 
     async def stop(self) -> None:
@@ -101,6 +105,7 @@
             await RelayedRequest(self, req, answer, admitted).run()
         finally:
             self._in_work -= 1
+            self._note_end(admitted, answer)
 
     def now(self) -> float:
         """Return monotonic seconds."""
@@ -116,7 +121,11 @@
 
     def take_retry(self, service: str) -> bool:
         """Take one retry of a service's budget, if it has any."""
-        return self._budget(service).take(self.now())
+        taken = self._budget(service).take(self.now())
+        if not taken:
+            self.meters.retry_refused(service)
+            logger.info('event=retry_refused service={}', service)
+        return taken
 
     def own_calls(self) -> dict[str, int]:
         """Return the calls under way, by the upstream's identity."""
@@ -134,7 +143,20 @@
         """Let a call end that must not be broken off; its answer is lost."""
         if not call.over:
             span_s = deadline - self.now()
-            self._tasks.once('finish-behind', lambda: _read_out(call, span_s))
+            self._tasks.once('finish-behind', lambda: call.read_out(span_s))
+
+    def _note_end(self, admitted: Admitted, answer: AnswerWriter) -> None:
+        now = self.now()
+        self.meters.request_ended(admitted, answer, now)
+        first = answer.first_at
+        logger.info(
+            'event=request_ended request={} status={} took_ms={:.0f} '
+            + 'first_ms={:.0f}',
+            admitted.facts.request_id,
+            answer.status,
+            1000 * (now - admitted.began_at),
+            -1 if first is None else 1000 * (first - admitted.began_at),
+        )
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -161,16 +183,3 @@
         while True:
             await asyncio.sleep(SWEEP_EVERY_S)
             self.pool.sweep()
-
-
-async def _read_out(call: Call, span_s: float) -> None:
-    try:
-        async with asyncio.timeout(span_s):
-            while not call.over:
-                await call.receive()
-    except TimeoutError:
-        logger.info(
-            'event=call_abandoned upstream={}', call.upstream.record.identity
-        )
-    finally:
-        call.break_off()
--- a/src/snipebend/edge/relay_server.py
+++ b/src/snipebend/edge/relay_server.py
@@ -97,6 +97,10 @@
         index = self._desk.index
         return index.table.limits if index else CallerLimits()
 
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._clock.now()
+
     def opened(self, conn: CallerConnection) -> None:
         """Note a new connection."""
         self._connections.add(conn)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -93,6 +93,7 @@
     async def _call(self, upstream: Upstream) -> Ended | None:
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
+        self._note_begin(upstream)
         upstream.own_calls += 1
         call: Call | None = None
         try:
@@ -185,10 +186,34 @@
     def _unknown(self, reason: str) -> Ended:
         return Ended(Ending.UNKNOWN, reason, faulty=True)
 
+    def _note_begin(self, upstream: Upstream) -> None:
+        admitted = self._admitted
+        logger.info(
+            'event=call_begun request={} call={} route={} service={} '
+            + 'workspace={} priority={} left_ms={:.0f} upstream={} '
+            + 'own_calls={} all_calls={} slots={} after_event={} {}',
+            admitted.facts.request_id,
+            len(self._tried),
+            admitted.route.name,
+            admitted.service,
+            admitted.workspace,
+            admitted.priority,
+            1000 * (admitted.deadline - self._desk.now()),
+            upstream.record.identity,
+            upstream.own_calls,
+            upstream.calls,
+            upstream.record.slots,
+            self._stream.resume_after,
+            self._desk.refuser.knowledge(),
+        )
+
     def _note(self, upstream: Upstream, ended: Ended | None) -> None:
+        service = self._admitted.service
         if ended is None:
             upstream.note_answer()
+            self._desk.meters.call_ended(service, 'answered')
             return
+        self._desk.meters.call_ended(service, ended.ending.value)
         if ended.faulty:
             upstream.note_failure(self._desk.now())
         logger.info(
--- a/src/snipebend/telemetry/logs.py
+++ b/src/snipebend/telemetry/logs.py
@@ -1,19 +1,31 @@
-"""Log set-up: one line of key=value pairs an event, on standard error."""
+"""Log set-up: one line of key=value pairs an event, on standard output."""
 
 from __future__ import annotations
 
-import sys
-
 from loguru import logger
 
+from snipebend.telemetry.log_writer import LogWriter
+
 _FORMAT = (
     'time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} '
     + 'process={extra[process_name]} {message}'
 )
 
 
-def set_up_logs(process_name: str, level: str) -> None:
-    """Send events of at least ``level`` to standard error."""
+#: File descriptors of a process.
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
+
+
+def set_up_logs(
+    process_name: str, level: str, descriptor: int = STANDARD_OUTPUT
+) -> LogWriter:
+    """Send events of at least ``level`` to a file descriptor.
+
+    Whoever ends the process closes the writer, which writes what waits.
+    """
+    writer = LogWriter(descriptor)
     logger.remove()
     logger.configure(extra={'process_name': process_name})
-    logger.add(sys.stderr, format=_FORMAT, level=level, backtrace=False)
+    logger.add(writer, format=_FORMAT, level=level, backtrace=False)
+    return writer
--- a/src/snipebend/transport/group.py
+++ b/src/snipebend/transport/group.py
@@ -107,6 +107,7 @@
             'applied_index': self.replica.applier.index,
             'base_index': status.base_index,
             'storage_error': self.replica.storage_error,
+            'voters': [member.name for member in status.members.voters],
             'confirmed_ago_s': self.confirmed_ago,
         }
 
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,226 @@
+"""The platform's programs as processes on loopback, each on its own address."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+from itertools import cycle
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientSession
+from msgspec import json
+
+from tests.edge.rig import FakeUpstream, read_answer
+from tests.programs import PATIENCE_S, start_module
+
+if TYPE_CHECKING:
+    from tests.programs import Program
+
+POLL_S = 0.05
+ENTRY_HOST = '127.0.0.9'
+HOST = 'ficu95.example'
+
+CONFIG_SERVICE = 's-1'
+
+
+def config(version, *prefixes):
+    """Return a configuration with these routes."""
+    routes = [
+        {
+            'name': prefix.strip('/'),
+            'host': HOST,
+            'path_prefix': prefix,
+            'kind': 'unsafe',
+            'timeout_ms': 3000,
+            'service': CONFIG_SERVICE,
+            'max_attempts': 2,
+        }
+        for prefix in prefixes
+    ]
+    return json.encode(
+        {
+            'version': version,
+            'routes': routes,
+            'services': [
+                {
+                    'name': CONFIG_SERVICE,
+                    'health_path': '/healthz',
+                    'max_connections': 9,
+                }
+            ],
+            'tenants': [{'name': 't', 'api_keys': ['key']}],
+        }
+    )
+
+
+def answer(req):
+    """Return an upstream's proved answer."""
+    request_id = req.headers['snipebend-attempt-id']
+    return (
+        f'HTTP/1.1 200 OK\r\nSnipebend-Attempt-Id: {request_id}\r\n'
+        'Snipebend-Replica-Signature: s\r\nContent-Length: 5\r\n\r\nwhole'
+    ).encode()
+
+
+def free_ports(number):
+    """Return ports that the system says are free."""
+    socks = [socket.socket() for _ in range(number)]
+    for sock in socks:
+        sock.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in socks]
+    for taken in socks:
+        taken.close()
+    return ports
+
+
+class Deployment:
+    """Control daemons, one entry and upstreams of the test."""
+
+    def __init__(self, folder: Path, stack: AsyncExitStack) -> None:
+        self.folder = folder
+        self.stack = stack
+        ports = free_ports(5)
+        self.grpc = ports[0]
+        self.admin = ports[1]
+        self.outer = ports[2]
+        self.callers = ports[3]
+        self.ready = ports[4]
+        self.seeds = [f'127.0.0.{number}:1' for number in (1, 2, 3)]
+        self.controls: dict[str, Program] = {}
+        self.session = ClientSession()
+
+    async def start_control(self, host, *, bootstrap=False):
+        """Start a control daemon on an address of its own."""
+        text = (
+            f'outer = "{host}:{self.outer}"\n'
+            f'[process]\nname = "core-{host}"\ndata_center = "dc-a"\n'
+            f'[listen]\nhost = "{host}"\ngrpc_port = {self.grpc}\n'
+            f'admin_port = {self.admin}\n'
+            f'[storage]\nfolder = "{self.folder / host}"\n'
+            f'[seeds]\naddresses = {json.encode(self.seeds).decode()}\n'
+            f'grpc_port = {self.grpc}\n'
+            f'bootstrap = {str(bootstrap).lower()}\n'
+        )
+        program = await self._start('control', host, text)
+        self.controls[host] = program
+        return program
+
+    async def start_entry(self):
+        """Start the entry."""
+        text = (
+            f'callers = "{ENTRY_HOST}:{self.callers}"\n'
+            f'readiness = "{ENTRY_HOST}:{self.ready}"\n'
+            'stop_within_s = 3.0\n'
+            '[process]\nname = "entry-1"\ndata_center = "dc-a"\n'
+            f'[listen]\nhost = "{ENTRY_HOST}"\nadmin_port = {self.admin}\n'
+            f'[control]\naddresses = {json.encode(self.seeds).decode()}\n'
+            f'grpc_port = {self.grpc}\n'
+        )
+        self.entry = await self._start('entry', 'entry', text)
+        return self.entry
+
+    async def start_upstream(self, script):
+        """Start an upstream that follows a script."""
+        upstream = FakeUpstream(script)
+        await upstream.start()
+        self.stack.push_async_callback(upstream.stop)
+        return upstream
+
+    def wipe(self, host):
+        """Lose a daemon's disk."""
+        shutil.rmtree(self.folder / host)
+
+    async def call(self, path, body=None, hosts=()):
+        """Call control daemons in turn until one answers without a 5xx."""
+        turns = cycle(hosts or tuple(self.controls))
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                status, text = await self.call_one(next(turns), path, body)
+                if status and status < 500:
+                    return status, text
+                await asyncio.sleep(POLL_S)
+
+    async def call_one(self, host, path, body=None):
+        """Call one daemon once; status 0: no answer."""
+        method = 'GET' if body is None else 'POST'
+        url = f'http://{host}:{self.outer}{path}'
+        try:
+            async with self.session.request(method, url, data=body) as resp:
+                return resp.status, await resp.read()
+        except OSError:
+            return 0, b''
+
+    async def beat(self, identity, upstream, state='ready', **options):
+        """Announce an upstream."""
+        body = json.encode(
+            {
+                'service': CONFIG_SERVICE,
+                'address': upstream.address,
+                'zone': 'dc-a',
+                'slots': 4,
+                'state': state,
+                'seq': 1,
+            }
+        )
+        path = f'/-/replicas/{identity}/heartbeat'
+        return await self.call(path, body, **options)
+
+    async def ask(self, path='/a/', key='key', request_id='r1'):
+        """Send one request to the entry; return its answer."""
+        reader, writer = await asyncio.open_connection(ENTRY_HOST, self.callers)
+        writer.write(
+            (
+                f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+                f'Snipebend-Attempt-Id: {request_id}\r\n'
+                f'Snipebend-Credential: {key}\r\nContent-Length: 0\r\n\r\n'
+            ).encode()
+        )
+        async with asyncio.timeout(PATIENCE_S):
+            got = await read_answer(reader)
+        writer.close()
+        return got
+
+    async def ask_until(self, status, **options):
+        """Ask until the answer has this status."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                got = await self.ask(**options)
+                if got.status == status:
+                    return got
+                await asyncio.sleep(POLL_S)
+
+    async def dump(self, host):
+        """Return the state dump of a process."""
+        url = f'http://{host}:{self.admin}/dump'
+        async with self.session.get(url) as resp:
+            return await resp.json()
+
+    async def _start(self, kind, name, text):
+        settings = self.folder / f'{name}.toml'
+        settings.write_text(text, encoding='utf-8')
+        program = await start_module(
+            f'snipebend_platform.{kind}',
+            environment={'SNIPEBEND_CONFIG': str(settings)},
+        )
+        self.stack.push_async_callback(program.kill)
+        await program.wait_running()
+        return program
+
+
+@asynccontextmanager
+async def deployment(folder):
+    """Run three control daemons and one entry."""
+    async with AsyncExitStack() as stack:
+        made = Deployment(Path(folder), stack)
+        stack.push_async_callback(made.session.close)
+        await asyncio.gather(
+            *(
+                made.start_control(seed.partition(':')[0], bootstrap=True)
+                for seed in made.seeds
+            ),
+            made.start_entry(),
+        )
+        yield made
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,84 @@
+"""The platform's names stay in their folder, and the folder small."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+import unittest
+from pathlib import Path
+from types import MappingProxyType
+
+from snipebend.settings.model import ControlSettings
+from snipebend.settings.relay import RelaySettings
+
+ROOT = Path(__file__).parent.parent.parent
+FOLDER = ROOT / 'platform' / 'snipebend_platform'
+
+#: Headers, calls, and names of fields that mean nothing outside.
+NAMES = re.compile(
+    r'Snipebend-(?:[A-Z][a-z]+-?)+|/-/(?:replicas|config|order|picked|report)'
+    + r'|\b(?:traffic_split|target_latency_ms|gap_aim_ms|api_keys'
+    + r'|allow_anonymous|resume_streams|kv_tokens|expert_mb|heartbeat_addr'
+    + r'|cold_remaining_ms|retry_budget_ratio|stability_window_ms)\b'
+)
+MAX_LINES = 900
+
+#: What the platform fills into a template, of the fields that ours name.
+FILLED = MappingProxyType(
+    {
+        'listen.front': '10.1.0.40:8227',
+        'listen.ready': '10.1.0.40:8220',
+        'listen.control': '10.1.0.42:8229',
+        'internal_ports.0': '7340',
+        'internal_ports.1': '7355',
+        'node': 'front-a-1',
+        'zone': 'zone-a',
+        'region': 'region-a',
+        'ip': '10.1.0.40',
+        'data_dir': '/data/control',
+        'bootstrap': 'true',
+    }
+)
+SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
+
+
+class TestBoundary(unittest.TestCase):
+    """One folder speaks the platform's words."""
+
+    def test_no_other_module_names_them(self):
+        found = [
+            f'{path.relative_to(ROOT)}: {match[0]}'
+            for path in (ROOT / 'src').rglob('*.py')
+            for match in NAMES.finditer(path.read_text('utf-8'))
+        ]
+        self.assertEqual(found, [])
+
+    def test_the_folder_is_small(self):
+        lines = sum(
+            len(path.read_text('utf-8').splitlines())
+            for path in FOLDER.rglob('*.py')
+        )
+        self.assertLessEqual(lines, MAX_LINES)
+
+
+class TestTemplates(unittest.TestCase):
+    """The templates fill the product's own settings."""
+
+    def fill(self, name):
+        text = (ROOT / 'deploy' / f'{name}.template').read_text('utf-8')
+        text = re.sub(r'{{#seeds}}.*?{{/seeds}}', SEEDS, text)
+        return re.sub(r'{{([\w.]+)}}', lambda match: FILLED[match[1]], text)
+
+    def test_entry(self):
+        cfg = RelaySettings.model_validate(tomllib.loads(self.fill('entry')))
+        self.assertEqual(cfg.callers, '10.1.0.40:8227')
+        self.assertEqual(
+            cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
+        )
+
+    def test_control(self):
+        text = self.fill('control')
+        cfg = ControlSettings.model_validate(tomllib.loads(text))
+        self.assertEqual(cfg.outer, '10.1.0.42:8229')
+        self.assertTrue(cfg.seeds.bootstrap)
+        self.assertEqual(cfg.member_name, '10.1.0.40')
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,101 @@
+"""The platform's headers, both ways."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.relay.facts import (
+    AnswerHead,
+    PrefixPart,
+    RequestHead,
+    UpstreamCall,
+)
+from snipebend_platform.dialect import PlatformDialect
+
+HEADERS = (
+    (b'Host', b'Ficu95.example:8080'),
+    (b'snipebend-attempt-id', b'9c41'),
+    (b'Snipebend-Credential', b'secret'),
+    (b'Snipebend-Tenant', b'forged'),
+    (b'Snipebend-Deadline-Ms', b'8040'),
+    (b'Snipebend-Token-Count', b'1460,80'),
+    (b'Snipebend-Prompt-Prefix', b'5c1e:800, 91bd:410'),
+    (b'Snipebend-Expect-Replica', b'forged'),
+    (b'Snipebend-Request-Priority', b'0'),
+    (b'Last-Event-Id', b'12'),
+    (b'X-Other', b'kept'),
+)
+CALL = UpstreamCall('i-7f3a', 'hule930', 1.5, 2)
+
+
+class TestDialect(unittest.TestCase):
+    """Names and formats."""
+
+    def setUp(self):
+        self.dialect = PlatformDialect()
+
+    def read(self, *headers):
+        return self.dialect.read_caller(RequestHead(b'POST', b'/', headers))
+
+    def test_a_caller(self):
+        facts = self.read(*HEADERS)
+        self.assertEqual(facts.request_id, '9c41')
+        self.assertEqual(facts.host, 'ficu95.example')
+        self.assertEqual(facts.key, 'secret')
+        self.assertEqual(facts.patience_s, 8.04)
+        self.assertEqual(facts.last_event, 12)
+        self.assertEqual((facts.prompt_tokens, facts.answer_tokens), (1460, 80))
+        self.assertEqual(
+            facts.prefix, (PrefixPart('5c1e', 800), PrefixPart('91bd', 410))
+        )
+
+    def test_what_cannot_be_read(self):
+        for header in (
+            (b'Snipebend-Deadline-Ms', b'soon'),
+            (b'Snipebend-Token-Count', b'many'),
+            (b'Snipebend-Prompt-Prefix', b'5c1e'),
+            (b'Last-Event-Id', b'x'),
+        ):
+            with self.subTest(header=header):
+                self.assertIsNone(self.read((b'Host', b'h'), header))
+
+    def test_an_upstream_gets_no_key_and_no_forged_header(self):
+        sent = dict(self.dialect.upstream_headers(HEADERS, CALL))
+        self.assertNotIn(b'Snipebend-Credential', sent)
+        self.assertEqual(sent[b'Snipebend-Tenant'], b'hule930')
+        self.assertEqual(sent[b'Snipebend-Expect-Replica'], b'i-7f3a')
+        self.assertEqual(sent[b'Snipebend-Request-Priority'], b'2')
+        self.assertEqual(sent[b'Snipebend-Deadline-Ms'], b'1500')
+        self.assertEqual(sent[b'snipebend-attempt-id'], b'9c41')
+        self.assertEqual(sent[b'Last-Event-Id'], b'12')
+        self.assertEqual(sent[b'X-Other'], b'kept')
+        names = [
+            name.lower()
+            for name, _ in self.dialect.upstream_headers(HEADERS, CALL)
+        ]
+        self.assertEqual(len(names), len(set(names)))
+
+    def test_a_stream_that_is_resumed(self):
+        call = CALL._replace(resume_after=17)
+        sent = self.dialect.upstream_headers(HEADERS, call)
+        events = [one for name, one in sent if name == b'Last-Event-Id']
+        self.assertEqual(events, [b'17'])
+
+    def test_answers(self):
+        def facts(status, *headers):
+            return self.dialect.read_answer(AnswerHead(status, b'', headers))
+
+        self.assertTrue(facts(503, (b'Snipebend-Not-Executed', b'1')).not_run)
+        self.assertFalse(facts(503).not_run)
+        self.assertTrue(facts(421).other_identity)
+        proved = facts(200, (b'snipebend-replica-signature', b'3e1b'))
+        self.assertTrue(proved.proved)
+        self.assertEqual(
+            facts(200, (b'Snipebend-Attempt-Id', b'9c41')).request_id, '9c41'
+        )
+
+    def test_refusals(self):
+        lines = dict(self.dialect.refusal_headers('9c41', 0.25))
+        self.assertEqual(lines[b'Retry-After'], b'0.25')
+        self.assertEqual(lines[b'Snipebend-Attempt-Id'], b'9c41')
+        self.assertEqual(self.dialect.refusal_headers('', 0), [])
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,130 @@
+"""The operator's configuration as a host table."""
+
+from __future__ import annotations
+
+import unittest
+from types import MappingProxyType
+
+from msgspec import json
+
+from snipebend.hosts.model import Kind, Split
+from snipebend_platform.documents import read_table
+
+CONFIG = MappingProxyType(
+    {
+        'version': 7,
+        'routes': [
+            {
+                'name': 'r-1',
+                'host': 'Ficu95.example',
+                'path_prefix': '/lohu930/',
+                'kind': 'streaming',
+                'timeout_ms': 8000,
+                'target_latency_ms': 502,
+                'priority': 1,
+                'traffic_split': [
+                    {'service': 's-1', 'weight': 90},
+                    {'service': 's-2', 'weight': 10},
+                ],
+                'max_attempts': 2,
+                'allow_anonymous': False,
+                'resume_streams': True,
+                'gap_aim_ms': 120,
+                'not_known': 1,
+            },
+            {
+                'name': 'r-2',
+                'host': 'ficu95.example',
+                'path_prefix': '/pufi791/',
+                'kind': 'unsafe',
+                'timeout_ms': 1000,
+                'service': 's-2',
+            },
+        ],
+        'services': [
+            {
+                'name': 's-1',
+                'health_path': '/healthz',
+                'max_connections': 418,
+                'engine': {
+                    'slots': 6,
+                    'kv_tokens': 140000,
+                    'link_mbps': 180000.0,
+                    'sets': 4,
+                    'experts': 64,
+                    'places': 5,
+                    'spare': 2,
+                    'expert_mb': 2500.0,
+                    'expert_share': 0.85,
+                },
+            },
+            {'name': 's-2', 'health_path': '/healthz', 'max_connections': 110},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 4194304,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+        'tenants': [{'name': 't', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+    }
+)
+
+
+class TestReadTable(unittest.TestCase):
+    """Fields decoded once, into seconds and words of the project."""
+
+    def test_a_whole_configuration(self):
+        table = read_table(json.encode(dict(CONFIG))).unwrap()
+        first, second = table.routes
+        self.assertEqual(table.number, 7)
+        self.assertEqual(first.host, 'ficu95.example')
+        self.assertIs(first.kind, Kind.STREAM)
+        self.assertTrue(first.resumable)
+        self.assertEqual(first.timeout_s, 8.0)
+        self.assertEqual(first.target_s, 0.502)
+        self.assertEqual(first.gap_s, 0.12)
+        self.assertEqual(first.splits, (Split('s-1', 90), Split('s-2', 10)))
+        self.assertEqual(second.splits, (Split('s-2', 1),))
+        self.assertIs(second.kind, Kind.UNSAFE)
+        engine = table.services[0].engine
+        self.assertEqual((engine.layers, engine.experts), (4, 64))
+        self.assertAlmostEqual(engine.fetch_s, 0.1111, 4)
+        self.assertIsNone(table.services[1].engine)
+        self.assertEqual(table.limits.idle_timeout_s, 15.0)
+        self.assertEqual(table.workspaces[0].keys, ('k1', 'k2'))
+
+    def test_an_unknown_kind_must_not_run_twice(self):
+        table = read_table(self.changed('kind', 'new')).unwrap()
+        self.assertIs(table.routes[0].kind, Kind.UNSAFE)
+
+    def test_invalid(self):
+        cut = json.encode(dict(CONFIG))[:-20]
+        cases = (
+            cut,
+            b'',
+            b'[]',
+            b'\xff\xfe',
+            self.changed('timeout_ms', 0),
+            self.changed('traffic_split', [{'service': 's-1', 'weight': 0}]),
+            self.changed('traffic_split', [{'service': 'none', 'weight': 1}]),
+            self.changed('path_prefix', '/pufi791/'),
+            self.changed('timeout_ms', 'soon'),
+            json.encode(
+                {
+                    **CONFIG,
+                    'tenants': [
+                        {'name': 't', 'api_keys': ['k']},
+                        {'name': 'u', 'api_keys': ['k']},
+                    ],
+                }
+            ),
+        )
+        for body in cases:
+            with self.subTest(body=body[:60]):
+                self.assertTrue(read_table(body).is_err())
+
+    def changed(self, field, setting):
+        """Return the configuration with another field in its first route."""
+        first = {**CONFIG['routes'][0], field: setting}
+        return json.encode({**CONFIG, 'routes': [first, CONFIG['routes'][1]]})
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -14,6 +15,7 @@
     from collections.abc import AsyncIterator
 
 PATIENCE_S = 20.0
+POLL_S = 0.02
 _STARTED = b'event=started'
 
 
@@ -31,6 +33,15 @@
         """Wait for the line that tells that all services are up."""
         await asyncio.wait_for(self._read_until_started(), PATIENCE_S)
         self.addresses = json.loads(ports_file.read_text('utf-8'))
+        self.follow()
+
+    async def wait_running(self) -> None:
+        """Wait until all services are up, of a program without ports file."""
+        await asyncio.wait_for(self._read_until_started(), PATIENCE_S)
+        self.follow()
+
+    def follow(self) -> None:
+        """Keep reading the log."""
         self._reader = asyncio.create_task(self._read_on())
 
     def send(self, signum: signal.Signals) -> None:
@@ -55,6 +66,14 @@
         if self._reader is not None:
             await self._reader
 
+    async def wait_for_line(self, *words: str) -> None:
+        """Wait until the log has a line with all these words."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not any(
+                all(word in line for word in words) for line in self.log
+            ):
+                await asyncio.sleep(POLL_S)
+
     async def _read_until_started(self) -> None:
         while True:
             line = await self._read_line()
@@ -69,20 +88,24 @@
             line = await self._read_line()
 
     async def _read_line(self) -> bytes:
-        assert self.process.stderr is not None
-        line = await self.process.stderr.readline()
+        assert self.process.stdout is not None
+        line = await self.process.stdout.readline()
         self.log.append(line.decode().rstrip())
         return line
 
 
-async def start_module(module: str, *arguments: str) -> Program:
+async def start_module(
+    module: str, *arguments: str, environment: dict[str, str] | None = None
+) -> Program:
     """Start ``python -m module``, logs on a pipe."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
         module,
         *arguments,
-        stderr=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+        env={**os.environ, **(environment or {})},
     )
     return Program(process)
 
--- /dev/null
+++ b/tests/telemetry/test_log_writer.py
@@ -0,0 +1,126 @@
+"""Log lines: bounded, never blocking, and read back."""
+
+from __future__ import annotations
+
+import os
+import threading
+import unittest
+
+from snipebend.telemetry.log_lines import explain, read_line
+from snipebend.telemetry.log_limits import LogLimits
+from snipebend.telemetry.log_writer import MAX_WAITING_BYTES, LogWriter
+
+LINE = 'time=1 level=INFO event=tick {0}\n'.format('x' * 200)
+
+
+class TestLimits(unittest.TestCase):
+    """Lines of one event in one second."""
+
+    def test_storms_are_cut_and_counted(self):
+        limits = LogLimits(per_s=3)
+        limits.turn(10)
+        allowed = [limits.allow('storm') for _ in range(8)]
+        self.assertEqual(sum(allowed), 3)
+        self.assertTrue(all(allowed[:3]))
+        self.assertTrue(limits.allow('other'))
+        self.assertEqual(limits.turn(10.9), [])
+        self.assertEqual(limits.turn(11), [('storm', 5)])
+        self.assertTrue(limits.allow('storm'))
+        self.assertEqual(limits.turn(12), [])
+
+
+class TestLogWriter(unittest.TestCase):
+    """A pipe that is read, and one that isn't."""
+
+    def setUp(self):
+        ends = os.pipe()
+        self.reader = ends[0]
+        self.descriptor = ends[1]
+
+    def test_lines_arrive_in_their_order(self):
+        writer = LogWriter(self.descriptor)
+        for number in range(50):
+            writer(f'event=e number={number}\n')
+        writer.close()
+        os.close(self.descriptor)
+        with os.fdopen(self.reader) as stream:
+            numbers = [line.split('=')[-1] for line in stream]
+        self.assertEqual([int(one) for one in numbers], list(range(50)))
+
+    def test_nobody_reads(self):
+        writer = LogWriter(self.descriptor, LogLimits(per_s=10**9))
+        lines = 3 * MAX_WAITING_BYTES // len(LINE)
+
+        def log_all():
+            for _ in range(lines):
+                writer(LINE)
+
+        logging = threading.Thread(target=log_all, daemon=True)
+        logging.start()
+        logging.join(20)
+        self.assertFalse(logging.is_alive())
+        self.assertGreater(writer.dropped_in_all, lines // 3)
+        drained = threading.Thread(target=self._drain, daemon=True)
+        drained.start()
+        writer.close()
+        os.close(self.descriptor)
+        drained.join(20)
+        self.assertGreater(self.read, MAX_WAITING_BYTES // 2)
+
+    def test_drops_are_told(self):
+        writer = LogWriter(self.descriptor)
+        writer.dropped = 7
+        writer('event=e\n')
+        writer.close()
+        os.close(self.descriptor)
+        with os.fdopen(self.reader) as stream:
+            self.assertIn('event=log_lines_dropped number=7', stream.read())
+
+    def _drain(self):
+        self.read = 0
+        data = os.read(self.reader, 65536)
+        while data:
+            self.read += len(data)
+            data = os.read(self.reader, 65536)
+
+
+LOG = """\
+time=01 level=INFO process=e1 event=document_in_force number=3 peer=a
+time=02 level=INFO process=e1 event=document_in_force number=4 peer=b
+time=02 level=INFO process=e2 event=document_in_force number=4 peer=b
+time=03 level=INFO process=e1 event=upstream_seen upstream=i-1 phase=READY
+time=03 level=INFO process=e1 event=upstream_seen upstream=i-2 phase=READY
+time=05 level=INFO process=e1 event=call_begun request=r1 upstream=i-1
+time=06 level=INFO process=e1 event=upstream_seen upstream=i-1 phase=LEAVING
+time=07 level=INFO process=e1 event=call_ended request=r1 reason='a b'
+time=08 level=INFO process=e1 event=refused request=r1 status=502
+time=09 level=INFO process=e1 event=refused request=r2 status=503
+no event at all
+"""
+
+
+class TestExplain(unittest.TestCase):
+    """One request's lines, and what they rest on."""
+
+    def setUp(self):
+        read = (read_line(text) for text in LOG.splitlines())
+        self.lines = [line for line in read if line]
+
+    def test_the_life_of_a_request(self):
+        found = explain('r1', self.lines)
+        told = [(line.time, line.pairs['event']) for line in found]
+        self.assertEqual(
+            told,
+            [
+                ('02', 'document_in_force'),
+                ('03', 'upstream_seen'),
+                ('05', 'call_begun'),
+                ('06', 'upstream_seen'),
+                ('07', 'call_ended'),
+                ('08', 'refused'),
+            ],
+        )
+        self.assertEqual(found[4].pairs['reason'], 'a b')
+
+    def test_an_unknown_request(self):
+        self.assertEqual(explain('r3', self.lines), [])
