--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -26,6 +26,14 @@
 #: a tenth, spans around a turn by half.
 STEADY = 0.22
 
+#: A change that saves less is left while passes are short: for its second it
+#: would bar the answer to the next turn. Turns save 0.5 and more.
+URGENT_SAVING = 0.4
+
+#: Passes are short below this share of what a stream may pause: single passes
+#: take twice the mean.
+CALM_SHARE = 0.5
+
 #: Seconds of a pass before it was measured, and at the least.
 USUAL_PASS_S = 0.1
 LEAST_PASS_S = 0.02
@@ -49,6 +57,8 @@
     share: float
     #: Seconds to fetch one expert.
     fetch_s: float = 0
+    #: Seconds that a stream may pause and still be on time; 0: not told.
+    pause_s: float = 0
 
 
 class RankCounts(NamedTuple):
@@ -157,13 +167,19 @@
         better = self._search(layers, loads)
         after = _mean_skew(better, loads)
         saving = self._saving(before, after)
-        if saving < LEAST_SAVING:
+        if saving < LEAST_SAVING or self._is_calm(saving):
             return None
         fetched = _loads_by_rank(layers, better)
         return Outlook(
             better, before, after, saving, sum(fetched), max(fetched)
         )
 
+    def _is_calm(self, saving: float) -> bool:
+        """Tell whether streams are on time without this change, too."""
+        if saving >= URGENT_SAVING or self.pace is None:
+            return False
+        return self.pace.pass_s < CALM_SHARE * self._sizes.pause_s
+
     def _search(
         self, layers: tuple[LayerMap, ...], loads: list[list[float]]
     ) -> tuple[LayerMap, ...]:
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -235,7 +235,9 @@
 
 def _services(table: HostTable | None) -> Iterator[tuple[str, ExpertSizes]]:
     """Yield the services whose engines have experts."""
-    for service in table.services if table else ():
+    if table is None:
+        return
+    for service in table.services:
         engine = service.engine
         if engine is not None and engine.layers:
             yield (
@@ -247,5 +249,17 @@
                     engine.spare,
                     engine.expert_share,
                     engine.fetch_s,
+                    _least_pause_s(table, service.name),
                 ),
             )
+
+
+def _least_pause_s(table: HostTable, service: str) -> float:
+    """Return the shortest pause that a stream of a service may make."""
+    pauses_s = [
+        route.gap_s
+        for route in table.routes
+        if route.gap_s > 0
+        and any(split.service == service for split in route.splits)
+    ]
+    return min(pauses_s, default=0)
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -7,6 +7,7 @@
 
 from snipebend.experts.direct_switch import RankReport
 from snipebend.experts.group_watch import (
+    URGENT_SAVING,
     ExpertSizes,
     GroupWatch,
     RankCounts,
@@ -68,6 +69,16 @@
         self.feed(5)
         self.assertIsNone(self.watch.look(better))
 
+    def test_a_small_gain_waits_while_passes_are_short(self):
+        # With a small share of the work, experts gain less for a pass.
+        small = SIZES._replace(share=0.2)
+        hasty = self._seen(small._replace(pause_s=0.05))
+        calm = self._seen(small._replace(pause_s=0.2))
+        urgent = self._seen(SIZES._replace(pause_s=0.2))
+        self.assertLess(hasty.look(self.layers).saving, URGENT_SAVING)
+        self.assertIsNone(calm.look(self.layers))
+        self.assertGreater(urgent.look(self.layers).saving, URGENT_SAVING)
+
     def test_a_span_with_a_turn_in_it_tells_nothing(self):
         self.feed(4)
         self.assertFalse(self.watch.turning)
@@ -95,6 +106,14 @@
         self.assertEqual(self.watch.pace.step, 20)
         self.assertAlmostEqual(self.watch.pace.pass_s, 0.06)
 
+    def _seen(self, sizes):
+        """Return a watch that has seen passes of 60 ms."""
+        watch = GroupWatch(sizes, REPORT)
+        counter = Counter(4)
+        for span in range(3):
+            watch.note_counts(0, counter.span(), 0.3 * span)
+        return watch
+
     def test_first_map_has_experts_in_turn(self):
         self.assertEqual(self.layers[0][2], (2, 18, 34, 50))
         self.assertEqual(len(self.layers), SIZES.layers)
