--- /dev/null
+++ b/tests/edge/test_gossip.py
@@ -0,0 +1,70 @@
+"""Entries that tell each other their calls."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from msgspec import msgpack
+
+from snipebend.edge.gossip import CallsTold, Gossip
+from snipebend.edge.host_follower import HostFollower
+from snipebend.kernel.clock import SystemClock
+from snipebend.kernel.registry import Registry
+from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.settings.model import ProcessSection
+from snipebend.settings.relay import RelaySettings
+from snipebend.settings.seeds import SeedsSection
+from snipebend.transport.rpc_clients import RpcClients
+
+
+class TestGossip(unittest.IsolatedAsyncioTestCase):
+    """Over datagrams on loopback, and from single ones."""
+
+    async def start(self, name, calls):
+        cfg = RelaySettings(
+            process=ProcessSection(name=name, data_center='dc'),
+            control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
+        )
+        registry = Registry(SystemClock(), TaskSupervisor())
+        follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
+        registry.register(follower)
+        heard = asyncio.Queue()
+        gossip = Gossip(
+            'gossip',
+            name,
+            ('127.0.0.1', 0),
+            lambda: dict(calls),
+            lambda entry, told: heard.put_nowait((entry, told)),
+        )
+        await gossip.start(registry)
+        self.addAsyncCleanup(registry.tasks.stop)
+        self.addAsyncCleanup(gossip.stop)
+        return gossip, follower, heard
+
+    async def test_calls_reach_the_others(self):
+        calls = {'i-1': 2}
+        _, sender, _ = await self.start('a', calls)
+        _, receiver, heard = await self.start('b', {})
+        sender.entries = frozenset((receiver.gossip_address,))
+        told = await asyncio.wait_for(heard.get(), 10)
+        self.assertEqual(told, ('a', {'i-1': 2}))
+        calls['i-1'] = 5
+        while told[1]['i-1'] != 5:
+            told = await asyncio.wait_for(heard.get(), 10)
+
+    async def test_late_copies_and_noise_change_nothing(self):
+        gossip, _, heard = await self.start('b', {})
+
+        def tell(started_at, number):
+            message = CallsTold('a', started_at, number, {'i': number})
+            gossip.datagram_received(msgpack.encode(message), ('h', 1))
+
+        tell(10.0, 2)
+        tell(10.0, 1)
+        tell(10.0, 2)
+        tell(9.0, 7)
+        gossip.datagram_received(b'noise', ('h', 1))
+        tell(11.0, 1)
+        told = [heard.get_nowait() for _ in range(heard.qsize())]
+        self.assertEqual(told, [('a', {'i': 2}), ('a', {'i': 1})])
