Tell callers to come back after an outage within a third of their time

Refusals for want of a place stay at 0.1 to 0.4 s; after an outage the wait is 0.2 to 0.33 of the caller's time left, 2.5 s at most. Ruled out: holding requests until the outage is over.

--- a/src/snipebend/edge/final_answer.py
+++ b/src/snipebend/edge/final_answer.py
@@ -10,6 +10,8 @@
 from snipebend.relay.endings import Next
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.call import WholeAnswer
     from snipebend.edge.refuser import Refuser
@@ -21,12 +23,17 @@
     """Ends one answer, once."""
 
     def __init__(
-        self, answer: AnswerWriter, refuser: Refuser, facts: CallerFacts
+        self,
+        answer: AnswerWriter,
+        refuser: Refuser,
+        facts: CallerFacts,
+        time_left_s: Callable[[], float],
     ) -> None:
-        """Keep the answer and the request's facts."""
+        """Keep the answer, the request's facts and the way to its time."""
         self._answer = answer
         self._refuser = refuser
         self._facts = facts
+        self._time_left_s = time_left_s
 
     def pass_on(self, whole: WholeAnswer) -> None:
         """Give the caller an upstream's whole answer."""
@@ -48,30 +55,35 @@
             case Next.PASS_ON if failure is not None and not self._begun:
                 self.pass_on(failure)
             case Next.REFUSE:
-                self._refuse(problems.busy(self._refuser.wait_s(), reason))
+                self._refuse_for_outage(reason)
             case _:
                 self._refuse(problems.lost(reason))
 
-    def refuse_full(self, *, may_have_run: bool) -> None:
+    def refuse_full(self, *, may_have_run: bool, tried: bool) -> None:
         """Answer that no upstream can take it now."""
         if may_have_run:
             self._refuse(problems.lost('the call broke, and none is free'))
-            return
-        wait_s = self._refuser.wait_s()
-        self._refuse(problems.busy(wait_s, 'no upstream is free'))
+        elif tried:
+            self._refuse_for_outage('no other upstream is free')
+        else:
+            wait_s = self._refuser.wait_for_place_s()
+            self._refuse(problems.busy(wait_s, 'no upstream is free'))
 
     def time_out(self, *, may_have_run: bool) -> None:
         """Answer that the time is over."""
         if may_have_run:
             self._refuse(problems.too_late(Outcome.UNKNOWN))
             return
-        wait_s = self._refuser.wait_s()
-        self._refuse(problems.busy(wait_s, 'no upstream in time'))
+        self._refuse_for_outage('no upstream in time')
 
     @property
     def _begun(self) -> bool:
         return self._answer.begun
 
+    def _refuse_for_outage(self, reason: str) -> None:
+        wait_s = self._refuser.wait_for_outage_s(self._time_left_s())
+        self._refuse(problems.busy(wait_s, reason))
+
     def _refuse(self, refusal: Refusal) -> None:
         if self._answer.ended:
             return
--- a/src/snipebend/edge/refuser.py
+++ b/src/snipebend/edge/refuser.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from snipebend.relay.returning import when_full, when_out
 from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
@@ -15,11 +16,6 @@
     from snipebend.relay.facts import CallerFacts, Dialect
     from snipebend.relay.problems import Refusal
 
-#: Bounds of the time after which a refused caller shall come back, in
-#: seconds: about one work item of a full pool.
-LEAST_WAIT_S = 0.1
-MOST_WAIT_S = 0.4
-
 
 class Refuser:
     """Writes refusals in the platform's form."""
@@ -36,9 +32,13 @@
         age_ms = 1000 * self._follower.age_s
         return f'document={self._follower.number} news_age_ms={age_ms:.0f}'
 
-    def wait_s(self) -> float:
-        """Return when a refused caller shall come back, with jitter."""
-        return self._rng.uniform(LEAST_WAIT_S, MOST_WAIT_S)
+    def wait_for_place_s(self) -> float:
+        """Return when a caller that found all places taken comes back."""
+        return when_full(self._rng.random())
+
+    def wait_for_outage_s(self, time_left_s: float) -> float:
+        """Return when a caller that nobody can serve now comes back."""
+        return when_out(time_left_s, self._rng.random())
 
     def refuse(
         self, answer: AnswerWriter, refusal: Refusal, facts: CallerFacts
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -61,7 +61,9 @@
         self._tried: list[str] = []
         self._runs = 0
         self._stream = StreamRelay(answer)
-        self._end = FinalAnswer(answer, desk.refuser, admitted.facts)
+        self._end = FinalAnswer(
+            answer, desk.refuser, admitted.facts, self._time_left_s
+        )
 
     async def run(self) -> None:
         """Work until the answer has ended, or the time is over."""
@@ -73,6 +75,9 @@
         except TimeoutError:
             self._end.time_out(may_have_run=self._may_have_run)
 
+    def _time_left_s(self) -> float:
+        return self._admitted.deadline - self._desk.now()
+
     @property
     def _may_have_run(self) -> bool:
         """Tell whether an upstream got it and didn't prove 'not run'."""
@@ -82,7 +87,9 @@
         while True:
             upstream = self._desk.choose(self._admitted, self._tried)
             if upstream is None:
-                self._end.refuse_full(may_have_run=self._may_have_run)
+                self._end.refuse_full(
+                    may_have_run=self._may_have_run, tried=bool(self._tried)
+                )
                 return
             ended = await self._call(upstream)
             if ended is None:
@@ -131,7 +138,7 @@
         facts = UpstreamCall(
             call.upstream.record.identity,
             admitted.workspace,
-            max(0, admitted.deadline - self._desk.now()),
+            max(0, self._time_left_s()),
             admitted.priority,
             self._stream.resume_after,
         )
@@ -198,7 +205,7 @@
             admitted.service,
             admitted.workspace,
             admitted.priority,
-            1000 * (admitted.deadline - self._desk.now()),
+            1000 * self._time_left_s(),
             upstream.record.identity,
             upstream.own_calls,
             upstream.calls,
@@ -242,7 +249,7 @@
             idempotent=self._route.idempotent,
             runs_left=self._route.max_attempts - self._runs,
             sends_left=MAX_SENDS - len(self._tried),
-            time_left_s=admitted.deadline - self._desk.now(),
+            time_left_s=self._time_left_s(),
             other_upstream=self._desk.choose(admitted, self._tried) is not None,
             may_have_run=self._may_have_run,
         )
--- a/src/snipebend/relay/admitting.py
+++ b/src/snipebend/relay/admitting.py
@@ -6,6 +6,7 @@
 
 from snipebend.hosts.lookup import pick_service
 from snipebend.relay import problems
+from snipebend.relay.returning import when_out
 
 if TYPE_CHECKING:
     from snipebend.hosts.lookup import HostIndex
@@ -14,6 +15,10 @@
     from snipebend.relay.problems import Refusal
 
 
+#: Seconds that a caller is taken to wait that doesn't tell.
+USUAL_PATIENCE_S = 3.0
+
+
 class Admitted(NamedTuple):
     """A request that may be passed on."""
 
@@ -38,7 +43,8 @@
 ) -> Admitted | Refusal:
     """Admit a request or refuse it; ``draw`` is even over [0, 1)."""
     if index is None:
-        return problems.no_document()
+        patience_s = facts.patience_s or USUAL_PATIENCE_S
+        return problems.no_document(when_out(patience_s, draw))
     route = index.find_route(facts.host, target)
     if route is None:
         return problems.no_route()
--- a/src/snipebend/relay/problems.py
+++ b/src/snipebend/relay/problems.py
@@ -18,13 +18,13 @@
     wait_s: float = 0
 
 
-def no_document() -> Refusal:
+def no_document(wait_s: float) -> Refusal:
     """Nobody told this entry yet what to serve."""
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
         'Starting',
         'no document is known here yet',
-        wait_s=0.5,
+        wait_s=wait_s,
     )
 
 
