Let a new leader's orders wait until the last one's show; mind slow ranks

Six tests of the balancer itself now pin it (no order before the wait, without the lease, in another term; holds taken over).

A rank that works slowly (its report tells) holds its whole group back: its share of the experts counts that many times over in the search, and entries give it work last.

--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -67,6 +67,8 @@
         self.on_upstreams = None
         #: Gossip addresses of the other entries.
         self.entries: frozenset[str] = frozenset()
+        #: Upstreams that hold their group back, by the daemon that tells.
+        self.slow: dict[str, frozenset[str]] = {}
         self.gossip_address = ''
         self._process = cfg.process.name
         self._seeds = frozenset(cfg.control.grpc_addresses)
@@ -154,6 +156,7 @@
                 await self._follow(address)
             except (UnavailableError, TimeoutError) as exc:
                 self._clients.retire(address)
+                self.slow.pop(address, None)
                 if not lost:
                     logger.info(
                         'event=control_lost peer={} reason={!r}',
@@ -193,6 +196,7 @@
         self._revision = max(self._revision, news.roster_revision)
         if 0 <= news.confirmed_ago_s <= CONFIRMED_S and news.number:
             self._note_confirmed()
+        self.slow[address] = frozenset(news.slow)
         if news.entries:
             self.entries = frozenset(news.entries) - {self.gossip_address}
         if news.members and self._members != frozenset(news.members):
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -115,7 +115,8 @@
         self, admitted: Admitted, tried: Sequence[str]
     ) -> Upstream | None:
         """Return an upstream for a call; none: all are full or away."""
-        wish = Wish(self._cfg.process.data_center, tried)
+        slow = frozenset().union(*self._follower.slow.values())
+        wish = Wish(self._cfg.process.data_center, tried, slow)
         members = self._upstreams.of_service(admitted.service)
         return choose(members, wish, self.now(), self._rng)
 
--- a/src/snipebend/experts/bounded_search.py
+++ b/src/snipebend/experts/bounded_search.py
@@ -59,13 +59,15 @@
         loads: Sequence[float],
         bounds: Bounds,
         fetching: Sequence[int] = (),
+        paces: Sequence[float] = (),
     ) -> None:
         """Start from the map in force; loads by expert, mean rank load 1.
 
-        ``fetching`` counts what each rank fetches for other layers already.
+        ``fetching`` counts what each rank fetches for other layers already,
+        ``paces`` how many times as long each takes for its work.
         """
         self._before = [frozenset(held) for held in before]
-        self._state = LayerState(before, loads)
+        self._state = LayerState(before, loads, paces)
         self._bounds = bounds
         self._fetching = fetching or (0,) * len(before)
 
--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -53,6 +53,8 @@
     prepared: int | None = None
     armed: Armed | None = None
     held: int | None = None
+    #: How many times as long its work takes as usual.
+    pace: float = 1
 
 
 class Prepare(NamedTuple):
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -108,6 +108,8 @@
         self.size = report.size
         self.step = report.step
         self.pace: Pace | None = None
+        #: How many times as long each rank takes for its work.
+        self.slowness: tuple[float, ...] = ()
         self._sizes = sizes
         self._counts: dict[int, RankCounts] = {}
         #: Choices since the demand last turned; none: it is turning.
@@ -163,9 +165,9 @@
         if self._demand is None:
             return None
         loads: list[list[float]] = (_shares(self._demand) * self.size).tolist()
-        before = _mean_skew(layers, loads)
+        before = self._mean_skew(layers, loads)
         better = self._search(layers, loads)
-        after = _mean_skew(better, loads)
+        after = self._mean_skew(better, loads)
         saving = self._saving(before, after)
         if saving < LEAST_SAVING or self._is_calm(saving):
             return None
@@ -187,7 +189,9 @@
         fetching = [0 for _ in range(self.size)]
         better = []
         for layer, load in zip(layers, loads, strict=True):
-            found = LayerSearch(layer, load, bounds, fetching).run()
+            found = LayerSearch(
+                layer, load, bounds, fetching, self.slowness
+            ).run()
             better.append(found)
             news = _loads_by_rank((layer,), (found,))
             fetching = [
@@ -195,6 +199,15 @@
             ]
         return tuple(better)
 
+    def _mean_skew(
+        self, layers: tuple[LayerMap, ...], loads: list[list[float]]
+    ) -> float:
+        skews = [
+            layer_skew(layer, load, self.slowness)
+            for layer, load in zip(layers, loads, strict=True)
+        ]
+        return sum(skews) / len(skews)
+
     def _saving(self, before: float, after: float) -> float:
         share = self._sizes.share
         length = (1 - share) + share * before
@@ -206,14 +219,6 @@
     return shares
 
 
-def _mean_skew(layers: tuple[LayerMap, ...], loads: list[list[float]]) -> float:
-    skews = [
-        layer_skew(layer, load)
-        for layer, load in zip(layers, loads, strict=True)
-    ]
-    return sum(skews) / len(skews)
-
-
 def _loads_by_rank(
     before: tuple[LayerMap, ...], after: tuple[LayerMap, ...]
 ) -> list[int]:
--- a/src/snipebend/experts/layer_state.py
+++ b/src/snipebend/experts/layer_state.py
@@ -33,10 +33,19 @@
 
 
 class LayerState:
-    """Who holds what, and each rank's load; the mean load is 1."""
+    """Who holds what, and each rank's load; the mean load is 1.
 
-    def __init__(self, layer: LayerMap, loads: Sequence[float]) -> None:
-        """Start with a map and the experts' loads."""
+    A rank that works slowly counts its load that many times over.
+    """
+
+    def __init__(
+        self,
+        layer: LayerMap,
+        loads: Sequence[float],
+        paces: Sequence[float] = (),
+    ) -> None:
+        """Start with a map, the experts' loads and the ranks' slowness."""
+        self._paces = paces or (1,) * len(layer)
         self.held = [set(held) for held in layer]
         self.holders: list[set[int]] = [set() for _ in loads]
         self._loads = loads
@@ -44,8 +53,8 @@
             for expert in held:
                 self.holders[expert].add(rank)
         self.heat = [
-            sum(loads[one] / len(self.holders[one]) for one in mine)
-            for mine in self.held
+            pace * sum(loads[one] / len(self.holders[one]) for one in mine)
+            for pace, mine in zip(self._paces, self.held, strict=True)
         ]
 
     @property
@@ -92,9 +101,11 @@
         new = (old - gone) | added
         load = self._loads[expert]
         for rank in old:
-            change[rank] = change.get(rank, 0) - load / len(old)
+            part = self._paces[rank] * load / len(old)
+            change[rank] = change.get(rank, 0) - part
         for rank in new:
-            change[rank] = change.get(rank, 0) + load / len(new)
+            part = self._paces[rank] * load / len(new)
+            change[rank] = change.get(rank, 0) + part
 
     def _give(self, expert: int, rank: int) -> None:
         self.held[rank].add(expert)
@@ -105,6 +116,8 @@
         self.holders[expert].discard(rank)
 
 
-def layer_skew(layer: LayerMap, loads: Sequence[float]) -> float:
+def layer_skew(
+    layer: LayerMap, loads: Sequence[float], paces: Sequence[float] = ()
+) -> float:
     """Return the load of the hottest rank; the mean is 1."""
-    return LayerState(layer, loads).skew
+    return LayerState(layer, loads, paces).skew
--- a/src/snipebend/relay/choosing.py
+++ b/src/snipebend/relay/choosing.py
@@ -21,6 +21,8 @@
     data_center: str
     #: Identities that have been tried already.
     tried: Collection[str] = ()
+    #: Identities that hold their group back, and get work last.
+    slow: Collection[str] = ()
 
 
 def choose(
@@ -50,7 +52,8 @@
 
 def _rank(
     upstream: Upstream, wish: Wish, rng: Random
-) -> tuple[float, bool, float]:
+) -> tuple[bool, float, bool, float]:
     slots = max(1, upstream.record.slots)
     is_far = upstream.record.data_center != wish.data_center
-    return (upstream.calls / slots, is_far, rng.random())
+    is_slow = upstream.record.identity in wish.slow
+    return (is_slow, upstream.calls / slots, is_far, rng.random())
--- a/src/snipebend/state/host_news.py
+++ b/src/snipebend/state/host_news.py
@@ -34,3 +34,5 @@
     members: tuple[str, ...] = ()
     #: Gossip addresses of the entries that watch the sender.
     entries: tuple[str, ...] = ()
+    #: Upstreams that hold their group back, as far as the sender knows.
+    slow: tuple[str, ...] = ()
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -14,6 +14,7 @@
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
 from snipebend.transport.group_eyes import GroupEyes
+from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.switch_driver import SwitchDriver
 
@@ -67,6 +68,7 @@
         self._clock = registry.clock
         self._eyes = GroupEyes(self._link, registry.clock)
         self._store = registry.find('state', ReplicatedState)
+        self._keeper = registry.find('hosts', HostKeeper)
         registry.tasks.start('balance', self._balance_for_ever)
 
     async def stop(self) -> None:
@@ -91,12 +93,18 @@
 
     async def _balance_for_ever(self) -> None:
         while True:
-            pauses_s = [BLIND_S]
-            self._note_term()
-            if self._may_order():
-                for service, sizes in _services(self._table()):
-                    pauses_s.append(await self._look_at(service, sizes))
-            await asyncio.sleep(min(pauses_s))
+            await asyncio.sleep(await self.look())
+
+    async def look(self) -> float:
+        """Look at all groups, if this daemon may; return the pause then."""
+        pauses_s = [BLIND_S]
+        self._note_term()
+        if self._may_order():
+            for service, sizes in _services(self._table()):
+                pauses_s.append(await self._look_at(service, sizes))
+        else:
+            self._keeper.forget_slow()
+        return min(pauses_s)
 
     def _note_term(self) -> None:
         """Let the orders of the last leader show before giving any."""
@@ -108,10 +116,14 @@
 
     async def _look_at(self, service: str, sizes: ExpertSizes) -> float:
         """Look at one service's group; return the pause after it."""
+        if self._clock.now() < self._settled_at:
+            self._eyes.forget(service)
+            return TURNING_EVERY_S
         state = self._store.machine.state
         seen = await self._eyes.see(service, state.roster)
         if seen is None:
             return BLIND_S
+        self._keeper.tell_slow(service, seen.slow)
         plan = state.plans.latest(seen.any_report.group)
         if self._is_unfinished(plan, seen):
             await self._drive(
@@ -119,6 +131,7 @@
             )
             return TURNING_EVERY_S
         watch = self._watch(sizes, seen.any_report)
+        watch.slowness = seen.slowness
         before = watch.step
         if not await self._read_counts(watch, seen):
             self._eyes.forget(service)
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -19,7 +19,11 @@
     from snipebend.state.roster import Roster, UpstreamRecord
 
 #: Seconds for which a group that was seen whole is taken to be so.
-SEEN_FOR_S = 3.0
+SEEN_FOR_S = 1.0
+
+
+#: A rank counts as slow from here on: all ranks wait for it in every pass.
+SLOW_PACE = 1.5
 
 
 class EngineLink(Protocol):
@@ -61,6 +65,22 @@
         """Return the versions of the maps in force."""
         return frozenset(report.map_version for report in self.reports.values())
 
+    @property
+    def slowness(self) -> tuple[float, ...]:
+        """Return how many times as long each rank takes, in their order."""
+        return tuple(
+            max(1, self.reports[rank].pace) for rank in sorted(self.reports)
+        )
+
+    @property
+    def slow(self) -> frozenset[str]:
+        """Return the identities of ranks that hold back their group."""
+        return frozenset(
+            report.identity
+            for report in self.reports.values()
+            if report.pace >= SLOW_PACE
+        )
+
     @property
     def is_held(self) -> bool:
         """Tell whether a rank holds the group before a pass."""
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -40,6 +40,7 @@
         self._stopping = False
         self._started = False
         self._watchers: dict[str, str] = {}
+        self._slow: dict[str, frozenset[str]] = {}
         server.add(Endpoint(WATCH_HOSTS, self.watch))
 
     async def start(self, registry: Registry) -> None:
@@ -113,6 +114,20 @@
         """Tell whether the roster holds an upstream."""
         return identity in self._store.machine.state.roster.upstreams
 
+    def tell_slow(self, service: str, slow: frozenset[str]) -> None:
+        """Note which upstreams of a service hold the others back."""
+        if slow != self._slow.get(service, frozenset()):
+            logger.info(
+                'event=upstreams_slow service={} slow={}',
+                service,
+                ','.join(sorted(slow)) or '-',
+            )
+        self._slow[service] = slow
+
+    def forget_slow(self) -> None:
+        """Leave it to the leader to tell."""
+        self._slow.clear()
+
     async def watch(self, req: HostWatch) -> AsyncIterator[HostNews]:
         """Yield what is newer than the watcher's, and that nothing is."""
         logger.info('event=watch_opened process={}', req.process)
@@ -143,6 +158,7 @@
             state.roster.since(revision),
             tuple(member.address for member in voters),
             tuple(filter(None, self._watchers.values())),
+            tuple(frozenset().union(*self._slow.values())),
         )
 
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
--- a/tests/experts/test_bounded_search.py
+++ b/tests/experts/test_bounded_search.py
@@ -56,6 +56,15 @@
         spared = LayerSearch(IN_TURN, loads, BOUNDS, busy).run()
         self.assertLess(self._loads(spared), self._loads(free))
 
+    def test_a_slow_rank_gives_its_work_away(self):
+        loads = zipf_loads(random.Random(6))
+        paces = [5 if rank == 3 else 1 for rank in range(RANKS)]
+        layer = IN_TURN
+        for _ in range(3):
+            layer = LayerSearch(layer, loads, BOUNDS, paces=paces).run()
+        self.assertLess(layer_skew(layer, loads, paces), 1.6)
+        self.assertGreater(layer_skew(IN_TURN, loads, paces), 3)
+
     def _loads(self, better):
         """Return the loads of the first half of the ranks."""
         pairs = list(zip(IN_TURN, better, strict=True))[: RANKS // 2]
--- a/tests/relay/test_choosing.py
+++ b/tests/relay/test_choosing.py
@@ -56,6 +56,13 @@
         wish = WISH._replace(tried=('a',))
         self.assertIsNone(self.pick(upstream('a'), wish=wish))
 
+    def test_slow_ones_come_last(self):
+        wish = WISH._replace(slow=('slow',))
+        busy = upstream('busy', own_calls=3)
+        self.assertEqual(self.pick(upstream('slow'), busy, wish=wish), 'busy')
+        full = upstream('full', own_calls=8)
+        self.assertEqual(self.pick(upstream('slow'), full, wish=wish), 'slow')
+
     def test_equals_share_the_work(self):
         rng = Random(3)
         ones = [upstream(str(number)) for number in range(4)]
--- /dev/null
+++ b/tests/transport/test_group_balancer.py
@@ -0,0 +1,197 @@
+"""When the control leader gives orders about expert maps, and when not."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from snipebend.experts.direct_switch import (
+    Arm,
+    Armed,
+    Go,
+    Hold,
+    Prepare,
+    RankReport,
+    Reply,
+)
+from snipebend.experts.group_watch import RankCounts
+from snipebend.hosts.model import EngineProfile, HostService, HostTable
+from snipebend.kernel.registry import Registry
+from snipebend.kernel.service import Service
+from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.state.group_plans import GroupPlan
+from snipebend.state.machine import Machine
+from snipebend.state.roster import RecordRequest, UpstreamRecord
+from snipebend.transport.group_balancer import SETTLE_S, GroupBalancer
+from snipebend.transport.host_keeper import HostKeeper
+from snipebend.transport.replicated_state import ReplicatedState
+
+RANKS = 2
+ENGINE = EngineProfile(4, 1000, layers=1, experts=4, places=3, spare=1)
+TABLE = HostTable(1, services=(HostService('s', '/', 9, ENGINE),))
+PLAN = GroupPlan('g', 1, 1, (((0, 2), (1, 3, 2)),))
+
+
+class Clock:
+    """Time that the test moves, and each look at it by a little."""
+
+    def __init__(self):
+        self.at = 100.0
+
+    def now(self):
+        self.at += 0.005
+        return self.at
+
+    def wall(self):
+        return self.at
+
+
+class FakeStore(ReplicatedState):
+    """A replica that leads, with a machine of the test's."""
+
+    def __init__(self):
+        Service.__init__(self, 'state')
+        status = SimpleNamespace(term=3)
+        self.group = SimpleNamespace(
+            replica=SimpleNamespace(has_lease=True, status=status)
+        )
+        self.kept = Machine()
+
+    @property
+    def machine(self):
+        return self.kept
+
+
+class FakeKeeper(HostKeeper):
+    """Takes what is told."""
+
+    def __init__(self):
+        Service.__init__(self, 'hosts')
+        self.slow = frozenset()
+
+    def tell_slow(self, service, slow):
+        self.slow = slow
+
+    def forget_slow(self):
+        self.slow = frozenset()
+
+
+class FakeEngines:
+    """Two ranks that do as they are told."""
+
+    def __init__(self):
+        self.asked = []
+        self.orders = []
+        self.version = 0
+        self.held = None
+        self.step = 10
+        self.pace = 1.0
+        self.armed = {}
+        self.prepared = set()
+
+    async def report(self, upstream):
+        rank = int(upstream.identity)
+        self.asked.append('report')
+        return RankReport(
+            upstream.identity,
+            'g',
+            1,
+            rank,
+            RANKS,
+            is_open=True,
+            step=self.step,
+            map_version=self.version,
+            armed=self.armed.get(rank),
+            held=self.held if rank == 0 else None,
+            pace=self.pace,
+        )
+
+    async def counts(self, upstream):
+        return RankCounts(1, self.step, (0, 0, 0, 0))
+
+    async def order(self, upstream, order):
+        self.orders.append(type(order))
+        match order:
+            case Prepare(rank=rank):
+                self.prepared.add(rank)
+            case Hold(step=step):
+                self.held = step
+            case Arm(rank=rank, version=version, step=step):
+                self.armed[rank] = Armed(version, step)
+            case Go(step=step):
+                self.held = None
+                self.step = step
+                self.version = self.armed[0].version
+        return Reply.ACCEPTED
+
+    async def close(self):
+        """Nothing is open."""
+
+
+class TestGroupBalancer(unittest.IsolatedAsyncioTestCase):
+    """A new leader looks before it orders."""
+
+    async def asyncSetUp(self):
+        self.clock = Clock()
+        self.engines = FakeEngines()
+        registry = Registry(self.clock, TaskSupervisor())
+        self.store = FakeStore()
+        self.keeper = FakeKeeper()
+        registry.register(self.store)
+        registry.register(self.keeper)
+        self.balancer = GroupBalancer('balancer', self.engines, lambda: TABLE)
+        state = self.store.machine.state
+        for rank in range(RANKS):
+            record = UpstreamRecord(str(rank), 's', '10.0.0.1:80', 'dc', 4)
+            state.roster.record(RecordRequest(record))
+        state.plans.plans['g'] = PLAN
+        await self.balancer.start(registry)
+        await registry.tasks.stop()
+
+    async def test_no_order_before_the_last_leaders_show(self):
+        await self.balancer.look()
+        self.clock.at += SETTLE_S / 2
+        await self.balancer.look()
+        self.assertEqual(self.engines.asked, [])
+        self.assertEqual(self.engines.orders, [])
+
+    async def test_then_the_unfinished_switch_is_finished(self):
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        await self.balancer.look()
+        self.assertEqual(self.engines.version, PLAN.version)
+        self.assertEqual(
+            self.engines.orders, [Prepare, Prepare, Hold, Arm, Arm, Go]
+        )
+
+    async def test_a_hold_of_the_last_leader_is_taken_over(self):
+        self.engines.held = 14
+        self.engines.armed = {0: Armed(PLAN.version, 14)}
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        await self.balancer.look()
+        self.assertEqual(self.engines.version, PLAN.version)
+        self.assertEqual(self.engines.step, 14)
+        self.assertNotIn(Hold, self.engines.orders)
+
+    async def test_no_order_without_the_lease(self):
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        self.store.group.replica.has_lease = False
+        await self.balancer.look()
+        self.assertEqual(self.engines.asked, [])
+
+    async def test_another_term_begins_anew(self):
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        self.store.group.replica.status.term = 4
+        await self.balancer.look()
+        self.assertEqual(self.engines.orders, [])
+
+    async def test_slow_ranks_are_told(self):
+        self.engines.version = PLAN.version
+        self.engines.pace = 4.0
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        await self.balancer.look()
+        self.assertEqual(self.keeper.slow, {'0', '1'})
