--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -120,7 +120,9 @@
 
     @property
     def age_s(self) -> float:
-        """Return seconds since the last news of any control daemon."""
+        """Return seconds since the last news of control; -1: none came yet."""
+        if self._first_news_at is None:
+            return -1
         return self._clock.now() - self.news_at
 
     def dump(self) -> Mapping[str, object]:
--- a/src/snipebend/edge/refuser.py
+++ b/src/snipebend/edge/refuser.py
@@ -29,8 +29,9 @@
 
     def knowledge(self) -> str:
         """Return for a log line what decisions go by, and how old it is."""
-        age_ms = 1000 * self._follower.age_s
-        return f'document={self._follower.number} news_age_ms={age_ms:.0f}'
+        age_s = self._follower.age_s
+        age_ms = -1 if age_s < 0 else round(1000 * age_s)
+        return f'document={self._follower.number} news_age_ms={age_ms}'
 
     def wait_for_place_s(self) -> float:
         """Return when a caller that found all places taken comes back."""
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -41,6 +41,7 @@
         life = await self._life(made, 'early')
         self.assertEqual(life[-1].pairs['outcome'], 'not-run')
         self.assertIn('no document', life[-1].pairs['detail'])
+        self.assertEqual(life[-1].pairs['document'], '0')
 
     async def _refused_without_an_upstream(self, made):
         await made.entry.wait_for_line('event=document_in_force')
