--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -38,11 +38,6 @@
         """Return the calls of all entries, as far as known."""
         return self.own_calls + sum(self.others_calls.values())
 
-    @property
-    def free_slots(self) -> int:
-        """Return the slots that nobody uses, as far as known."""
-        return max(0, self.record.slots - self.calls)
-
     def is_open(self, now: float) -> bool:
         """Tell whether it may be given work."""
         if self.displaced or self.record.phase is not RosterPhase.READY:
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -116,14 +116,16 @@
 
     async def _look_at(self, service: str, sizes: ExpertSizes) -> float:
         """Look at one service's group; return the pause after it."""
-        if self._clock.now() < self._settled_at:
-            self._eyes.forget(service)
-            return TURNING_EVERY_S
         state = self._store.machine.state
         seen = await self._eyes.see(service, state.roster)
         if seen is None:
             return BLIND_S
         self._keeper.tell_slow(service, seen.slow)
+        if self._clock.now() < self._settled_at:
+            # Orders must wait, the look at demand need not.
+            await self._read_counts(self._watch(sizes, seen.any_report), seen)
+            self._eyes.forget(service)
+            return TURNING_EVERY_S
         plan = state.plans.latest(seen.any_report.group)
         if self._is_unfinished(plan, seen):
             await self._drive(
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -110,10 +110,6 @@
         )
         return reply
 
-    def knows(self, identity: str) -> bool:
-        """Tell whether the roster holds an upstream."""
-        return identity in self._store.machine.state.roster.upstreams
-
     def tell_slow(self, service: str, slow: frozenset[str]) -> None:
         """Note which upstreams of a service hold the others back."""
         if slow != self._slow.get(service, frozenset()):
