Hold a group by the pass under way, not by an old pace

Symptom: switches of expert maps took 1.0 to 2.3 s of the 3 to 4 s between two turns of demand, one 5.6 s; fetching takes 0.4 s of it. Cause: the pass to hold before was extrapolated, over the fetch, from the pace before the turn. Passes grow from 45 to 140 ms as demand turns, so that the pass that was named came up to seven passes later than it could. Ruled out: arming and lost orders (no order went unaccepted in these spans), waiting for reports (0.2 to 0.4 s, the same before and after). Change: once all ranks have fetched, one rank's step is read, which is as new as a round trip; reports are some hundred ms old. Reading it costs one reading of counts a switch (256 numbers). Tests: the hold names the pass after the next by the step read, also with reports four passes behind; the schedules read steps late and lose some.

--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from numpy.typing import NDArray
 
-    from snipebend.experts.direct_switch import RankReport
+    from snipebend.experts.direct_orders import RankReport
 
     Counts = NDArray[np.float64]
 
--- /dev/null
+++ b/src/snipebend/experts/rank_states.py
@@ -0,0 +1,107 @@
+"""What a coordinator knows of each rank while it switches maps (pure)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from snipebend.experts.hold_aim import RETRY_S
+
+#: Seconds before a rank that refused to be armed is asked again: the group may
+#: stand still meanwhile.
+ARM_AGAIN_S = 0.015
+
+#: Refusals of one rank to prepare after which the plan is given up.
+MAX_REFUSALS = 3
+
+
+@dataclass(slots=True)
+class RankState:
+    """What is known of one rank."""
+
+    sent_at: float = -1
+    #: When it should have fetched its experts; none: it wasn't told to.
+    prepared_at: float | None = None
+    armed: bool = False
+    in_force: bool = False
+    refusals: int = 0
+    prepares: int = 0
+
+    @property
+    def refuses(self) -> bool:
+        """Tell whether it won't prepare."""
+        return self.prepared_at is None and self.refusals >= MAX_REFUSALS
+
+
+class RankStates:
+    """All ranks of a group, by number."""
+
+    def __init__(self, size: int) -> None:
+        """Start without knowledge of any rank."""
+        self._ranks = {rank: RankState() for rank in range(size)}
+
+    def __contains__(self, rank: int) -> bool:
+        """Tell whether a number is one of the group's."""
+        return rank in self._ranks
+
+    def __getitem__(self, rank: int) -> RankState:
+        """Return one rank."""
+        return self._ranks[rank]
+
+    @property
+    def ready_at(self) -> float:
+        """Return when every rank should have fetched its experts."""
+        return max(rank.prepared_at or 0 for rank in self._ranks.values())
+
+    @property
+    def rounds(self) -> int:
+        """Return how often the rank that was asked most was to prepare."""
+        return max(rank.prepares for rank in self._ranks.values())
+
+    @property
+    def any_refuses(self) -> bool:
+        """Tell whether a rank won't prepare."""
+        return any(rank.refuses for rank in self._ranks.values())
+
+    @property
+    def all_told(self) -> bool:
+        """Tell whether every rank fetches, or has fetched, its experts."""
+        ranks = self._ranks.values()
+        return all(rank.prepared_at is not None for rank in ranks)
+
+    @property
+    def all_armed(self) -> bool:
+        """Tell whether every rank is armed."""
+        return all(rank.armed for rank in self._ranks.values())
+
+    @property
+    def all_in_force(self) -> bool:
+        """Tell whether every rank has switched."""
+        return all(rank.in_force for rank in self._ranks.values())
+
+    def disarm(self) -> None:
+        """Forget who was armed, for a pass that has begun."""
+        for rank in self._ranks.values():
+            rank.armed = False
+
+    def take_unprepared(self, now: float) -> list[int]:
+        """Return the ranks that are to be told to prepare now."""
+        due = [
+            number
+            for number, rank in self._ranks.items()
+            if rank.prepared_at is None and now >= rank.sent_at + RETRY_S
+        ]
+        for number in due:
+            self._ranks[number].sent_at = now
+            self._ranks[number].prepares += 1
+        return due
+
+    def take_unarmed(self, now: float) -> list[int]:
+        """Return the ranks that are to be armed now."""
+        due = [
+            number
+            for number, rank in self._ranks.items()
+            if not rank.armed and now >= rank.sent_at + ARM_AGAIN_S
+        ]
+        for number in due:
+            self._ranks[number].sent_at = now
+        return due
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
-    from snipebend.experts.direct_switch import RankReport
+    from snipebend.experts.direct_orders import RankReport
     from snipebend.hosts.model import HostTable
     from snipebend.kernel.registry import Registry
     from snipebend.transport.group_eyes import EngineLink, Seen
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from snipebend.experts.direct_switch import RankOrder, RankReport, Reply
+    from snipebend.experts.direct_orders import RankOrder, RankReport, Reply
     from snipebend.experts.group_watch import ExpertSizes, RankCounts
     from snipebend.experts.layer_state import LayerMap
     from snipebend.kernel.clock import Clock
--- a/src/snipebend/transport/switch_driver.py
+++ b/src/snipebend/transport/switch_driver.py
@@ -7,12 +7,15 @@
 
 from loguru import logger
 
-from snipebend.experts.direct_switch import DirectSwitch, Reply
+from snipebend.experts.direct_orders import Reply
+from snipebend.experts.direct_switch import DirectSwitch
+from snipebend.experts.hold_aim import HoldAim
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from snipebend.experts.direct_switch import Phase, RankOrder
+    from snipebend.experts.direct_orders import RankOrder
+    from snipebend.experts.direct_switch import Phase
     from snipebend.experts.group_watch import Pace
     from snipebend.kernel.clock import Clock
     from snipebend.state.group_plans import GroupPlan
@@ -52,9 +55,7 @@
             fetch_s,
         )
         if pace is not None:
-            self._switch.step = pace.step
-            self._switch.step_at = pace.at
-            self._switch.pass_s = pace.pass_s
+            self._switch.aim = HoldAim(pace.step, pace.at, pace.pass_s)
         for report in seen.reports.values():
             self._switch.note_report(report)
 
@@ -84,6 +85,8 @@
     async def _send_orders(self) -> None:
         """Send what is due until the switch must wait for something."""
         while True:
+            if self._switch.needs_step(self._clock.now()):
+                await self._read_step()
             orders = self._switch.next_orders(self._clock.now())
             if not orders or not self._may_order():
                 return
@@ -104,6 +107,14 @@
             )
         self._switch.note_reply(order, reply, self._clock.now())
 
+    async def _read_step(self) -> None:
+        """Read the pass under way; reports are some hundred ms old."""
+        counts = await self._link.counts(self._seen.upstreams[0])
+        if counts is None:
+            logger.info('event=step_unread group={} rank=0', self._switch.group)
+            return
+        self._switch.note_step(counts.epoch, counts.step, self._clock.now())
+
     async def _read_reports(self) -> None:
         reports = await asyncio.gather(
             *(self._link.report(one) for one in self._seen.upstreams.values())
--- a/tests/experts/direct_world.py
+++ b/tests/experts/direct_world.py
@@ -11,21 +11,22 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from snipebend.experts.direct_switch import (
+from snipebend.experts.direct_orders import (
     Arm,
     Armed,
-    DirectSwitch,
     Go,
     Hold,
     Prepare,
     RankReport,
     Reply,
 )
+from snipebend.experts.direct_switch import DirectSwitch
+from snipebend.experts.hold_aim import HoldAim
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from snipebend.experts.direct_switch import RankOrder
+    from snipebend.experts.direct_orders import RankOrder
 
 RANKS = 3
 GROUP = 'g'
@@ -182,6 +183,8 @@
         if self.switch is None or self.switch.over:
             self._begin()
             return
+        if self.switch.needs_step(world.now):
+            world.read_step(self)
         for order in self.switch.next_orders(world.now):
             world.send(self, order)
         if world.now >= self.report_at:
@@ -221,7 +224,13 @@
             version += 1
             world.plan = (epoch, version)
         self.switch = self.make(
-            GROUP, epoch, version, (), RANKS, 0.3, reports[0].step, world.now
+            GROUP,
+            epoch,
+            version,
+            (),
+            RANKS,
+            0.3,
+            HoldAim(reports[0].step, world.now),
         )
         for report in reports:
             self.switch.note_report(report)
@@ -237,6 +246,8 @@
         coordinator: type[Coordinator] = Coordinator,
     ) -> None:
         self.rng = random.Random(seed)
+        # Apart, so that reading steps leaves the other faults as they were.
+        self.step_rng = random.Random(seed)
         self.now = 0.0
         self.engines = Engines(self.rng)
         self.plan = (0, 0)
@@ -296,6 +307,22 @@
             lambda: self._tell(sender, switch, report),
         )
 
+    def read_step(self, sender: Coordinator) -> None:
+        """Bring the pass under way to a coordinator, soon or never."""
+        if not self.quiet and self.step_rng.randrange(5) == 0:
+            return
+        switch = sender.switch
+        epoch, step = self.engines.epoch, self.engines.step
+        self.at(
+            self.step_rng.uniform(0.001, 0.06),
+            lambda: self._tell_step(sender, switch, epoch, step),
+        )
+
+    def _tell_step(self, sender, switch, epoch, step) -> None:
+        arguments = (sender, switch, epoch, step)
+        if not self._defer(sender, self._tell_step, *arguments):
+            switch.note_step(epoch, step, self.now)
+
     def _tell(self, sender, switch, report) -> None:
         if not self._defer(sender, self._tell, sender, switch, report):
             switch.note_report(report)
--- /dev/null
+++ b/tests/experts/test_direct_switch.py
@@ -0,0 +1,44 @@
+"""What one coordinator orders next, step by step."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.experts.direct_orders import Hold, Reply
+from snipebend.experts.direct_switch import DirectSwitch, Phase
+from snipebend.experts.hold_aim import AHEAD, STEP_VALID_S, HoldAim
+
+LAYERS = (((0,), (1,)),)
+FETCH_S = 0.4
+
+
+class TestHold(unittest.TestCase):
+    """Which pass a group is held before."""
+
+    def setUp(self):
+        """Have two ranks fetch, at a pace of 20 passes a second before."""
+        self.switch = DirectSwitch('g', 1, 1, LAYERS, 2, FETCH_S)
+        self.switch.aim = HoldAim(100, 10.0, 0.05)
+        for order in self.switch.next_orders(10.0):
+            self.switch.note_reply(order, Reply.ACCEPTED, 10.0)
+
+    def test_the_step_is_read_once_all_have_fetched(self):
+        self.assertFalse(self.switch.needs_step(10.0 + FETCH_S / 2))
+        self.assertTrue(self.switch.needs_step(10.0 + FETCH_S))
+
+    def test_a_group_that_grew_slow_is_held_soon(self):
+        now = 10.0 + FETCH_S
+        self.switch.note_step(1, 103, now)
+        self.assertEqual(
+            self.switch.next_orders(now), [Hold(0, 1, 103 + AHEAD)]
+        )
+
+    def test_a_step_ages(self):
+        now = 10.0 + FETCH_S
+        self.switch.note_step(1, 103, now)
+        self.assertFalse(self.switch.needs_step(now))
+        self.assertTrue(self.switch.needs_step(now + STEP_VALID_S))
+
+    def test_another_epoch_ends_it(self):
+        self.switch.note_step(2, 3, 10.1)
+        self.assertIs(self.switch.phase, Phase.DEAD)
--- a/tests/experts/test_direct_switch_search.py
+++ b/tests/experts/test_direct_switch_search.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from snipebend.experts.direct_switch import Arm, DirectSwitch, Go
+from snipebend.experts.direct_orders import Arm, Go
+from snipebend.experts.direct_switch import DirectSwitch
 from tests.experts.direct_world import (
     RANKS,
     Coordinator,
@@ -35,7 +36,7 @@
 
     def next_orders(self, now):
         if self.hold_step is None:
-            self.hold_step = self.step + 6
+            self.hold_step = self.aim.step + 6
         return super().next_orders(now)
 
 
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from snipebend.experts.direct_switch import RankReport
+from snipebend.experts.direct_orders import RankReport
 from snipebend.experts.group_watch import (
     URGENT_SAVING,
     ExpertSizes,
--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -5,7 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
-from snipebend.experts.direct_switch import (
+from snipebend.experts.direct_orders import (
     Arm,
     Armed,
     Go,
@@ -15,6 +15,7 @@
     Reply,
 )
 from snipebend.experts.group_watch import RankCounts
+from snipebend.experts.hold_aim import AHEAD
 from snipebend.hosts.model import EngineProfile, HostService, HostTable
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
@@ -84,7 +85,10 @@
         self.orders = []
         self.version = 0
         self.held = None
+        self.held_before = []
         self.step = 10
+        #: Passes that reports are behind.
+        self.lag = 0
         self.pace = 1.0
         self.armed = {}
         self.prepared = set()
@@ -99,7 +103,7 @@
             rank,
             RANKS,
             is_open=True,
-            step=self.step,
+            step=self.step - self.lag,
             map_version=self.version,
             armed=self.armed.get(rank),
             held=self.held if rank == 0 else None,
@@ -116,6 +120,7 @@
                 self.prepared.add(rank)
             case Hold(step=step):
                 self.held = step
+                self.held_before.append(step)
             case Arm(rank=rank, version=version, step=step):
                 self.armed[rank] = Armed(version, step)
             case Go(step=step):
@@ -168,6 +173,14 @@
             self.engines.orders, [Prepare, Prepare, Hold, Arm, Arm, Go]
         )
 
+    async def test_the_hold_goes_by_the_pass_under_way(self):
+        """Reports are late, and a pace may have changed since."""
+        self.engines.lag = 4
+        await self.balancer.look()
+        self.clock.at += SETTLE_S
+        await self.balancer.look()
+        self.assertEqual(self.engines.held_before, [10 + AHEAD])
+
     async def test_a_hold_of_the_last_leader_is_taken_over(self):
         self.engines.held = 14
         self.engines.armed = {0: Armed(PLAN.version, 14)}
