Allow for lost answers by the time they cost, not by a count of passes

Cause: for each round of lost answers two passes were added before the hold. Five rounds of 40 ms made eight passes of 110 to 150 ms, 1.2 s; arming took 0.3 s of it.

--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -135,7 +135,7 @@
         rank = self._ranks[order.rank]
         match order, reply:
             case Prepare(), Reply.ACCEPTED:
-                rank.prepared_at = now + self.fetch_s
+                self._ranks.note_told(order.rank, now, now + self.fetch_s)
             case Prepare(), Reply.REFUSED:
                 rank.refusals += 1
             case Hold(), Reply.ACCEPTED:
@@ -204,7 +204,7 @@
             return []
         if not self.aim.is_due(now):
             return []
-        step = self.aim.take(now, self._ranks.rounds)
+        step = self.aim.take(now, self._ranks.telling_s)
         return [Hold(0, self.epoch, step)]
 
     def _arm(self, now: float) -> list[RankOrder]:
--- a/src/snipebend/experts/hold_aim.py
+++ b/src/snipebend/experts/hold_aim.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 #: Seconds before an order without an answer is sent again, on top of the time
@@ -23,10 +24,11 @@
 #: refused, and a later pass is named at once.
 AHEAD = 2
 
-#: Further passes for each round in which some order got no answer: arming will
-#: take as many rounds, and the group stands still if it reaches the held pass
-#: before all ranks are armed.
-PER_ROUND = 2
+#: Seconds that telling all ranks something takes when no answer is lost. What
+#: it took beyond, as they were told to prepare, it will take again to arm them.
+#: Counted as two passes for each round of lost answers, whatever their length,
+#: the group was held up to ten passes later, 1.2 s of long passes.
+USUAL_TELLING_S = 0.02
 
 
 @dataclass(slots=True)
@@ -47,7 +49,10 @@
         return now >= self.step_at + STEP_VALID_S
 
     def note_step(self, step: int, now: float) -> None:
-        """Take over the pass that was just read."""
+        """Take over the pass that was just read, and the pace since."""
+        passes = step - self.step
+        if self.step_at and passes > 0:
+            self.pass_s = (now - self.step_at) / passes
         self.step = max(self.step, step)
         self.step_at = now
 
@@ -64,10 +69,11 @@
         """Tell whether to try now: refused ones are followed at once."""
         return self._refused or now >= self._sent_at + RETRY_S
 
-    def take(self, now: float, rounds: int) -> int:
-        """Return the pass to hold before; ``rounds`` of orders may be lost."""
+    def take(self, now: float, telling_s: float) -> int:
+        """Return the pass to hold before; arming takes ``telling_s``."""
         self._sent_at = now
         self._refused = False
-        ahead = AHEAD + self._tries + PER_ROUND * max(0, rounds - 1)
+        losses_s = max(0, telling_s - USUAL_TELLING_S)
+        ahead = AHEAD + self._tries + math.ceil(losses_s / self.pass_s)
         passed = int((now - self.step_at) / self.pass_s) if self.step_at else 0
         return self.step + passed + ahead
--- a/src/snipebend/experts/rank_states.py
+++ b/src/snipebend/experts/rank_states.py
@@ -24,7 +24,6 @@
     armed: bool = False
     in_force: bool = False
     refusals: int = 0
-    prepares: int = 0
 
     @property
     def refuses(self) -> bool:
@@ -38,6 +37,9 @@
     def __init__(self, size: int) -> None:
         """Start without knowledge of any rank."""
         self._ranks = {rank: RankState() for rank in range(size)}
+        self._asked_at: float | None = None
+        #: Seconds from the first order to prepare to the last that was taken.
+        self.telling_s: float = 0
 
     def __contains__(self, rank: int) -> bool:
         """Tell whether a number is one of the group's."""
@@ -52,11 +54,6 @@
         """Return when every rank should have fetched its experts."""
         return max(rank.prepared_at or 0 for rank in self._ranks.values())
 
-    @property
-    def rounds(self) -> int:
-        """Return how often the rank that was asked most was to prepare."""
-        return max(rank.prepares for rank in self._ranks.values())
-
     @property
     def any_refuses(self) -> bool:
         """Tell whether a rank won't prepare."""
@@ -78,6 +75,12 @@
         """Tell whether every rank has switched."""
         return all(rank.in_force for rank in self._ranks.values())
 
+    def note_told(self, rank: int, now: float, ready_at: float) -> None:
+        """Take note that a rank fetches its experts."""
+        self._ranks[rank].prepared_at = ready_at
+        if self._asked_at is not None:
+            self.telling_s = now - self._asked_at
+
     def disarm(self) -> None:
         """Forget who was armed, for a pass that has begun."""
         for rank in self._ranks.values():
@@ -92,7 +95,8 @@
         ]
         for number in due:
             self._ranks[number].sent_at = now
-            self._ranks[number].prepares += 1
+        if self._asked_at is None:
+            self._asked_at = now
         return due
 
     def take_unarmed(self, now: float) -> list[int]:
--- a/tests/experts/test_direct_switch.py
+++ b/tests/experts/test_direct_switch.py
@@ -33,6 +33,24 @@
             self.switch.next_orders(now), [Hold(0, 1, 103 + AHEAD)]
         )
 
+    def test_lost_answers_are_allowed_for_by_their_time(self):
+        """Arming will take as long as telling all to prepare did."""
+        steps = [self._hold_step_after(took_s) for took_s in (0.01, 0.21)]
+        self.assertEqual(steps, [103 + AHEAD, 103 + AHEAD + 2])
+
+    def _hold_step_after(self, told_s):
+        switch = DirectSwitch('g', 1, 1, LAYERS, 2)
+        switch.aim = HoldAim(100, 10.0, 0.1)
+        first, last = switch.next_orders(10.0)
+        switch.note_reply(first, Reply.ACCEPTED, 10.01)
+        switch.note_reply(last, Reply.ACCEPTED, 10.0 + told_s)
+        switch.note_step(1, 103, 10.3)
+        return switch.next_orders(10.3)[0].step
+
+    def test_the_pace_is_measured_anew(self):
+        self.switch.note_step(1, 103, 10.0 + 3 * 0.14)
+        self.assertAlmostEqual(self.switch.aim.pass_s, 0.14)
+
     def test_a_step_ages(self):
         now = 10.0 + FETCH_S
         self.switch.note_step(1, 103, now)
