Count refusals, pauses, upstream states, syncs, orders and switches; JSON logs

On-call engineers had no figures for these on the relay's path. An entry's gauges ask when they are scraped, so that a request pays for three records. A line of JSON is made from the line of pairs in the writer's own thread, so that whoever logs pays nothing for it; explain reads both forms.

--- a/src/snipebend/daemons/running.py
+++ b/src/snipebend/daemons/running.py
@@ -79,7 +79,9 @@
         sys.stderr.write(f'{loaded.unwrap_err().message}\n')
         return EXIT_BAD_INPUT
     cfg = loaded.unwrap()
-    writer = set_up_logs(cfg.process.name, cfg.log.level)
+    writer = set_up_logs(
+        cfg.process.name, cfg.log.level, as_json=cfg.log.format == 'json'
+    )
     set_up_metrics(cfg.process.name)
     process = build(cfg)
     process.registry.register(SettingsWatch(path, model, process))
--- a/src/snipebend/edge/refuser.py
+++ b/src/snipebend/edge/refuser.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.host_follower import HostFollower
+    from snipebend.edge.relay_meters import RelayMeters
     from snipebend.relay.facts import CallerFacts, Dialect
     from snipebend.relay.problems import Refusal
 
@@ -20,10 +21,13 @@
 class Refuser:
     """Writes refusals in the platform's form."""
 
-    def __init__(self, dialect: Dialect, follower: HostFollower) -> None:
+    def __init__(
+        self, dialect: Dialect, follower: HostFollower, meters: RelayMeters
+    ) -> None:
         """Keep how refusals are written, and what decisions go by."""
         self._dialect = dialect
         self._follower = follower
+        self._meters = meters
         # Spreads the callers' returns only; nobody gains by guessing it.
         self._rng = random.Random()
 
@@ -45,6 +49,7 @@
         self, answer: AnswerWriter, refusal: Refusal, facts: CallerFacts
     ) -> None:
         """Write an own answer."""
+        self._meters.refused(refusal.status.value, refusal.title)
         logger.info(
             'event=refused request={} status={} outcome={} detail={!r} '
             + 'retry_after={:.2f} {}',
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -10,7 +10,7 @@
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.refuser import Refuser
-from snipebend.edge.relay_meters import RelayMeters
+from snipebend.edge.relay_meters import RelayMeters, Standing
 from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
 from snipebend.kernel.service import Service
@@ -58,11 +58,17 @@
         self._tasks = registry.tasks
         self.pool = UpstreamPool(self._cfg.relay, self.dialect, self._clock)
         self._follower = registry.find('hosts', HostFollower)
-        self.refuser = Refuser(self.dialect, self._follower)
         self._follower.on_upstreams = self._take_upstreams
         self.meters = RelayMeters(
-            lambda: self._in_work, lambda: self._follower.number
+            Standing(
+                lambda: self._in_work,
+                lambda: self._follower.number,
+                lambda: self._follower.age_s,
+                self._retries_left,
+                lambda: self._upstreams.standings(self.now()),
+            )
         )
+        self.refuser = Refuser(self.dialect, self._follower, self.meters)
         self._tasks.start('sweep', self._sweep_for_ever)
 
     async def stop(self) -> None:
@@ -146,6 +152,9 @@
             span_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: call.read_out(span_s))
 
+    def _retries_left(self) -> dict[str, float]:
+        return {name: one.left for name, one in self._budgets.items()}
+
     def _note_end(self, admitted: Admitted, answer: AnswerWriter) -> None:
         now = self.now()
         self.meters.request_ended(admitted, answer, now)
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 
 from opentelemetry.metrics import Observation
 
@@ -10,20 +12,32 @@
 from snipebend.transport.meters import LATENCY_BUCKETS_S
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from opentelemetry.metrics import CallbackOptions, Meter
 
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.relay.admitting import Admitted
 
 
+class Standing(NamedTuple):
+    """Asked for when the gauges are read."""
+
+    in_work: Callable[[], int]
+    document: Callable[[], int]
+    #: Seconds since control's last news; -1: none came yet.
+    news_age_s: Callable[[], float]
+    #: By service.
+    retries_left: Callable[[], dict[str, float]]
+    #: Numbers of upstreams by their standing.
+    upstreams: Callable[[], dict[str, int]]
+
+
 class RelayMeters:
     """The counters and histograms of one entry."""
 
-    def __init__(
-        self, in_work: Callable[[], int], document: Callable[[], int]
-    ) -> None:
+    def __init__(self, standing: Standing) -> None:
         """Make the instruments; gauges ask when they are read."""
         meter = get_meter()
+        self._standing = standing
         self._requests = meter.create_counter(
             'snipebend_relay_requests',
             description="callers' requests by kind and status",
@@ -48,15 +62,54 @@
             description='from a request to the end of its answer',
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
+        self._refusals = meter.create_counter(
+            'snipebend_relay_refusals',
+            description='own answers by status and reason',
+        )
+        self._pauses = meter.create_histogram(
+            'snipebend_relay_pause_seconds',
+            unit='s',
+            description='between two pieces of one stream',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self._handed_on = meter.create_histogram(
+            'snipebend_relay_hand_on_seconds',
+            unit='s',
+            description='from a whole request to its first call of an upstream',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self._make_gauges(meter)
+
+    def _make_gauges(self, meter: Meter) -> None:
+        standing = self._standing
+        single = {
+            'snipebend_relay_requests_in_flight': standing.in_work,
+            'snipebend_relay_document_number': standing.document,
+            'snipebend_relay_news_age_seconds': standing.news_age_s,
+        }
+        for name, ask in single.items():
+            meter.create_observable_gauge(name, [partial(_observe, ask)])
         meter.create_observable_gauge(
-            'snipebend_relay_requests_in_flight',
-            [lambda _: (Observation(in_work()),)],
+            'snipebend_relay_retries_left',
+            [partial(_observe_all, 'service', standing.retries_left)],
         )
         meter.create_observable_gauge(
-            'snipebend_relay_document_number',
-            [lambda _: (Observation(document()),)],
+            'snipebend_relay_upstreams',
+            [partial(_observe_all, 'state', standing.upstreams)],
         )
 
+    def refused(self, status: int, reason: str) -> None:
+        """Count an own answer."""
+        self._refusals.add(1, {'status': str(status), 'reason': reason})
+
+    def paused(self, seconds: float) -> None:
+        """Note the time between two pieces of a stream."""
+        self._pauses.record(seconds)
+
+    def handed_on(self, seconds: float) -> None:
+        """Note how long a request was here before its first call."""
+        self._handed_on.record(seconds)
+
     def call_ended(self, service: str, ending: str) -> None:
         """Count the end of a call."""
         self._calls.add(1, {'service': service, 'ending': ending})
@@ -77,3 +130,19 @@
             self._first.record(
                 answer.first_at - admitted.began_at, {'kind': kind}
             )
+
+
+def _observe(
+    ask: Callable[[], float], options: CallbackOptions
+) -> Iterable[Observation]:
+    return (Observation(ask()),)
+
+
+def _observe_all(
+    label: str,
+    ask: Callable[[], Mapping[str, float]],
+    options: CallbackOptions,
+) -> Iterable[Observation]:
+    return [
+        Observation(number, {label: name}) for name, number in ask().items()
+    ]
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -60,7 +60,7 @@
         self._route = admitted.route
         self._tried: list[str] = []
         self._runs = 0
-        self._stream = StreamRelay(answer)
+        self._stream = StreamRelay(answer, desk.now, desk.meters.paused)
         self._end = FinalAnswer(
             answer, desk.refuser, admitted.facts, self._time_left_s
         )
@@ -133,6 +133,9 @@
 
     def _send(self, call: Call) -> None:
         admitted = self._admitted
+        if len(self._tried) == 1:
+            waited_s = self._desk.now() - admitted.began_at
+            self._desk.meters.handed_on(waited_s)
         facts = UpstreamCall(
             call.upstream.record.identity,
             admitted.workspace,
--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -9,6 +9,8 @@
 from snipebend.transport.events import EventBuffer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.relay.facts import AnswerHead
 
@@ -22,8 +24,16 @@
     call goes on behind the last event; its head is dropped.
     """
 
-    def __init__(self, answer: AnswerWriter) -> None:
-        """Start before the first call."""
+    def __init__(
+        self,
+        answer: AnswerWriter,
+        now: Callable[[], float],
+        on_pause: Callable[[float], None],
+    ) -> None:
+        """Start before the first call; ``on_pause`` is told seconds."""
+        self._now = now
+        self._on_pause = on_pause
+        self._piece_at: float | None = None
         self.resume_after: int | None = None
         self.events = 0
         self._answer = answer
@@ -42,6 +52,7 @@
         if not events:
             return False
         self._begin_answer()
+        self._note_pause()
         for event in events:
             self._note(event)
         self._answer.write(b''.join(events))
@@ -61,6 +72,12 @@
             head.status, head.reason, list(end_to_end(head.headers))
         )
 
+    def _note_pause(self) -> None:
+        now = self._now()
+        if self._piece_at is not None:
+            self._on_pause(now - self._piece_at)
+        self._piece_at = now
+
     def _note(self, event: bytes) -> None:
         self.events += 1
         found = _EVENT_ID.search(event)
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -44,6 +45,14 @@
             return False
         return now >= self.paused_until
 
+    def standing(self, now: float) -> str:
+        """Return in a word whether it may be given work, or why not."""
+        if self.displaced:
+            return 'displaced'
+        if self.record.phase is not RosterPhase.READY:
+            return self.record.phase.name.lower()
+        return 'open' if now >= self.paused_until else 'paused'
+
     def note_failure(self, now: float) -> None:
         """Leave it alone for a while."""
         pause_s = FIRST_PAUSE_S * 2 ** min(self.failures, 8)
@@ -103,6 +112,11 @@
             else:
                 upstream.others_calls.pop(entry, None)
 
+    def standings(self, now: float) -> dict[str, int]:
+        """Return how many upstreams may be given work, and why others not."""
+        found = Counter(one.standing(now) for one in self._known.values())
+        return dict(found)
+
     def dump(self) -> dict[str, object]:
         """Return each upstream's standing."""
         return {
--- a/src/snipebend/routing/retry_budget.py
+++ b/src/snipebend/routing/retry_budget.py
@@ -25,6 +25,11 @@
         self.requests = 0
         self.granted = 0
 
+    @property
+    def left(self) -> float:
+        """Return the retries that may be made now."""
+        return self._balance
+
     def take_ratio(self, ratio: float) -> None:
         """Take over a new ratio."""
         self._ratio = ratio
--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -51,6 +51,7 @@
     """How much to log."""
 
     level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    format: Literal['pairs', 'json'] = 'pairs'
 
 
 class DaemonSettings(Section):
--- a/src/snipebend/telemetry/log_lines.py
+++ b/src/snipebend/telemetry/log_lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -35,9 +36,20 @@
         return self.pairs.get('time', '')
 
 
+def render_json(text: str) -> str:
+    """Return a line of pairs as one of JSON; what is no event, as its text."""
+    line = read_line(text)
+    pairs = line.pairs if line else {'text': text.rstrip()}
+    return f'{json.dumps(pairs)}\n'
+
+
 def read_line(text: str) -> LogLine | None:
-    """Read one line; nothing if it is no event."""
-    pairs = {name: found.strip('\'"') for name, found in _PAIR.findall(text)}
+    """Read one line in either form; nothing if it is no event."""
+    if text.startswith('{'):
+        pairs = _read_json(text)
+    else:
+        found = _PAIR.findall(text)
+        pairs = {name: quoted.strip('\'"') for name, quoted in found}
     return LogLine(text.rstrip(), pairs) if 'event' in pairs else None
 
 
@@ -64,6 +76,15 @@
     return sorted((*wanted, *own), key=lambda line: line.time)
 
 
+def _read_json(text: str) -> dict[str, str]:
+    try:
+        found = json.loads(text)
+    except json.JSONDecodeError:
+        # Cut off, by a process that was killed as it wrote.
+        return {}
+    return {name: str(one) for name, one in found.items()}
+
+
 def _is_about(line: LogLine, request_id: str) -> bool:
     return line.pairs.get('request') == request_id
 
--- a/src/snipebend/telemetry/log_writer.py
+++ b/src/snipebend/telemetry/log_writer.py
@@ -10,9 +10,13 @@
 import threading
 import time
 from collections import deque
+from typing import TYPE_CHECKING
 
 from snipebend.telemetry.log_limits import LogLimits
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Bytes of lines that may wait, about ten seconds of a busy entry's.
 MAX_WAITING_BYTES = 1_048_576
 
@@ -26,9 +30,13 @@
     """A sink for log lines on one file descriptor."""
 
     def __init__(
-        self, descriptor: int, limits: LogLimits | None = None
+        self,
+        descriptor: int,
+        limits: LogLimits | None = None,
+        render: Callable[[str], str] | None = None,
     ) -> None:
-        """Start the thread."""
+        """Start the thread, in which ``render`` puts lines in another form."""
+        self._render = render
         #: Lines dropped since the last one that fitted, and in all.
         self.dropped = 0
         self.dropped_in_all = 0
@@ -85,12 +93,19 @@
             if not self._write_waiting():
                 return
 
+    def _rendered(self, data: bytes) -> bytes:
+        if self._render is None:
+            return data
+        # A line that comes after dropped ones stands behind that news.
+        lines = data.decode().splitlines(keepends=True)
+        return ''.join(map(self._render, lines)).encode()
+
     def _write_waiting(self) -> bool:
         """Write what waits; return False when nobody reads any more."""
         while self._waiting:
             data = self._waiting.popleft()
             try:
-                _write_all(self._descriptor, data)
+                _write_all(self._descriptor, self._rendered(data))
             except OSError:
                 # The reader is gone: there is nowhere left to say so.
                 return False
--- a/src/snipebend/telemetry/logs.py
+++ b/src/snipebend/telemetry/logs.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from snipebend.telemetry.log_lines import render_json
 from snipebend.telemetry.log_writer import LogWriter
 
 _FORMAT = (
@@ -18,13 +19,17 @@
 
 
 def set_up_logs(
-    process_name: str, level: str, descriptor: int = STANDARD_OUTPUT
+    process_name: str,
+    level: str,
+    descriptor: int = STANDARD_OUTPUT,
+    *,
+    as_json: bool = False,
 ) -> LogWriter:
     """Send events of at least ``level`` to a file descriptor.
 
     Whoever ends the process closes the writer, which writes what waits.
     """
-    writer = LogWriter(descriptor)
+    writer = LogWriter(descriptor, render=render_json if as_json else None)
     logger.remove()
     logger.configure(extra={'process_name': process_name})
     logger.add(writer, format=_FORMAT, level=level, backtrace=False)
--- /dev/null
+++ b/src/snipebend/transport/control_meters.py
@@ -0,0 +1,67 @@
+"""What a control daemon counts and times of its log and of expert maps."""
+
+from __future__ import annotations
+
+from snipebend.telemetry.metrics import get_meter
+from snipebend.transport.meters import LATENCY_BUCKETS_S
+
+
+class ReplicaMeters:
+    """The roles of one member, and how long its disk takes."""
+
+    def __init__(self) -> None:
+        """Make the instruments."""
+        meter = get_meter()
+        self._roles = meter.create_counter(
+            'snipebend_role_changes',
+            description='roles taken in the control group, leader among them',
+        )
+        self._syncs = meter.create_histogram(
+            'snipebend_log_sync_seconds',
+            unit='s',
+            description='to write and sync entries that waited together',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+
+    def role_taken(self, role: str) -> None:
+        """Count a change of role."""
+        self._roles.add(1, {'role': role})
+
+    def synced(self, seconds: float) -> None:
+        """Note how long a write took."""
+        self._syncs.record(seconds)
+
+
+class BalancerMeters:
+    """The orders and switches that one control daemon drove."""
+
+    def __init__(self) -> None:
+        """Make the instruments."""
+        meter = get_meter()
+        self._orders = meter.create_counter(
+            'snipebend_engine_orders',
+            description='orders to engines by kind and reply',
+        )
+        self._switches = meter.create_histogram(
+            'snipebend_map_switch_seconds',
+            unit='s',
+            description='switches of expert maps by how they ended',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self._skew = meter.create_gauge(
+            'snipebend_map_skew',
+            description='load of the fullest rank over the mean, at a plan',
+        )
+
+    def order_ended(self, kind: str, reply: str) -> None:
+        """Count an order."""
+        self._orders.add(1, {'kind': kind, 'reply': reply})
+
+    def switch_ended(self, group: str, phase: str, seconds: float) -> None:
+        """Note how a switch ended, and after how long."""
+        self._switches.record(seconds, {'group': group, 'phase': phase})
+
+    def planned(self, group: str, before: float, after: float) -> None:
+        """Note the skew of the map in force, and of the one decided on."""
+        self._skew.set(before, {'group': group, 'map': 'in-force'})
+        self._skew.set(after, {'group': group, 'map': 'decided'})
--- a/src/snipebend/transport/effects.py
+++ b/src/snipebend/transport/effects.py
@@ -35,6 +35,7 @@
     from snipebend.consensus.messages import Envelope
     from snipebend.state.commands import Reply
     from snipebend.transport.applier import Applier
+    from snipebend.transport.control_meters import ReplicaMeters
     from snipebend.transport.peer_links import PeerLinks
     from snipebend.transport.questions import Questions
 
@@ -49,6 +50,7 @@
         writer: StorageWriter,
         applier: Applier,
         questions: Questions,
+        meters: ReplicaMeters,
     ) -> None:
         """Keep what the actions work on."""
         self._core = core
@@ -57,6 +59,7 @@
         self._applier = applier
         self._questions = questions
         self._replies: dict[int, Reply | None] = {}
+        self._meters = meters
         self._learn_members()
 
     def carry_out(self, actions: Iterable[Action]) -> None:
@@ -102,6 +105,7 @@
                 self._writer.put(LoadSnapshot(target))
             case RoleChanged(role, term, leader):
                 self._learn_members()
+                self._meters.role_taken(role.value)
                 logger.info(
                     'event=role role={} term={} leader={}',
                     role.value,
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -13,6 +13,7 @@
 from snipebend.kernel.service import Service
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
+from snipebend.transport.control_meters import BalancerMeters
 from snipebend.transport.group_eyes import GroupEyes
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.replicated_state import ReplicatedState
@@ -59,6 +60,7 @@
         self._table = table
         self._watches: dict[str, GroupWatch] = {}
         self._refused: dict[str, int] = {}
+        self._meters = BalancerMeters()
         self._term = 0
         #: When reports show all orders that were given before.
         self._settled_at: float = 0
@@ -128,9 +130,10 @@
             return TURNING_EVERY_S
         plan = state.plans.latest(seen.any_report.group)
         if self._is_unfinished(plan, seen):
-            await self._drive(
-                service, plan, SwitchDriver(self._link, self._clock, plan, seen)
+            driver = SwitchDriver(
+                self._link, self._clock, plan, seen, self._meters
             )
+            await self._drive(service, plan, driver)
             return TURNING_EVERY_S
         watch = self._watch(sizes, seen.any_report)
         watch.slowness = seen.slowness
@@ -212,12 +215,16 @@
             outlook.saving,
             outlook.loads,
         )
+        self._meters.planned(
+            plan.group, outlook.skew_before, outlook.skew_after
+        )
         if await self._decide(plan, before.version):
             driver = SwitchDriver(
                 self._link,
                 self._clock,
                 plan,
                 seen,
+                self._meters,
                 fetch_s=sizes.fetch_s * outlook.most_loads,
                 pace=watch.pace,
             )
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -19,6 +19,7 @@
 from snipebend.errors.hierarchy import CorruptionError
 from snipebend.kernel.mailbox import Mailbox
 from snipebend.transport.applier import Applier
+from snipebend.transport.control_meters import ReplicaMeters
 from snipebend.transport.effects import Effects
 from snipebend.transport.letters import (
     Ask,
@@ -71,7 +72,8 @@
         self._letters: Mailbox[Letter] = Mailbox(_CAPACITY)
         self.links = links
         self.storage_error = ''
-        self.writer = StorageWriter(storage, self.post)
+        meters = ReplicaMeters()
+        self.writer = StorageWriter(storage, self.post, meters)
         self.questions = Questions()
         meta = opened.restored.snapshot
         start = meta.index if meta else 0
@@ -80,7 +82,12 @@
             cfg, opened.member_id, opened.restored, clock.now(), self._rng
         )
         self._effects = Effects(
-            self._core, links, self.writer, self.applier, self.questions
+            self._core,
+            links,
+            self.writer,
+            self.applier,
+            self.questions,
+            meters,
         )
 
     @property
--- a/src/snipebend/transport/storage_writer.py
+++ b/src/snipebend/transport/storage_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -27,6 +28,7 @@
 if TYPE_CHECKING:
     from snipebend.consensus.snapshot_file import Snapshot
     from snipebend.consensus.storage import Storage
+    from snipebend.transport.control_meters import ReplicaMeters
 
 Outcome = TypeVar('Outcome')
 
@@ -66,13 +68,17 @@
     """Does the jobs in order; joins writes of the log that wait together."""
 
     def __init__(
-        self, storage: Storage, post: Callable[[Letter], None]
+        self,
+        storage: Storage,
+        post: Callable[[Letter], None],
+        meters: ReplicaMeters,
     ) -> None:
         """Keep the folder and the way to report what is synced."""
         self._storage = storage
         self._post = post
         self._jobs: Mailbox[Job] = Mailbox(_CAPACITY)
         self._blocked = False
+        self._meters = meters
 
     def put(self, job: Job) -> None:
         """Queue a job."""
@@ -113,7 +119,9 @@
                 writes.append(job)
             else:
                 following = job
+        began_at = time.monotonic()
         await self._repeat(partial(self._storage.persist, writes))
+        self._meters.synced(time.monotonic() - began_at)
         self._post(Tell(Persisted(writes[-1].sequence)))
         return following
 
--- a/src/snipebend/transport/switch_driver.py
+++ b/src/snipebend/transport/switch_driver.py
@@ -19,6 +19,7 @@
     from snipebend.experts.group_watch import Pace
     from snipebend.kernel.clock import Clock
     from snipebend.state.group_plans import GroupPlan
+    from snipebend.transport.control_meters import BalancerMeters
     from snipebend.transport.group_eyes import EngineLink, Seen
 
 #: Seconds between two steps of a switch.
@@ -37,6 +38,7 @@
         clock: Clock,
         plan: GroupPlan,
         seen: Seen,
+        meters: BalancerMeters,
         *,
         fetch_s: float = 0,
         pace: Pace | None = None,
@@ -45,6 +47,7 @@
         self._link = link
         self._clock = clock
         self._seen = seen
+        self._meters = meters
         self._fetch_s = fetch_s
         self._switch = DirectSwitch(
             plan.group,
@@ -71,13 +74,15 @@
             if self._clock.now() >= report_at:
                 await self._read_reports()
                 report_at = self._clock.now() + REPORT_EVERY_S
+        took_s = self._clock.now() - began_at
+        self._meters.switch_ended(switch.group, switch.phase.value, took_s)
         logger.info(
             'event=map_switch group={} version={} phase={} took_ms={:.0f} '
             + 'held_at_step={}',
             switch.group,
             switch.version,
             switch.phase.value,
-            1000 * (self._clock.now() - began_at),
+            1000 * took_s,
             switch.hold_step,
         )
         return switch.phase
@@ -97,12 +102,14 @@
         if not self._may_order():
             return
         reply = await self._link.order(upstream, order)
+        kind = type(order).__name__.lower()
+        self._meters.order_ended(kind, reply.value)
         if reply is not Reply.ACCEPTED:
             logger.info(
                 'event=order_unaccepted group={} rank={} order={} reply={}',
                 self._switch.group,
                 order.rank,
-                type(order).__name__.lower(),
+                kind,
                 reply.value,
             )
         self._switch.note_reply(order, reply, self._clock.now())
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -198,6 +198,12 @@
         async with self.session.get(url) as resp:
             return await resp.json()
 
+    async def metrics(self, host):
+        """Return the text of a process's metrics."""
+        url = f'http://{host}:{self.admin}/metrics'
+        async with self.session.get(url) as resp:
+            return await resp.text()
+
     async def _start(self, kind, name, text):
         settings = self.folder / f'{name}.toml'
         settings.write_text(text, encoding='utf-8')
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import os
 import threading
 import unittest
 
-from snipebend.telemetry.log_lines import explain, read_line
+from snipebend.telemetry.log_lines import explain, read_line, render_json
 from snipebend.telemetry.log_limits import LogLimits
 from snipebend.telemetry.log_writer import MAX_WAITING_BYTES, LogWriter
 
@@ -47,6 +48,19 @@
             numbers = [line.split('=')[-1] for line in stream]
         self.assertEqual([int(one) for one in numbers], list(range(50)))
 
+    def test_lines_of_json_say_the_same(self):
+        writer = LogWriter(self.descriptor, render=render_json)
+        line = 'time=1 level=INFO event=e reason="it is over" n=3\n'
+        writer(line)
+        writer('Traceback of nothing\n')
+        writer.close()
+        os.close(self.descriptor)
+        with os.fdopen(self.reader) as stream:
+            event, other = stream.readlines()
+        self.assertEqual(read_line(event).pairs, read_line(line).pairs)
+        self.assertEqual(json.loads(other), {'text': 'Traceback of nothing'})
+        self.assertIsNone(read_line(event[:9]))
+
     def test_nobody_reads(self):
         writer = LogWriter(self.descriptor, LogLimits(per_s=10**9))
         lines = 3 * MAX_WAITING_BYTES // len(LINE)
