Let no rank fetch for longer than 0.35 s in one change of maps

Cause: a switch waits for the rank that fetches most, and passes are long until it is over; the last loads lower the skew by little. At 0.11 s an expert, three are 0.35 s.

--- a/src/snipebend/experts/bounded_search.py
+++ b/src/snipebend/experts/bounded_search.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.experts.layer_state import LayerState, LayerStep
@@ -48,6 +49,8 @@
     #: ranks: 0.2 came to a skew of 1.20 with 9.6 loads a layer, 0.02 to 1.23
     #: with 12.5 and 0.5 to 1.40 with 4.9.
     least_gain: float = 0.2
+    #: Experts that one rank fetches in one change at most, over all layers.
+    most_fetched: float = math.inf
 
 
 class LayerSearch:
@@ -129,6 +132,8 @@
         if expert in self._before[rank]:
             return True
         new = len(self._state.held[rank] - self._before[rank])
+        if self._fetching[rank] + new >= self._bounds.most_fetched:
+            return False
         return new < self._bounds.spare
 
     def _cost(self, step: LayerStep) -> float:
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import numpy as np
@@ -39,6 +40,11 @@
 #: Seconds of a pass at the least.
 LEAST_PASS_S = 0.02
 
+#: Seconds that a rank may fetch in one change: passes are long meanwhile. On
+#: six days of turns every 3 s, at 0.11 s an expert, three experts a rank came
+#: to a worth of 0.722, four and more to 0.698, two to 0.677.
+MOST_FETCH_S = 0.35
+
 #: Weight of earlier spans when one is added.
 KEEP = 0.9
 
@@ -219,7 +225,11 @@
     def _search(
         self, layers: tuple[LayerMap, ...], loads: list[list[float]]
     ) -> tuple[LayerMap, ...]:
-        bounds = Bounds(self._sizes.places, self._sizes.spare)
+        bounds = Bounds(
+            self._sizes.places,
+            self._sizes.spare,
+            most_fetched=self._most_fetched(),
+        )
         fetching = [0 for _ in range(self.size)]
         better = []
         for layer, load in zip(layers, loads, strict=True):
@@ -233,6 +243,11 @@
             ]
         return tuple(better)
 
+    def _most_fetched(self) -> float:
+        if not self._sizes.fetch_s:
+            return math.inf
+        return max(1, MOST_FETCH_S // self._sizes.fetch_s)
+
     def _mean_skew(
         self, layers: tuple[LayerMap, ...], loads: list[list[float]]
     ) -> float:
--- a/tests/experts/test_bounded_search.py
+++ b/tests/experts/test_bounded_search.py
@@ -56,6 +56,16 @@
         spared = LayerSearch(IN_TURN, loads, BOUNDS, busy).run()
         self.assertLess(self._loads(spared), self._loads(free))
 
+    def test_no_rank_fetches_more_than_one_change_may(self):
+        loads = zipf_loads(random.Random(5))
+        bounds = BOUNDS._replace(most_fetched=3)
+        fetching = [rank % 4 for rank in range(RANKS)]
+        better = LayerSearch(IN_TURN, loads, bounds, fetching).run()
+        for rank in range(RANKS):
+            new = len(set(better[rank]) - set(IN_TURN[rank]))
+            with self.subTest(rank=rank):
+                self.assertLessEqual(fetching[rank] + new, 3)
+
     def test_a_slow_rank_gives_its_work_away(self):
         loads = zipf_loads(random.Random(6))
         paces = [5 if rank == 3 else 1 for rank in range(RANKS)]
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -61,7 +61,7 @@
         self.assertGreater(outlook.skew_before, 3)
         self.assertLess(outlook.skew_after, 1.4)
         self.assertGreater(outlook.loads, 0)
-        self.assertLessEqual(outlook.most_loads, 4)
+        self.assertLessEqual(outlook.most_loads, 3)
 
     def test_a_good_map_stays(self):
         self.feed(3)
