--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -15,6 +15,7 @@
 from snipebend.state.documents import DocumentBook, PutReply, PutRequest
 from snipebend.state.host_news import HostNews, HostWatch
 from snipebend.state.roster import RecordReply, RecordRequest
+from snipebend.state.standings import Standings
 from snipebend.transport.methods import WATCH_HOSTS
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import Endpoint, RpcServer
@@ -40,21 +41,20 @@
         self._stopping = False
         self._started = False
         self._watchers: dict[str, str] = {}
-        self._slow: dict[str, frozenset[str]] = {}
+        self._standings = Standings()
         server.add(Endpoint(WATCH_HOSTS, self.watch))
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
+        self._tasks = registry.tasks
         self._store = registry.find('state', ReplicatedState)
         self._started = True
 
     async def stop(self) -> None:
         """End the watchers' streams."""
         self._stopping = True
-        if not self._started:
-            return
-        async with self._store.changed:
-            self._store.changed.notify_all()
+        if self._started:
+            await self._wake_watchers()
 
     def dump(self) -> Mapping[str, object]:
         """Return what is in force and who watches."""
@@ -112,17 +112,35 @@
 
     def tell_slow(self, service: str, slow: frozenset[str]) -> None:
         """Note which upstreams of a service hold the others back."""
-        if slow != self._slow.get(service, frozenset()):
+        if self._standings.take_slow(service, slow):
             logger.info(
                 'event=upstreams_slow service={} slow={}',
                 service,
                 ','.join(sorted(slow)) or '-',
             )
-        self._slow[service] = slow
+            self._announce()
 
-    def forget_slow(self) -> None:
+    def tell_closed(self, service: str, *, closed: bool) -> None:
+        """Note whether the group of a service's upstreams works."""
+        if self._standings.take_closed(service, closed=closed):
+            logger.info(
+                'event=service_{} service={}',
+                'closed' if closed else 'open',
+                service,
+            )
+            self._announce()
+
+    def forget_standings(self) -> None:
         """Leave it to the leader to tell."""
-        self._slow.clear()
+        if self._standings.forget():
+            self._announce()
+
+    def _announce(self) -> None:
+        self._tasks.once('tell-standings', self._wake_watchers)
+
+    async def _wake_watchers(self) -> None:
+        async with self._store.changed:
+            self._store.changed.notify_all()
 
     async def watch(self, req: HostWatch) -> AsyncIterator[HostNews]:
         """Yield what is newer than the watcher's, and that nothing is."""
@@ -131,11 +149,12 @@
         number, revision = req.number, req.roster_revision
         try:
             while not self._stopping:
+                told = self._standings.version
                 news = self._news_after(number, revision)
                 yield news
                 number = max(number, news.number)
                 revision = max(revision, news.roster_revision)
-                await self._wait_for_newer(number, revision)
+                await self._wait_for_newer(number, revision, told)
         finally:
             self._watchers.pop(req.process, None)
             logger.info('event=watch_closed process={}', req.process)
@@ -154,7 +173,8 @@
             state.roster.since(revision),
             tuple(member.address for member in voters),
             tuple(filter(None, self._watchers.values())),
-            tuple(frozenset().union(*self._slow.values())),
+            self._standings.slow,
+            self._standings.closed,
         )
 
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
@@ -163,11 +183,17 @@
         except GRPCError as exc:
             return Err(UnavailableError(str(exc.message), step='execute'))
 
-    async def _wait_for_newer(self, number: int, revision: int) -> None:
+    async def _wait_for_newer(
+        self, number: int, revision: int, told: int
+    ) -> None:
         try:
             async with asyncio.timeout(NEWS_EVERY_S), self._store.changed:
                 await self._store.changed.wait_for(
-                    lambda: self._stopping or self._is_newer(number, revision),
+                    lambda: (
+                        self._stopping
+                        or self._standings.version != told
+                        or self._is_newer(number, revision)
+                    ),
                 )
         except TimeoutError:
             return
