--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -69,10 +69,6 @@
         self.entries: frozenset[str] = frozenset()
         #: Upstreams that hold their group back, by the daemon that tells.
         self.slow: dict[str, frozenset[str]] = {}
-        #: Services whose groups don't work, by the daemon that tells.
-        self.closed: dict[str, frozenset[str]] = {}
-        #: Called after each batch of news, and when a daemon is lost.
-        self.on_news: Callable[[], None] = _nobody
         self.gossip_address = ''
         self._process = cfg.process.name
         self._seeds = frozenset(cfg.control.grpc_addresses)
@@ -129,10 +125,6 @@
             return -1
         return self._clock.now() - self.news_at
 
-    def is_closed(self, service: str) -> bool:
-        """Tell whether control says that a service's group doesn't work."""
-        return any(service in closed for closed in self.closed.values())
-
     def dump(self) -> Mapping[str, object]:
         """Return what is followed."""
         return {
@@ -167,8 +159,6 @@
             except (UnavailableError, TimeoutError) as exc:
                 self._clients.retire(address)
                 self.slow.pop(address, None)
-                self.closed.pop(address, None)
-                self.on_news()
                 if not lost:
                     logger.info(
                         'event=control_lost peer={} reason={!r}',
@@ -209,13 +199,11 @@
         if 0 <= news.confirmed_ago_s <= CONFIRMED_S and news.number:
             self._note_confirmed()
         self.slow[address] = frozenset(news.slow)
-        self.closed[address] = frozenset(news.closed)
         if news.entries:
             self.entries = frozenset(news.entries) - {self.gossip_address}
         if news.members and self._members != frozenset(news.members):
             self._members = frozenset(news.members)
             self._watch_all()
-        self.on_news()
 
     def _take_document(self, news: HostNews, address: str) -> None:
         read = self._read_table(news.document)
@@ -239,7 +227,3 @@
         if not self._confirmed:
             logger.info('event=document_confirmed number={}', self._number)
         self._confirmed = True
-
-
-def _nobody() -> None:
-    """Stand in while nobody wants to know."""
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -9,17 +9,15 @@
 from loguru import logger
 
 from snipebend.edge.host_follower import HostFollower
-from snipebend.edge.outage_wait import OutageWait
 from snipebend.edge.refuser import Refuser
 from snipebend.edge.relay_meters import RelayMeters, Standing
 from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
-from snipebend.relay.admitting import USUAL_PATIENCE_S, Admitted, admit
+from snipebend.relay.admitting import Admitted, admit
 from snipebend.relay.choosing import Wish, choose
 from snipebend.relay.facts import CallerFacts
-from snipebend.relay.returning import wait_until
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.routing.retry_budget import RetryBudget
 
@@ -61,8 +59,6 @@
         self.pool = UpstreamPool(self._cfg.relay, self.dialect, self._clock)
         self._follower = registry.find('hosts', HostFollower)
         self._follower.on_upstreams = self._take_upstreams
-        self.outage = OutageWait(self.now)
-        self._follower.on_news = self.outage.wake
         self.meters = RelayMeters(
             Standing(
                 lambda: self._in_work,
@@ -102,8 +98,6 @@
         if facts is None:
             self.refuser.refuse(answer, problems.malformed(), CallerFacts())
             return
-        if self.index is None:
-            await self._wait_for_document(facts)
         target = req.head.target.decode('latin-1')
         admitted = admit(
             self.index, facts, target, self.now(), self._rng.random()
@@ -119,42 +113,6 @@
             self._in_work -= 1
             self._note_end(admitted, answer)
 
-    async def wait_for_group(self, admitted: Admitted) -> bool:
-        """Wait while a service's group is down; tell whether it works."""
-        began_at = self.now()
-        until = wait_until(began_at, admitted.deadline)
-        works = await self.outage.until(
-            lambda: not self._follower.is_closed(admitted.service), until
-        )
-        logger.info(
-            'event=waited request={} for=group service={} works={} '
-            + 'waited_ms={:.0f} waiting={} {}',
-            admitted.facts.request_id,
-            admitted.service,
-            works,
-            1000 * (self.now() - began_at),
-            self.outage.waiting,
-            self.refuser.knowledge(),
-        )
-        return works
-
-    def is_closed(self, service: str) -> bool:
-        """Tell whether a service's group is down, as control says."""
-        return self._follower.is_closed(service)
-
-    async def _wait_for_document(self, facts: CallerFacts) -> None:
-        now = self.now()
-        patience_s = facts.patience_s or USUAL_PATIENCE_S
-        await self.outage.until(
-            lambda: self.index is not None, wait_until(now, now + patience_s)
-        )
-        logger.info(
-            'event=waited request={} for=document waited_ms={:.0f} waiting={}',
-            facts.request_id,
-            1000 * (self.now() - now),
-            self.outage.waiting,
-        )
-
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -83,11 +83,6 @@
 
     async def _call_until_answered(self) -> None:
         while True:
-            if not await self._group_works():
-                self._end.refuse_full(
-                    may_have_run=self._may_have_run, tried=True
-                )
-                return
             upstream = self._desk.choose(self._admitted, self._tried)
             if upstream is None:
                 self._end.refuse_full(
@@ -100,16 +95,6 @@
             if not self._goes_on(ended):
                 return
 
-    async def _group_works(self) -> bool:
-        """Wait while the service's group is down; tell whether it works."""
-        if not self._desk.is_closed(self._admitted.service):
-            return True
-        works = await self._desk.wait_for_group(self._admitted)
-        if works:
-            # It has formed anew: who refused before may take it now.
-            self._tried.clear()
-        return works
-
     async def _call(self, upstream: Upstream) -> Ended | None:
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
@@ -261,16 +246,12 @@
 
     def _chances(self) -> Chances:
         admitted = self._admitted
-        # While the group is down, the request waits until it works again.
-        other = self._desk.is_closed(admitted.service) or (
-            self._desk.choose(admitted, self._tried) is not None
-        )
         return Chances(
             idempotent=self._route.idempotent,
             runs_left=self._route.max_attempts - self._runs,
             sends_left=MAX_SENDS - len(self._tried),
             time_left_s=self._time_left_s(),
-            other_upstream=other,
+            other_upstream=self._desk.choose(admitted, self._tried) is not None,
             may_have_run=self._may_have_run,
         )
 
--- a/src/snipebend/relay/returning.py
+++ b/src/snipebend/relay/returning.py
@@ -19,17 +19,6 @@
 OUT_MOST_S = 2.5
 
 
-#: Share of its time left that a request waits for the end of an outage. Groups
-#: form anew in 5 to 6 s after a rank was lost, control elects in 1 to 2 s; what
-#: is left must do for the answer.
-WAIT_SHARE = 0.2
-
-
-def wait_until(now: float, deadline: float) -> float:
-    """Return until when a request may wait for the end of an outage."""
-    return now + WAIT_SHARE * max(0, deadline - now)
-
-
 def when_full(draw: float) -> float:
     """Return seconds until a place may be free; ``draw`` is over [0, 1)."""
     return FULL_LEAST_S + draw * (FULL_MOST_S - FULL_LEAST_S)
--- a/src/snipebend/state/host_news.py
+++ b/src/snipebend/state/host_news.py
@@ -36,5 +36,3 @@
     entries: tuple[str, ...] = ()
     #: Upstreams that hold their group back, as far as the sender knows.
     slow: tuple[str, ...] = ()
-    #: Services whose groups don't work now, as far as the sender knows.
-    closed: tuple[str, ...] = ()
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -53,9 +53,8 @@
 SETTLE_S = 0.6
 
 #: Seconds before a group that couldn't be seen whole is looked at again: one
-#: report that is lost on the way is enough for that, and entries let requests
-#: wait for a group that is down.
-BLIND_S = 0.1
+#: report that is lost on the way is enough for that.
+BLIND_S = 0.3
 
 #: Seconds between two looks whether this daemon leads now. A group may be held
 #: and stand still since its last leader died: at 1 s it did so 0.5 s longer in
@@ -86,9 +85,9 @@
     async def start(self, registry: Registry) -> None:
         """Start the task."""
         self._clock = registry.clock
+        self._eyes = GroupEyes(self._link, registry.clock)
         self._store = registry.find('state', ReplicatedState)
         self._keeper = registry.find('hosts', HostKeeper)
-        self._eyes = GroupEyes(self._link, registry.clock, self._note_broken)
         registry.tasks.start('balance', self._balance_for_ever)
 
     async def stop(self) -> None:
@@ -111,9 +110,6 @@
         group = self._store.group
         return group is not None and group.replica.has_lease
 
-    def _note_broken(self, service: str) -> None:
-        self._keeper.tell_closed(service, closed=True)
-
     async def _balance_for_ever(self) -> None:
         while True:
             await asyncio.sleep(await self.look())
@@ -122,7 +118,7 @@
         """Look at all groups, if this daemon may; return the pause then."""
         self._note_term()
         if not self._may_order():
-            self._keeper.forget_standings()
+            self._keeper.forget_slow()
             return IDLE_EVERY_S
         pauses_s = [BLIND_S]
         for service, sizes in _services(self._table()):
@@ -143,7 +139,6 @@
         seen = await self._eyes.see(service, state.roster)
         if seen is None:
             return BLIND_S
-        self._keeper.tell_closed(service, closed=False)
         self._keeper.tell_slow(service, seen.slow)
         if self._clock.now() < self._settled_at:
             # Orders must wait, the look at demand need not.
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -9,7 +9,7 @@
 from snipebend.state.roster import RosterPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from snipebend.experts.direct_orders import RankOrder, RankReport, Reply
     from snipebend.experts.group_watch import ExpertSizes, RankCounts
@@ -98,18 +98,8 @@
 class GroupEyes:
     """Looks at groups, and remembers for a while what it saw."""
 
-    def __init__(
-        self,
-        link: EngineLink,
-        clock: Clock,
-        on_broken: Callable[[str], None],
-    ) -> None:
-        """Start without having seen any.
-
-        ``on_broken`` is told of a service as soon as one rank says that its
-        group is down: a lost rank is waited for much longer than the others.
-        """
-        self._on_broken = on_broken
+    def __init__(self, link: EngineLink, clock: Clock) -> None:
+        """Start without having seen any."""
         self._link = link
         self._clock = clock
         self._seen: dict[str, Seen] = {}
@@ -125,7 +115,7 @@
         known = self._seen.get(service)
         if known is not None and known.is_current(members, self._clock.now()):
             return known
-        seen = await self._look(service, members)
+        seen = await self._look(members)
         if seen is None:
             self._seen.pop(service, None)
         else:
@@ -148,11 +138,9 @@
             return plan.layers
         return await self._read_map(seen)
 
-    async def _look(
-        self, service: str, members: list[UpstreamRecord]
-    ) -> Seen | None:
+    async def _look(self, members: list[UpstreamRecord]) -> Seen | None:
         answers = await asyncio.gather(
-            *(self._report(service, member) for member in members)
+            *(self._link.report(member) for member in members)
         )
         reports: dict[int, RankReport] = {}
         upstreams: dict[int, UpstreamRecord] = {}
@@ -166,14 +154,6 @@
         seen = Seen(reports, upstreams, self._clock.now() + SEEN_FOR_S)
         return seen if len(reports) == seen.any_report.size else None
 
-    async def _report(
-        self, service: str, member: UpstreamRecord
-    ) -> RankReport | None:
-        report = await self._link.report(member)
-        if report is not None and not report.is_open:
-            self._on_broken(service)
-        return report
-
     async def _read_map(self, seen: Seen) -> tuple[LayerMap, ...] | None:
         """Ask every rank, when the version isn't the one decided last."""
         ranks = sorted(seen.upstreams)
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -15,7 +15,6 @@
 from snipebend.state.documents import DocumentBook, PutReply, PutRequest
 from snipebend.state.host_news import HostNews, HostWatch
 from snipebend.state.roster import RecordReply, RecordRequest
-from snipebend.state.standings import Standings
 from snipebend.transport.methods import WATCH_HOSTS
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import Endpoint, RpcServer
@@ -41,20 +40,21 @@
         self._stopping = False
         self._started = False
         self._watchers: dict[str, str] = {}
-        self._standings = Standings()
+        self._slow: dict[str, frozenset[str]] = {}
         server.add(Endpoint(WATCH_HOSTS, self.watch))
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
-        self._tasks = registry.tasks
         self._store = registry.find('state', ReplicatedState)
         self._started = True
 
     async def stop(self) -> None:
         """End the watchers' streams."""
         self._stopping = True
-        if self._started:
-            await self._wake_watchers()
+        if not self._started:
+            return
+        async with self._store.changed:
+            self._store.changed.notify_all()
 
     def dump(self) -> Mapping[str, object]:
         """Return what is in force and who watches."""
@@ -112,35 +112,17 @@
 
     def tell_slow(self, service: str, slow: frozenset[str]) -> None:
         """Note which upstreams of a service hold the others back."""
-        if self._standings.take_slow(service, slow):
+        if slow != self._slow.get(service, frozenset()):
             logger.info(
                 'event=upstreams_slow service={} slow={}',
                 service,
                 ','.join(sorted(slow)) or '-',
             )
-            self._announce()
+        self._slow[service] = slow
 
-    def tell_closed(self, service: str, *, closed: bool) -> None:
-        """Note whether the group of a service's upstreams works."""
-        if self._standings.take_closed(service, closed=closed):
-            logger.info(
-                'event=service_{} service={}',
-                'closed' if closed else 'open',
-                service,
-            )
-            self._announce()
-
-    def forget_standings(self) -> None:
+    def forget_slow(self) -> None:
         """Leave it to the leader to tell."""
-        if self._standings.forget():
-            self._announce()
-
-    def _announce(self) -> None:
-        self._tasks.once('tell-standings', self._wake_watchers)
-
-    async def _wake_watchers(self) -> None:
-        async with self._store.changed:
-            self._store.changed.notify_all()
+        self._slow.clear()
 
     async def watch(self, req: HostWatch) -> AsyncIterator[HostNews]:
         """Yield what is newer than the watcher's, and that nothing is."""
@@ -149,12 +131,11 @@
         number, revision = req.number, req.roster_revision
         try:
             while not self._stopping:
-                told = self._standings.version
                 news = self._news_after(number, revision)
                 yield news
                 number = max(number, news.number)
                 revision = max(revision, news.roster_revision)
-                await self._wait_for_newer(number, revision, told)
+                await self._wait_for_newer(number, revision)
         finally:
             self._watchers.pop(req.process, None)
             logger.info('event=watch_closed process={}', req.process)
@@ -173,8 +154,7 @@
             state.roster.since(revision),
             tuple(member.address for member in voters),
             tuple(filter(None, self._watchers.values())),
-            self._standings.slow,
-            self._standings.closed,
+            tuple(frozenset().union(*self._slow.values())),
         )
 
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
@@ -183,17 +163,11 @@
         except GRPCError as exc:
             return Err(UnavailableError(str(exc.message), step='execute'))
 
-    async def _wait_for_newer(
-        self, number: int, revision: int, told: int
-    ) -> None:
+    async def _wait_for_newer(self, number: int, revision: int) -> None:
         try:
             async with asyncio.timeout(NEWS_EVERY_S), self._store.changed:
                 await self._store.changed.wait_for(
-                    lambda: (
-                        self._stopping
-                        or self._standings.version != told
-                        or self._is_newer(number, revision)
-                    ),
+                    lambda: self._stopping or self._is_newer(number, revision),
                 )
         except TimeoutError:
             return
--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -69,17 +69,12 @@
     def __init__(self):
         Service.__init__(self, 'hosts')
         self.slow = frozenset()
-        self.closed = False
 
     def tell_slow(self, service, slow):
         self.slow = slow
 
-    def tell_closed(self, service, *, closed):
-        self.closed = closed
-
-    def forget_standings(self):
+    def forget_slow(self):
         self.slow = frozenset()
-        self.closed = False
 
 
 class FakeEngines:
@@ -95,7 +90,6 @@
         #: Passes that reports are behind.
         self.lag = 0
         self.pace = 1.0
-        self.is_open = True
         self.armed = {}
         self.prepared = set()
 
@@ -108,7 +102,7 @@
             1,
             rank,
             RANKS,
-            is_open=self.is_open,
+            is_open=True,
             step=self.step - self.lag,
             map_version=self.version,
             armed=self.armed.get(rank),
@@ -211,14 +205,6 @@
         self.store.group.replica.has_lease = False
         self.assertLessEqual(await self.balancer.look(), 0.1)
 
-    async def test_a_broken_group_is_told_until_it_is_open(self):
-        self.engines.is_open = False
-        await self.balancer.look()
-        self.assertTrue(self.keeper.closed)
-        self.engines.is_open = True
-        await self.balancer.look()
-        self.assertFalse(self.keeper.closed)
-
     async def test_another_term_begins_anew(self):
         await self.balancer.look()
         self.clock.at += SETTLE_S
