--- a/src/snipebend/relay/choosing.py
+++ b/src/snipebend/relay/choosing.py
@@ -21,8 +21,7 @@
     data_center: str
     #: Identities that have been tried already.
     tried: Collection[str] = ()
-    #: Identities that hold their group back. They get no work while there are
-    #: others, even if these are full: each request there slows all ranks.
+    #: Identities that hold their group back, and get work last.
     slow: Collection[str] = ()
 
 
@@ -34,12 +33,12 @@
     Work counts as a share of the slots. Among equals the own data center goes
     first, then chance: entries that always took the first would meet there.
     """
-    opened = [one for one in candidates if one.is_open(now)]
-    sound = [one for one in opened if one.record.identity not in wish.slow]
     ranked = [
         (_rank(upstream, wish, rng), upstream)
-        for upstream in sound or opened
-        if upstream.record.identity not in wish.tried and _has_room(upstream)
+        for upstream in candidates
+        if upstream.is_open(now)
+        and upstream.record.identity not in wish.tried
+        and _has_room(upstream)
     ]
     if not ranked:
         return None
@@ -53,7 +52,8 @@
 
 def _rank(
     upstream: Upstream, wish: Wish, rng: Random
-) -> tuple[float, bool, float]:
+) -> tuple[bool, float, bool, float]:
     slots = max(1, upstream.record.slots)
     is_far = upstream.record.data_center != wish.data_center
-    return (upstream.calls / slots, is_far, rng.random())
+    is_slow = upstream.record.identity in wish.slow
+    return (is_slow, upstream.calls / slots, is_far, rng.random())
