--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -14,19 +14,15 @@
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
 from snipebend.transport.control_meters import BalancerMeters
+from snipebend.transport.count_reader import CountReader
+from snipebend.transport.engine_sizes import expert_services
 from snipebend.transport.group_eyes import GroupEyes
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.switch_driver import SwitchDriver
 
 if TYPE_CHECKING:
-    from collections.abc import (
-        Callable,
-        Collection,
-        Iterator,
-        Mapping,
-        Sequence,
-    )
+    from collections.abc import Callable, Mapping
 
     from snipebend.experts.direct_orders import RankReport
     from snipebend.hosts.model import HostTable
@@ -39,15 +35,6 @@
 #: Seconds to the next look while the demand turns.
 TURNING_EVERY_S = 0.15
 
-#: Ranks whose counts are read at each look while demand is steady: each reading
-#: is paid for and lets the group rest, and one rank's choices show a turn.
-SAMPLE = 1
-
-#: Ranks whose counts are read while the demand turns. The few requests of one
-#: rank tell it by a fifth wrong: maps made by them had a skew of 1.5 to 1.7 in
-#: place of the 1.2 that they promised, and a second switch followed each turn.
-TURNING_SAMPLE = 4
-
 #: Seconds after which reports show every order that was given before: they
 #: are some hundred milliseconds old.
 SETTLE_S = 0.6
@@ -86,6 +73,7 @@
         """Start the task."""
         self._clock = registry.clock
         self._eyes = GroupEyes(self._link, registry.clock)
+        self._counts = CountReader(self._link, registry.clock)
         self._store = registry.find('state', ReplicatedState)
         self._keeper = registry.find('hosts', HostKeeper)
         registry.tasks.start('balance', self._balance_for_ever)
@@ -121,7 +109,7 @@
             self._keeper.forget_slow()
             return IDLE_EVERY_S
         pauses_s = [BLIND_S]
-        for service, sizes in _services(self._table()):
+        for service, sizes in expert_services(self._table()):
             pauses_s.append(await self._look_at(service, sizes))
         return min(pauses_s)
 
@@ -142,7 +130,7 @@
         self._keeper.tell_slow(service, seen.slow)
         if self._clock.now() < self._settled_at:
             # Orders must wait, the look at demand need not.
-            await self._read_counts(self._watch(sizes, seen.any_report), seen)
+            await self._counts.read(self._watch(sizes, seen.any_report), seen)
             self._eyes.forget(service)
             return TURNING_EVERY_S
         plan = state.plans.latest(seen.any_report.group)
@@ -155,7 +143,7 @@
         watch = self._watch(sizes, seen.any_report)
         watch.slowness = seen.slowness
         before = watch.step
-        if not await self._read_counts(watch, seen):
+        if not await self._counts.read(watch, seen):
             self._eyes.forget(service)
             return LOOK_EVERY_S
         if watch.step == before:
@@ -195,34 +183,6 @@
             self._watches[report.group] = watch
         return watch
 
-    async def _read_counts(self, watch: GroupWatch, seen: Seen) -> bool:
-        """Read the counts of a few ranks; tell whether the epoch holds."""
-        ranks = _spread(seen.upstreams, TURNING_SAMPLE)
-        if watch.turning and watch.works:
-            return await self._read_ranks(watch, seen, ranks)
-        if not await self._read_ranks(watch, seen, ranks[:SAMPLE]):
-            return False
-        if watch.turning and watch.works:
-            # The others' spans begin here.
-            return await self._read_ranks(watch, seen, ranks[SAMPLE:])
-        return True
-
-    async def _read_ranks(
-        self, watch: GroupWatch, seen: Seen, ranks: Sequence[int]
-    ) -> bool:
-        found = await asyncio.gather(
-            *(self._link.counts(seen.upstreams[rank]) for rank in ranks)
-        )
-        read = {
-            rank: counts
-            for rank, counts in zip(ranks, found, strict=True)
-            if counts is not None and counts.epoch == watch.epoch
-        }
-        if len(read) < len(ranks):
-            return False
-        watch.note_counts(read, self._clock.now())
-        return True
-
     async def _change(
         self,
         service: str,
@@ -289,42 +249,3 @@
         if phase is not Phase.DONE:
             self._settled_at = self._clock.now() + SETTLE_S
         self._eyes.forget(service)
-
-
-def _spread(ranks: Collection[int], number: int) -> list[int]:
-    """Return some ranks, far from each other."""
-    ordered = sorted(ranks)
-    stride = max(1, len(ordered) // number)
-    return [ordered[at] for at in range(0, len(ordered), stride)][:number]
-
-
-def _services(table: HostTable | None) -> Iterator[tuple[str, ExpertSizes]]:
-    """Yield the services whose engines have experts."""
-    if table is None:
-        return
-    for service in table.services:
-        engine = service.engine
-        if engine is not None and engine.layers:
-            yield (
-                service.name,
-                ExpertSizes(
-                    engine.layers,
-                    engine.experts,
-                    engine.places,
-                    engine.spare,
-                    engine.expert_share,
-                    engine.fetch_s,
-                    _least_pause_s(table, service.name),
-                ),
-            )
-
-
-def _least_pause_s(table: HostTable, service: str) -> float:
-    """Return the shortest pause that a stream of a service may make."""
-    pauses_s = [
-        route.gap_s
-        for route in table.routes
-        if route.gap_s > 0
-        and any(split.service == service for split in route.splits)
-    ]
-    return min(pauses_s, default=0)
