Read counts only when passes have become long for streams

Entries see for nothing how long passes take, since each brings one event to each stream. They now tell control by datagrams ten times a second, and a group's counts are read when passes take more than half of what a stream may pause: twice, 0.15 s apart, on three ranks, so that the span holds the new demand only; and once more 0.8 s after a change.

Test: reading_plan, paces (streams to control daemons over datagrams).

--- a/src/snipebend/daemons/host_control.py
+++ b/src/snipebend/daemons/host_control.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING
 
 from snipebend.daemons.running import build_admin, connect_admin
+from snipebend.experts.group_pace import GroupPaces
 from snipebend.kernel.process import Process
 from snipebend.settings.seeds import split_address
 from snipebend.transport.group_api import GroupApi
 from snipebend.transport.group_balancer import GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.http_server import HttpServer
+from snipebend.transport.pace_listener import PaceListener
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import RpcServer
 
@@ -29,12 +31,15 @@
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     outer = HttpServer('outer', *split_address(cfg.outer))
     keeper = HostKeeper('hosts', grpc)
+    paces = GroupPaces()
+    table = TableReader(keeper, read_table).read
     services = [
         ReplicatedState('state', cfg),
         keeper,
         GroupApi('group-api', grpc),
-        GroupBalancer('balancer', link, TableReader(keeper, read_table).read),
+        GroupBalancer('balancer', link, table, paces),
         grpc,
+        PaceListener('paces', grpc, paces),
         outer,
         admin,
     ]
--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -7,6 +7,7 @@
 from snipebend.daemons.running import build_admin, connect_admin
 from snipebend.edge.gossip import Gossip
 from snipebend.edge.host_follower import HostFollower, ReadTable
+from snipebend.edge.pace_teller import PaceTeller
 from snipebend.edge.relay_desk import RelayDesk
 from snipebend.edge.relay_server import RelayServer
 from snipebend.kernel.process import Process
@@ -41,6 +42,7 @@
         HostFollower('hosts', cfg, clients, read_table),
         desk,
         gossip,
+        PaceTeller('paces', cfg.process.name, desk.paces.take),
         RelayServer('callers', cfg),
         ready,
         admin,
--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -18,7 +18,7 @@
 from snipebend.kernel.service import Service
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from snipebend.kernel.registry import Registry
 
@@ -123,13 +123,12 @@
             number += 1
             told = calls
             repeat_at = now + REPEAT_EVERY_S
-            self._send(
-                CallsTold(self._process, self._started_at, number, calls)
-            )
+            message = CallsTold(self._process, self._started_at, number, calls)
+            self.send_to(self._follower.entries, msgpack.encode(message))
 
-    def _send(self, message: CallsTold) -> None:
-        data = msgpack.encode(message)
-        for address in self._follower.entries:
+    def send_to(self, addresses: Iterable[str], data: bytes) -> None:
+        """Send a datagram to each address; any of them may be lost."""
+        for address in addresses:
             host, _, port = address.rpartition(':')
             if self._transport is not None:
                 self._transport.sendto(data, (host, int(port)))
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -118,6 +118,11 @@
         waited_s = self._clock.now() - self._first_news_at
         return self._confirmed or waited_s > UNCONFIRMED_PATIENCE_S
 
+    @property
+    def control_addresses(self) -> frozenset[str]:
+        """Return the addresses of the control daemons, as far as known."""
+        return self._members or self._seeds
+
     @property
     def number(self) -> int:
         """Return the number of the document in force here."""
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -20,6 +20,7 @@
 from snipebend.relay.choosing import Wish, choose
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.returning import wait_until
+from snipebend.relay.pace import PaceMeter
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.routing.retry_budget import RetryBudget
 
@@ -49,6 +50,7 @@
         self.dialect = dialect
         self._cfg = cfg
         self._upstreams = UpstreamTable()
+        self.paces = PaceMeter()
         self._budgets: dict[str, RetryBudget] = {}
         # Spreads entries' choices only; nobody gains by guessing it.
         self._rng = random.Random()
@@ -133,6 +135,14 @@
         members = self._upstreams.of_service(admitted.service)
         return choose(members, wish, self.now(), self._rng)
 
+    def note_pause(
+        self, upstream: Upstream, events: int, seconds: float
+    ) -> None:
+        """Note the time before the last events of a stream."""
+        self.meters.paused(seconds)
+        if upstream.group is not None:
+            self.paces.note(upstream.group.name, events, seconds)
+
     def take_retry(self, service: str) -> bool:
         """Take one retry of a service's budget, if it has any."""
         taken = self._budget(service).take(self.now())
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -60,7 +60,9 @@
         self._route = admitted.route
         self._tried: list[str] = []
         self._runs = 0
-        self._stream = StreamRelay(answer, desk.now, desk.meters.paused)
+        #: The one called last.
+        self._upstream: Upstream | None = None
+        self._stream = StreamRelay(answer, desk.now, self._note_pause)
         self._end = FinalAnswer(
             answer, desk.refuser, admitted.facts, self._time_left_s
         )
@@ -98,6 +100,7 @@
     async def _call(self, upstream: Upstream) -> Ended | None:
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
+        self._upstream = upstream
         self._note_begin(upstream)
         upstream.own_calls += 1
         call: Call | None = None
@@ -199,6 +202,10 @@
             return self._unknown(message.reason)
         return self._unknown('a second head')
 
+    def _note_pause(self, events: int, seconds: float) -> None:
+        if self._upstream is not None:
+            self._desk.note_pause(self._upstream, events, seconds)
+
     def _unknown(self, reason: str) -> Ended:
         return Ended(Ending.UNKNOWN, reason, faulty=True)
 
--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -28,12 +28,18 @@
         self,
         answer: AnswerWriter,
         now: Callable[[], float],
-        on_pause: Callable[[float], None],
+        on_pause: Callable[[int, float], None],
     ) -> None:
-        """Start before the first call; ``on_pause`` is told seconds."""
+        """Start before the first call.
+
+        ``on_pause`` is told of events and the seconds before them; of 0 events
+        for the first ones of a call, since no pass of one group was between.
+        """
         self._now = now
         self._on_pause = on_pause
         self._piece_at: float | None = None
+        #: No event of the present call came yet.
+        self._is_first = True
         self.resume_after: int | None = None
         self.events = 0
         self._answer = answer
@@ -43,6 +49,7 @@
     def begin(self, head: AnswerHead) -> None:
         """Begin a call; what an earlier one left unfinished is dropped."""
         self._buffer = EventBuffer()
+        self._is_first = True
         if not self._answer.begun:
             self._head = head
 
@@ -52,7 +59,7 @@
         if not events:
             return False
         self._begin_answer()
-        self._note_pause()
+        self._note_pause(len(events))
         for event in events:
             self._note(event)
         self._answer.write(b''.join(events))
@@ -72,10 +79,13 @@
             head.status, head.reason, list(end_to_end(head.headers))
         )
 
-    def _note_pause(self) -> None:
+    def _note_pause(self, events: int) -> None:
         now = self._now()
         if self._piece_at is not None:
-            self._on_pause(now - self._piece_at)
+            self._on_pause(
+                0 if self._is_first else events, now - self._piece_at
+            )
+        self._is_first = False
         self._piece_at = now
 
     def _note(self, event: bytes) -> None:
--- /dev/null
+++ b/src/snipebend/experts/demand.py
@@ -0,0 +1,100 @@
+"""The demand for experts, told from how counts grow (pure)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import numpy as np
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from numpy.typing import NDArray
+
+    Counts = NDArray[np.float64]
+
+#: Choices of one layer below which a span of counts says nothing. A rank that
+#: only writes makes some 1,700 in 0.3 s, and spans of as many differed by 6%
+#: while the demand was the same.
+LEAST_CHOICES = 600
+
+#: Share of the choices that may differ between two spans of steady demand. In
+#: traces of one rank every 0.3 s spans of the same demand differed by about
+#: a tenth, spans around a turn by half.
+STEADY = 0.22
+
+#: Weight of earlier spans when one is added.
+KEEP = 0.9
+
+
+class RankCounts(NamedTuple):
+    """How often one rank's requests chose each expert since it started."""
+
+    epoch: int
+    step: int
+    counts: tuple[int, ...]
+
+
+class Demand:
+    """The shares of choices that fall on each expert, layer by layer."""
+
+    def __init__(self, layers: int, experts: int) -> None:
+        """Start without knowing any."""
+        self._shape = (layers, experts)
+        #: The counts at which the present span began, by rank.
+        self._begun: dict[int, RankCounts] = {}
+        #: Choices since the demand last turned; none: it isn't known.
+        self._chosen: Counts | None = None
+
+    @property
+    def shares(self) -> Counts | None:
+        """Return the shares by layer and expert; none: not known."""
+        return None if self._chosen is None else _shares(self._chosen)
+
+    def begin(self, read: Mapping[int, RankCounts]) -> None:
+        """Begin a span on the ranks that were read."""
+        self._begun = dict(read)
+
+    def end(self, read: Mapping[int, RankCounts], *, is_new: bool) -> None:
+        """Take over what was chosen since the span began; begin another.
+
+        ``is_new`` tells that demand may have turned before the span, but not
+        within it. Otherwise a span that differs holds some of both demands and
+        tells neither; the next one is taken as it is.
+        """
+        spans = [
+            grown
+            for rank, counts in read.items()
+            if (grown := self._growth(rank, counts)) is not None
+        ]
+        if spans:
+            self._note_span(sum(spans[1:], spans[0]), is_new=is_new)
+        self.begin(read)
+
+    def _growth(self, rank: int, counts: RankCounts) -> Counts | None:
+        """Return a rank's choices in the span; none: it made no pass."""
+        begun = self._begun.get(rank)
+        if begun is None or counts.epoch != begun.epoch:
+            return None
+        grown = np.array(counts.counts, dtype=float) - np.array(begun.counts)
+        if counts.step <= begun.step or grown.min() < 0:
+            return None
+        layers: Counts = grown.reshape(self._shape)
+        return layers
+
+    def _note_span(self, span: Counts, *, is_new: bool) -> None:
+        if span.sum(axis=1).min() < LEAST_CHOICES:
+            return
+        if self._chosen is None:
+            self._chosen = span
+            return
+        moved = np.abs(_shares(self._chosen) - _shares(span)).sum(axis=1) / 2
+        if moved.mean() <= STEADY:
+            self._chosen = KEEP * self._chosen + span
+        else:
+            self._chosen = span if is_new else None
+
+
+def _shares(counts: Counts) -> Counts:
+    shares: Counts = counts / counts.sum(axis=1, keepdims=True)
+    return shares
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -5,38 +5,21 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-import numpy as np
-
+from snipebend.experts.demand import Demand
 from snipebend.experts.layer_state import LayerMap, layer_skew
 from snipebend.experts.map_search import Bounds, MapSearch
+from snipebend.experts.reading_plan import CALM_SHARE
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from numpy.typing import NDArray
-
+    from snipebend.experts.demand import RankCounts
     from snipebend.experts.direct_orders import RankReport
 
-    Counts = NDArray[np.float64]
-
-#: Choices of one layer below which a span of counts says nothing. A rank that
-#: only writes makes some 1,700 in 0.3 s, and spans of as many differed by 6%
-#: while the demand was the same.
-LEAST_CHOICES = 600
-
-#: Share of the choices that may differ between two spans of steady demand. In
-#: traces of one rank every 0.3 s spans of the same demand differed by about
-#: a tenth, spans around a turn by half.
-STEADY = 0.22
-
 #: A change that saves less is left while passes are short: for its second it
 #: would bar the answer to the next turn. Turns save 0.5 and more.
 URGENT_SAVING = 0.4
 
-#: Passes are short below this share of what a stream may pause: single passes
-#: take twice the mean.
-CALM_SHARE = 0.5
-
 #: Seconds of a pass at the least.
 LEAST_PASS_S = 0.02
 
@@ -45,9 +28,6 @@
 #: to a worth of 0.722, four and more to 0.698, two to 0.677.
 MOST_FETCH_S = 0.35
 
-#: Weight of earlier spans when one is added.
-KEEP = 0.9
-
 #: Relative fall of a pass's length that a change of map must promise: a
 #: change lengthens passes by 15% while it fetches, about a second.
 LEAST_SAVING = 0.2
@@ -68,14 +48,6 @@
     pause_s: float = 0
 
 
-class RankCounts(NamedTuple):
-    """How often one rank's requests chose each expert since it started."""
-
-    epoch: int
-    step: int
-    counts: tuple[int, ...]
-
-
 class Pace(NamedTuple):
     """How fast a group goes from pass to pass; times in seconds."""
 
@@ -115,91 +87,64 @@
         self.epoch = report.epoch
         self.size = report.size
         self.step = report.step
-        self.pace: Pace | None = None
-        #: Whether passes began between a rank's last two readings.
-        self.works = False
+        #: Seconds of a pass by what entries tell; none: they don't.
+        self.told_pass_s: float | None = None
+        self._pace: Pace | None = None
         #: How many times as long each rank takes for its work.
         self.slowness: tuple[float, ...] = ()
         self._sizes = sizes
-        self._counts: dict[int, RankCounts] = {}
-        #: Choices since the demand last turned; none: it is turning.
-        self._demand: Counts | None = None
+        self._demand = Demand(sizes.layers, sizes.experts)
 
     @property
     def turning(self) -> bool:
-        """Tell whether the demand must be looked at again soon."""
-        return self._demand is None
+        """Tell whether the demand isn't known."""
+        return self._demand.shares is None
 
-    def note_counts(self, read: Mapping[int, RankCounts], now: float) -> None:
-        """Take in counts read at once, by rank; their growth tells of demand.
+    def begin_span(self, read: Mapping[int, RankCounts], now: float) -> None:
+        """Count choices from here on, on the ranks that were read."""
+        self._note_steps(read, now)
+        self._demand.begin(read)
 
-        While nothing turns, only what was read this time is the start of the
-        next span: older readings of other ranks hold earlier demand.
-        """
-        spans = []
-        for rank, counts in read.items():
-            if counts.epoch != self.epoch:
-                return
-            self._note_pace(counts.step, now)
-            grown = self._growth(rank, counts)
-            if grown is not None:
-                spans.append(grown)
-            self._counts[rank] = counts
-        if spans:
-            self._note_span(sum(spans[1:], spans[0]))
-        if not self.turning:
-            self._counts = dict(read)
+    def end_span(
+        self, read: Mapping[int, RankCounts], now: float, *, is_new: bool
+    ) -> None:
+        """Take over what was chosen since the span began; begin another."""
+        self._note_steps(read, now)
+        self._demand.end(read, is_new=is_new)
+
+    @property
+    def pace(self) -> Pace | None:
+        """Return the last pass known and its length; none: not measured."""
+        pace = self._pace
+        if pace is None or self.told_pass_s is None:
+            return pace
+        return pace._replace(pass_s=max(LEAST_PASS_S, self.told_pass_s))
 
     def renew_pace(self) -> None:
         """Measure passes anew: the map in force has changed."""
-        self.pace = None
+        self._pace = None
 
-    def _growth(self, rank: int, counts: RankCounts) -> Counts | None:
-        last = self._counts.get(rank)
-        if last is None:
-            return None
-        self.works = counts.step > last.step
-        if not self.works:
-            return None
-        grown = np.array(counts.counts, dtype=float) - np.array(last.counts)
-        if grown.min() < 0:
-            return None
-        layers: Counts = grown.reshape(self._sizes.layers, self._sizes.experts)
-        return layers
+    def _note_steps(self, read: Mapping[int, RankCounts], now: float) -> None:
+        for counts in read.values():
+            self._note_pace(counts.step, now)
 
     def _note_pace(self, step: int, now: float) -> None:
-        last = self.pace
+        last = self._pace
         passes = step - last.step if last else 0
         if last and passes > 0:
-            self.pace = Pace(
+            self._pace = Pace(
                 step, now, max(LEAST_PASS_S, (now - last.at) / passes)
             )
         elif last is None:
-            self.pace = Pace(step, now)
+            self._pace = Pace(step, now)
         self.step = max(self.step, step)
 
-    def _note_span(self, span: Counts) -> None:
-        """Add a span to the demand, unless the demand turned within it.
-
-        Such a span holds some of both demands and tells neither; the next one
-        is taken as it is.
-        """
-        if span.sum(axis=1).min() < LEAST_CHOICES:
-            return
-        if self._demand is None:
-            self._demand = span
-            return
-        moved = np.abs(_shares(self._demand) - _shares(span)).sum(axis=1) / 2
-        if moved.mean() > STEADY:
-            self._demand = None
-            return
-        self._demand = KEEP * self._demand + span
-
     def look(self, layers: tuple[LayerMap, ...]) -> Outlook | None:
         """Return a map that is worth its loads; none: keep the present."""
-        if self._demand is None:
+        shares = self._demand.shares
+        if shares is None:
             return None
-        loads: list[list[float]] = (_shares(self._demand) * self.size).tolist()
+        loads: list[list[float]] = (shares * self.size).tolist()
         before = self._mean_skew(layers, loads)
         better = self._search(layers, loads)
         after = self._mean_skew(better, loads)
@@ -218,9 +163,10 @@
         """
         if saving >= URGENT_SAVING:
             return False
-        if self.pace is None or self.pace.pass_s is None:
-            return True
-        return self.pace.pass_s < CALM_SHARE * self._sizes.pause_s
+        pass_s = self.told_pass_s
+        if pass_s is None and self._pace is not None:
+            pass_s = self._pace.pass_s
+        return pass_s is None or pass_s < CALM_SHARE * self._sizes.pause_s
 
     def _search(
         self, layers: tuple[LayerMap, ...], loads: list[list[float]]
@@ -252,11 +198,6 @@
         return share * (before - after) / length
 
 
-def _shares(counts: Counts) -> Counts:
-    shares: Counts = counts / counts.sum(axis=1, keepdims=True)
-    return shares
-
-
 def _loads_by_rank(
     before: tuple[LayerMap, ...], after: tuple[LayerMap, ...]
 ) -> list[int]:
--- a/src/snipebend/transport/count_reader.py
+++ b/src/snipebend/transport/count_reader.py
@@ -5,21 +5,19 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from snipebend.experts.reading_plan import Reading
+
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection
 
+    from snipebend.experts.demand import RankCounts
     from snipebend.experts.group_watch import GroupWatch
     from snipebend.kernel.clock import Clock
     from snipebend.transport.group_eyes import EngineLink, Seen
 
-#: Ranks whose counts are read at each look while demand is steady: each reading
-#: is paid for and lets the group rest, and one rank's choices show a turn.
-SAMPLE = 1
-
-#: Ranks whose counts are read while the demand turns. The few requests of one
-#: rank tell it by a fifth wrong: maps made by them had a skew of 1.5 to 1.7 in
-#: place of the 1.2 that they promised, and a second switch followed each turn.
-TURNING_SAMPLE = 4
+#: Ranks whose counts are read: each reading is paid for and lets the group
+#: rest, and the few requests of one rank tell the demand by a fifth wrong.
+SAMPLE = 3
 
 
 class CountReader:
@@ -30,32 +28,30 @@
         self._link = link
         self._clock = clock
 
-    async def read(self, watch: GroupWatch, seen: Seen) -> bool:
-        """Read the counts of a few ranks; tell whether the epoch holds."""
-        ranks = _spread(seen.upstreams, TURNING_SAMPLE)
-        if watch.turning and watch.works:
-            return await self._read_ranks(watch, seen, ranks)
-        if not await self._read_ranks(watch, seen, ranks[:SAMPLE]):
-            return False
-        if watch.turning and watch.works:
-            # The others' spans begin here.
-            return await self._read_ranks(watch, seen, ranks[SAMPLE:])
-        return True
-
-    async def _read_ranks(
-        self, watch: GroupWatch, seen: Seen, ranks: Sequence[int]
+    async def read(
+        self,
+        watch: GroupWatch,
+        seen: Seen,
+        reading: Reading,
+        *,
+        is_new: bool = True,
     ) -> bool:
+        """Begin or end a span; tell whether the epoch holds."""
+        ranks = _spread(seen.upstreams, SAMPLE)
         found = await asyncio.gather(
             *(self._link.counts(seen.upstreams[rank]) for rank in ranks)
         )
-        read = {
+        read: dict[int, RankCounts] = {
             rank: counts
             for rank, counts in zip(ranks, found, strict=True)
             if counts is not None and counts.epoch == watch.epoch
         }
         if len(read) < len(ranks):
             return False
-        watch.note_counts(read, self._clock.now())
+        if reading is Reading.END:
+            watch.end_span(read, self._clock.now(), is_new=is_new)
+        else:
+            watch.begin_span(read, self._clock.now())
         return True
 
 
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from snipebend.experts.group_pace import GroupPaces
     from snipebend.experts.group_watch import ExpertSizes
     from snipebend.hosts.model import HostTable
     from snipebend.kernel.registry import Registry
@@ -43,9 +44,11 @@
         name: str,
         link: EngineLink,
         table: Callable[[], HostTable | None],
+        paces: GroupPaces,
     ) -> None:
         """Keep the way to engines; ``table`` returns the document in force."""
         super().__init__(name)
+        self._paces = paces
         self._link = link
         self._table = table
         #: The care for each group, while a task gives it.
@@ -62,6 +65,7 @@
             registry.clock,
             GroupEyes(self._link, registry.clock),
             CountReader(self._link, registry.clock),
+            self._paces,
             self._store,
             self._keeper,
             BalancerMeters(),
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/transport/group_care.py
@@ -10,6 +10,7 @@
 
 from snipebend.experts.direct_switch import Phase
 from snipebend.experts.group_watch import GroupWatch, Outlook
+from snipebend.experts.reading_plan import Reading, ReadingPlan
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
 from snipebend.state.host_news import GroupPhase, GroupStanding
@@ -20,6 +21,7 @@
     from collections.abc import Callable, Mapping
 
     from snipebend.experts.direct_orders import RankReport
+    from snipebend.experts.group_pace import GroupPaces
     from snipebend.experts.group_watch import ExpertSizes
     from snipebend.kernel.clock import Clock
     from snipebend.state.roster import UpstreamRecord
@@ -29,11 +31,13 @@
     from snipebend.transport.host_keeper import HostKeeper
     from snipebend.transport.replicated_state import ReplicatedState
 
-#: Seconds between two looks at the demand.
-LOOK_EVERY_S = 0.3
+#: Seconds between two looks at a group: about a pass. Most look only at what
+#: entries have told.
+LOOK_EVERY_S = 0.05
 
-#: Seconds to the next look while the demand turns.
-TURNING_EVERY_S = 0.15
+#: Seconds without a pass after which a group counts as idle: reports are read
+#: every second, and are some hundred milliseconds old.
+IDLE_AFTER_S = 1.5
 
 #: Seconds after which reports show every order that was given before: they
 #: are some hundred milliseconds old.
@@ -77,6 +81,7 @@
     clock: Clock
     eyes: GroupEyes
     counts: CountReader
+    paces: GroupPaces
     store: ReplicatedState
     keeper: HostKeeper
     meters: BalancerMeters
@@ -97,6 +102,10 @@
         self._tools = tools
         self._clock = tools.clock
         self._eyes = tools.eyes
+        self._plan = ReadingPlan(0)
+        #: The last pass that was reported, and when it was news.
+        self._step = 0
+        self._moved_at: float = 0
         #: The version of a plan that a rank refused.
         self._refused = 0
         self._settled_at: float = 0
@@ -129,45 +138,78 @@
 
     async def _tend(self, sizes: ExpertSizes, seen: Seen) -> float:
         """Follow the demand of a whole group, and answer it."""
-        if self._clock.now() < self._may_order_at():
-            # Orders must wait, the look at demand need not.
-            await self._tools.counts.read(self._watching(sizes, seen), seen)
-            self._eyes.forget(self.key)
-            return TURNING_EVERY_S
+        watch = self._watching(sizes, seen)
+        watch.slowness = seen.slowness
+        may_order = self._clock.now() >= self._may_order_at()
         state = self._tools.store.machine.state
         plan = state.plans.latest(self.key.group)
-        if self._is_unfinished(plan, seen):
+        if may_order and self._is_unfinished(plan, seen):
             driver = SwitchDriver(
                 self._tools.link, self._clock, plan, seen, self._tools.meters
             )
             await self._drive(plan, seen, driver)
-            return TURNING_EVERY_S
-        return await self._follow(sizes, seen, plan)
+            self._plan.note_changed(self._clock.now())
+        elif may_order:
+            if await self._read(watch, seen):
+                await self._answer(sizes, seen, plan)
+        else:
+            # Orders must wait, the look at demand need not.
+            self._eyes.forget(self.key)
+            if not self._plan.spans:
+                await self._read(watch, seen)
+        return LOOK_EVERY_S
+
+    async def _read(self, watch: GroupWatch, seen: Seen) -> bool:
+        """Read counts if it is time; tell whether a span ended."""
+        now = self._clock.now()
+        pass_s = self._tools.paces.of_group(self.key.group, now)
+        watch.told_pass_s = pass_s
+        if pass_s is None and self._is_idle(seen, now):
+            return seen.is_held
+        reading = self._plan.next_reading(now, pass_s)
+        if reading is Reading.NOTHING:
+            return False
+        is_new = self._plan.is_new
+        read = await self._tools.counts.read(
+            watch, seen, reading, is_new=is_new
+        )
+        if not read:
+            self._plan.note_failed(now)
+            self._eyes.forget(self.key)
+            return False
+        if reading is Reading.BEGIN or watch.turning:
+            self._plan.note_begun(now)
+            return False
+        return True
 
-    async def _follow(
+    def _is_idle(self, seen: Seen, now: float) -> bool:
+        step = max(report.step for report in seen.reports.values())
+        if step != self._step:
+            self._step = step
+            self._moved_at = now
+        return now > self._moved_at + IDLE_AFTER_S
+
+    async def _answer(
         self, sizes: ExpertSizes, seen: Seen, plan: GroupPlan
-    ) -> float:
+    ) -> None:
+        """Change the map, if another one is worth its loads."""
         watch = self._watching(sizes, seen)
-        watch.slowness = seen.slowness
-        before = watch.step
-        if not await self._tools.counts.read(watch, seen):
-            self._eyes.forget(self.key)
-            return LOOK_EVERY_S
-        if watch.step == before:
-            # No pass began: it is idle, or it is held.
-            self._eyes.forget(self.key)
         layers = await self._eyes.map_in_force(sizes, seen, plan)
         if layers is None:
+            self._plan.note_failed(self._clock.now())
             self._eyes.forget(self.key)
-            return LOOK_EVERY_S
+            return
         outlook = watch.look(layers)
         if seen.is_held:
             # A hold whose order came late: only a switch ends it.
             outlook = Outlook(layers)
         if outlook is None:
-            return TURNING_EVERY_S if watch.turning else LOOK_EVERY_S
-        await self._change(sizes, seen, plan, outlook)
-        return TURNING_EVERY_S
+            self._plan.note_kept(self._clock.now(), watch.told_pass_s)
+            return
+        if await self._change(sizes, seen, plan, outlook):
+            self._plan.note_changed(self._clock.now())
+        else:
+            self._plan.note_failed(self._clock.now())
 
     def _may_order_at(self) -> float:
         return max(self._settled_at, self._tools.lead.settled_at)
@@ -192,6 +234,7 @@
             )
             watch = GroupWatch(sizes, report)
             self.watch = watch
+            self._plan = ReadingPlan(sizes.pause_s)
         return watch
 
     async def _change(
@@ -200,8 +243,8 @@
         seen: Seen,
         before: GroupPlan,
         outlook: Outlook,
-    ) -> None:
-        """Decide on a better map, and switch to it."""
+    ) -> bool:
+        """Decide on a better map, and switch to it; tell whether it began."""
         watch = self._watching(sizes, seen)
         plan = GroupPlan(
             watch.group, watch.epoch, before.version + 1, outlook.layers
@@ -221,17 +264,19 @@
         self._tools.meters.planned(
             plan.group, outlook.skew_before, outlook.skew_after
         )
-        if await self._decide(plan, before.version):
-            driver = SwitchDriver(
-                self._tools.link,
-                self._clock,
-                plan,
-                seen,
-                self._tools.meters,
-                fetch_s=sizes.fetch_s * outlook.most_loads,
-                pace=watch.pace,
-            )
-            await self._drive(plan, seen, driver)
+        if not await self._decide(plan, before.version):
+            return False
+        driver = SwitchDriver(
+            self._tools.link,
+            self._clock,
+            plan,
+            seen,
+            self._tools.meters,
+            fetch_s=sizes.fetch_s * outlook.most_loads,
+            pace=watch.pace,
+        )
+        await self._drive(plan, seen, driver)
+        return True
 
     async def _decide(self, plan: GroupPlan, after: int) -> bool:
         req = PlanRequest(plan, after)
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -11,8 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
+    from snipebend.experts.demand import RankCounts
     from snipebend.experts.direct_orders import RankOrder, RankReport, Reply
-    from snipebend.experts.group_watch import ExpertSizes, RankCounts
+    from snipebend.experts.group_watch import ExpertSizes
     from snipebend.experts.layer_state import LayerMap
     from snipebend.kernel.clock import Clock
     from snipebend.state.group_plans import GroupPlan
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -5,12 +5,12 @@
 import random
 import unittest
 
+from snipebend.experts.demand import RankCounts
 from snipebend.experts.direct_orders import RankReport
 from snipebend.experts.group_watch import (
     URGENT_SAVING,
     ExpertSizes,
     GroupWatch,
-    RankCounts,
     first_map,
 )
 
@@ -48,10 +48,11 @@
         self.now = 5.0
         self.layers = first_map(SIZES, 16)
 
-    def feed(self, spans=1, choices=3000):
+    def feed(self, spans=1, choices=3000, *, is_new=False):
         for _ in range(spans):
             self.now += 0.3
-            self.watch.note_counts({0: self.counter.span(choices)}, self.now)
+            read = {0: self.counter.span(choices)}
+            self.watch.end_span(read, self.now, is_new=is_new)
 
     def test_nothing_before_two_readings(self):
         self.feed()
@@ -90,6 +91,16 @@
         self.assertFalse(self.watch.turning)
         self.assertIsNotNone(self.watch.look(self.layers))
 
+    def test_a_span_after_a_turn_tells_the_new_demand(self):
+        self.feed(4)
+        self.counter.turn()
+        self.now += 0.3
+        self.watch.begin_span({0: self.counter.span()}, self.now)
+        self.feed(is_new=True)
+        self.assertFalse(self.watch.turning)
+        outlook = self.watch.look(self.layers)
+        self.assertLess(outlook.skew_after, 1.4)
+
     def test_short_spans_are_passed_over(self):
         self.feed()
         self.feed(3, choices=100)
@@ -98,7 +109,7 @@
     def test_another_epoch_counts_nothing(self):
         self.feed()
         late = self.counter.span()._replace(epoch=2)
-        self.watch.note_counts({0: late}, self.now)
+        self.watch.end_span({0: late}, self.now, is_new=False)
         self.assertIsNone(self.watch.look(self.layers))
 
     def test_the_pace_of_passes(self):
@@ -106,6 +117,11 @@
         self.assertEqual(self.watch.pace.step, 20)
         self.assertAlmostEqual(self.watch.pace.pass_s, 0.06)
 
+    def test_what_entries_tell_of_passes_goes_first(self):
+        self.feed(2)
+        self.watch.told_pass_s = 0.11
+        self.assertAlmostEqual(self.watch.pace.pass_s, 0.11)
+
     def test_a_small_gain_waits_until_passes_are_measured(self):
         watch = self._seen(SIZES._replace(share=0.2, pause_s=0.05))
         watch.renew_pace()
@@ -137,14 +153,15 @@
 
     def read_all(self, counters):
         read = {rank: one.span(250) for rank, one in enumerate(counters, 4)}
-        self.watch.note_counts(read, self.now)
+        self.watch.end_span(read, self.now, is_new=False)
 
     def _seen(self, sizes):
         """Return a watch that has seen passes of 60 ms."""
         watch = GroupWatch(sizes, REPORT)
         counter = Counter(4)
         for span in range(3):
-            watch.note_counts({0: counter.span()}, 0.3 * span)
+            read = {0: counter.span()}
+            watch.end_span(read, 0.3 * span, is_new=False)
         return watch
 
     def test_first_map_has_experts_in_turn(self):
--- /dev/null
+++ b/tests/experts/test_reading_plan.py
@@ -0,0 +1,94 @@
+"""Counts are read when a better map would help somebody."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.experts.group_pace import WINDOW_S, GroupPaces
+from snipebend.experts.reading_plan import (
+    BLIND_EVERY_S,
+    CALM_SHARE,
+    LONGER,
+    LOOK_AGAIN_S,
+    REFINE_S,
+    SPAN_S,
+    Reading,
+    ReadingPlan,
+)
+
+ALLOWED_S = 0.12
+CALM_S = 0.9 * CALM_SHARE * ALLOWED_S
+LONG_S = 1.5 * CALM_SHARE * ALLOWED_S
+
+
+class TestReadingPlan(unittest.TestCase):
+    """What passes say decides."""
+
+    def setUp(self):
+        self.plan = ReadingPlan(ALLOWED_S)
+        self.now = 7.0
+
+    def reads(self, pass_s, after_s=0.0):
+        self.now += after_s
+        return self.plan.next_reading(self.now, pass_s)
+
+    def test_nothing_while_streams_are_on_time(self):
+        for _ in range(100):
+            self.assertIs(self.reads(CALM_S, 0.1), Reading.NOTHING)
+
+    def test_long_passes_begin_a_span(self):
+        self.assertIs(self.reads(LONG_S), Reading.BEGIN)
+        self.plan.note_begun(self.now)
+        self.assertIs(self.reads(LONG_S), Reading.NOTHING)
+        self.assertIs(self.reads(LONG_S, SPAN_S), Reading.END)
+        self.assertTrue(self.plan.is_new)
+
+    def test_a_look_that_changed_nothing_is_not_repeated_at_once(self):
+        self.plan.note_kept(self.now, LONG_S)
+        self.assertIs(self.reads(1.1 * LONG_S, 0.1), Reading.NOTHING)
+        self.assertIs(self.reads(1.1 * LONGER * LONG_S), Reading.BEGIN)
+        self.assertIs(self.reads(LONG_S, LOOK_AGAIN_S), Reading.BEGIN)
+
+    def test_the_same_counts_are_read_again_after_a_change(self):
+        self.plan.note_changed(self.now)
+        self.assertIs(self.reads(CALM_S, REFINE_S / 2), Reading.NOTHING)
+        self.assertIs(self.reads(CALM_S, REFINE_S), Reading.END)
+        # Demand may have turned within so long a span.
+        self.assertFalse(self.plan.is_new)
+
+    def test_now_and_then_while_nobody_tells_of_passes(self):
+        self.assertIs(self.reads(None), Reading.BEGIN)
+        self.plan.note_kept(self.now, None)
+        self.assertIs(self.reads(None), Reading.NOTHING)
+        self.assertIs(self.reads(None, BLIND_EVERY_S), Reading.BEGIN)
+
+    def test_a_reading_that_failed_is_repeated_later(self):
+        self.plan.note_begun(self.now)
+        self.plan.note_failed(self.now)
+        self.assertIs(self.reads(LONG_S), Reading.NOTHING)
+        self.assertIs(self.reads(LONG_S, BLIND_EVERY_S), Reading.BEGIN)
+
+
+class TestGroupPaces(unittest.TestCase):
+    """What several entries tell, of the last moments."""
+
+    def test_entries_count_by_their_events(self):
+        paces = GroupPaces()
+        paces.note('g', 3, 0.3, 1.0)
+        paces.note('g', 1, 0.5, 1.1)
+        paces.note('h', 1, 9.0, 1.1)
+        self.assertAlmostEqual(paces.of_group('g', 1.1), 0.2)
+
+    def test_what_is_old_counts_no_more(self):
+        paces = GroupPaces()
+        paces.note('g', 2, 0.1, 1.0)
+        paces.note('g', 1, 0.2, 1.2)
+        self.assertAlmostEqual(paces.of_group('g', 1.1 + WINDOW_S), 0.2)
+        self.assertIsNone(paces.of_group('g', 1.3 + WINDOW_S))
+        self.assertIsNone(paces.of_group('unknown', 1.0))
+
+    def test_noise_is_passed_over(self):
+        paces = GroupPaces()
+        paces.note('g', 0, 1.0, 1.0)
+        paces.note('g', 1, -1.0, 1.0)
+        self.assertIsNone(paces.of_group('g', 1.0))
--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+from snipebend.experts.demand import RankCounts
 from snipebend.experts.direct_orders import (
     Arm,
     Armed,
@@ -14,7 +15,7 @@
     RankReport,
     Reply,
 )
-from snipebend.experts.group_watch import RankCounts
+from snipebend.experts.group_pace import GroupPaces
 from snipebend.experts.hold_aim import AHEAD
 from snipebend.hosts.model import EngineProfile, HostService, HostTable
 from snipebend.kernel.registry import Registry
@@ -148,7 +149,9 @@
         self.keeper = FakeKeeper()
         registry.register(self.store)
         registry.register(self.keeper)
-        self.balancer = GroupBalancer('balancer', self.engines, lambda: TABLE)
+        self.balancer = GroupBalancer(
+            'balancer', self.engines, lambda: TABLE, GroupPaces()
+        )
         state = self.store.machine.state
         for rank in range(RANKS):
             record = UpstreamRecord(str(rank), 's', '10.0.0.1:80', 'dc', 4)
