End a switch when its pass is let go; wait for reports as long as they lag

Cause: of 0.75 s that a switch took, 0.3 s were fetching, and 0.25 to 0.3 s went by until reports, which are 0.2 s old, showed that the map was in force. Nothing was to be learnt from that: when every rank has said that it is armed, nothing disarms one, and the pass is let go, all switch as it begins. Likewise a new leader waited 0.6 s for reports to show its predecessor's orders; now it is what the document declares of their lag, and 0.1 s.

--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -42,6 +42,11 @@
     HOLDING = 'holding'
     ARMING = 'arming'
     GOING = 'going'
+    #: Every rank is armed for the pass that was let go: it will switch as soon
+    #: as that pass begins. Waiting for reports that show it took 0.25 s more of
+    #: 0.75 s a switch.
+    LET_GO = 'let-go'
+    #: Reports show the map in force everywhere.
     DONE = 'done'
     #: The group formed anew; its maps and holds are gone.
     DEAD = 'dead'
@@ -49,6 +54,8 @@
     REFUSED = 'refused'
 
 
+_OVER = frozenset((Phase.LET_GO, Phase.DONE, Phase.DEAD, Phase.REFUSED))
+
 #: Seconds before a pass that was let go, but hasn't begun, is let go again: a
 #: group without work begins none.
 GO_AGAIN_S = 1.0
@@ -79,7 +86,7 @@
     @property
     def over(self) -> bool:
         """Tell whether nothing is left to do."""
-        return self.phase in {Phase.DONE, Phase.DEAD, Phase.REFUSED}
+        return self.phase in _OVER
 
     def note_report(self, report: RankReport) -> None:
         """Take over what an engine says."""
@@ -144,6 +151,8 @@
                 self.aim.note_refusal()
             case Go(), Reply.ACCEPTED:
                 self._go_again_at = now + GO_AGAIN_S
+                if order.step == self.hold_step and self._ranks.all_armed:
+                    self.phase = Phase.LET_GO
             case Arm(), Reply.ACCEPTED if order.step == self.hold_step:
                 rank.armed = True
             case _:
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.experts.demand import Demand
+from snipebend.experts.hold_aim import LEAST_PASS_S
 from snipebend.experts.layer_state import LayerMap, layer_skew
 from snipebend.experts.map_search import Bounds, MapSearch
 from snipebend.experts.reading_plan import CALM_SHARE
@@ -20,14 +21,15 @@
 #: would bar the answer to the next turn. Turns save 0.5 and more.
 URGENT_SAVING = 0.4
 
-#: Seconds of a pass at the least.
-LEAST_PASS_S = 0.02
-
 #: Seconds that a rank may fetch in one change: passes are long meanwhile. On
 #: six days of turns every 3 s, at 0.11 s an expert, three experts a rank came
 #: to a worth of 0.722, four and more to 0.698, two to 0.677.
 MOST_FETCH_S = 0.35
 
+#: Seconds in which an order that is obeyed at once is, and its reply is back:
+#: some round trips within a region.
+ORDER_MARGIN_S = 0.1
+
 #: Relative fall of a pass's length that a change of map must promise: a
 #: change lengthens passes by 15% while it fetches, about a second.
 LEAST_SAVING = 0.2
@@ -46,6 +48,13 @@
     fetch_s: float = 0
     #: Seconds that a stream may pause and still be on time; 0: not told.
     pause_s: float = 0
+    #: Seconds by which reports are old.
+    report_lag_s: float = 0.5
+
+    @property
+    def settle_s(self) -> float:
+        """Return seconds after which reports show an order that was given."""
+        return self.report_lag_s + ORDER_MARGIN_S
 
 
 class Pace(NamedTuple):
--- a/src/snipebend/experts/hold_aim.py
+++ b/src/snipebend/experts/hold_aim.py
@@ -31,6 +31,10 @@
 #: the group was held up to ten passes later, 1.2 s of long passes.
 USUAL_TELLING_S = 0.02
 
+#: Seconds of a pass at the least: readings that a process gets at one moment,
+#: since it was frozen, would tell of passes without length.
+LEAST_PASS_S = 0.02
+
 #: Passes on top of what lost answers will cost: the present one is half over.
 LOSS_MARGIN = 1
 
@@ -56,7 +60,7 @@
         """Take over the pass that was just read, and the pace since."""
         passes = step - self.step
         if self.step_at and passes > 0:
-            self.pass_s = (now - self.step_at) / passes
+            self.pass_s = max(LEAST_PASS_S, (now - self.step_at) / passes)
         self.step = max(self.step, step)
         self.step_at = now
 
--- a/src/snipebend/hosts/model.py
+++ b/src/snipebend/hosts/model.py
@@ -76,6 +76,8 @@
     fetch_s: float = 0
     #: Share of a token's work that its experts do.
     expert_share: float = 0
+    #: Seconds by which reports are old.
+    report_lag_s: float = 0.5
 
 
 class HostService(NamedTuple):
--- a/src/snipebend/transport/engine_sizes.py
+++ b/src/snipebend/transport/engine_sizes.py
@@ -31,6 +31,7 @@
                     engine.expert_share,
                     engine.fetch_s,
                     _least_pause_s(table, service.name),
+                    engine.report_lag_s,
                 ),
             )
 
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/transport/group_care.py
@@ -39,15 +39,15 @@
 #: every second, and are some hundred milliseconds old.
 IDLE_AFTER_S = 1.5
 
-#: Seconds after which reports show every order that was given before: they
-#: are some hundred milliseconds old.
-SETTLE_S = 0.6
-
 #: Seconds before a group that couldn't be seen whole is looked at again: one
 #: report that is lost on the way is enough for that.
 BLIND_S = 0.3
 
 
+#: Seconds of a long pass: of a group with a map that doesn't fit its demand.
+LONG_PASS_S = 0.15
+
+
 class Lead:
     """Whether this daemon gives orders now, and since when it may."""
 
@@ -56,8 +56,8 @@
         self._store = store
         self._clock = clock
         self._term = 0
-        #: When reports show all orders that the last leader gave.
-        self.settled_at: float = 0
+        #: Since when no other daemon gives orders.
+        self.since: float = 0
 
     @property
     def may_order(self) -> bool:
@@ -66,12 +66,12 @@
         return group is not None and group.replica.has_lease
 
     def note_term(self) -> None:
-        """Let the orders of the last leader show before giving any."""
+        """Note when a term begins: orders of the last leader must show."""
         group = self._store.group
         term = group.replica.status.term if group else 0
         if term != self._term:
             self._term = term
-            self.settled_at = self._clock.now() + SETTLE_S
+            self.since = self._clock.now()
 
 
 class CareTools(NamedTuple):
@@ -109,6 +109,8 @@
         #: The version of a plan that a rank refused.
         self._refused = 0
         self._settled_at: float = 0
+        #: When reports show a switch that was just let go.
+        self._shown_at: float = 0
 
     async def run(self) -> None:
         """Care until this daemon no longer leads or the group is gone."""
@@ -128,6 +130,8 @@
             tools.keeper.forget_group(self.key.group)
             return None
         tools.lead.note_term()
+        if self._clock.now() < self._shown_at:
+            return LOOK_EVERY_S
         seen = await self._eyes.see(self.key, members)
         if seen is None:
             if self._eyes.is_broken(self.key):
@@ -140,14 +144,14 @@
         """Follow the demand of a whole group, and answer it."""
         watch = self._watching(sizes, seen)
         watch.slowness = seen.slowness
-        may_order = self._clock.now() >= self._may_order_at()
+        may_order = self._clock.now() >= self._may_order_at(sizes)
         state = self._tools.store.machine.state
         plan = state.plans.latest(self.key.group)
         if may_order and self._is_unfinished(plan, seen):
             driver = SwitchDriver(
                 self._tools.link, self._clock, plan, seen, self._tools.meters
             )
-            await self._drive(plan, seen, driver)
+            await self._drive(plan, seen, driver, sizes.settle_s)
             self._plan.note_changed(self._clock.now())
         elif may_order:
             if await self._read(watch, seen):
@@ -211,8 +215,8 @@
         else:
             self._plan.note_failed(self._clock.now())
 
-    def _may_order_at(self) -> float:
-        return max(self._settled_at, self._tools.lead.settled_at)
+    def _may_order_at(self, sizes: ExpertSizes) -> float:
+        return max(self._settled_at, self._tools.lead.since + sizes.settle_s)
 
     def _is_unfinished(self, plan: GroupPlan, seen: Seen) -> bool:
         """Tell whether a decided switch has yet to be made."""
@@ -275,7 +279,7 @@
             fetch_s=sizes.fetch_s * outlook.most_loads,
             pace=watch.pace,
         )
-        await self._drive(plan, seen, driver)
+        await self._drive(plan, seen, driver, sizes.settle_s)
         return True
 
     async def _decide(self, plan: GroupPlan, after: int) -> bool:
@@ -293,7 +297,11 @@
         return reply.accepted
 
     async def _drive(
-        self, plan: GroupPlan, seen: Seen, driver: SwitchDriver
+        self,
+        plan: GroupPlan,
+        seen: Seen,
+        driver: SwitchDriver,
+        settle_s: float,
     ) -> None:
         self._tell(GroupPhase.SWITCHING, seen)
         phase = await driver.run(lambda: self._tools.lead.may_order)
@@ -301,8 +309,12 @@
             self.watch.renew_pace()
         if phase is Phase.REFUSED:
             self._refused = plan.version
-        if phase is not Phase.DONE:
-            self._settled_at = self._clock.now() + SETTLE_S
+        after_s = self._clock.now() + settle_s
+        if phase is Phase.LET_GO:
+            # The pass before it must end first.
+            self._shown_at = after_s + LONG_PASS_S
+        elif phase is not Phase.DONE:
+            self._settled_at = after_s
         self._eyes.forget(self.key)
 
     def _tell(self, phase: GroupPhase, seen: Seen | None) -> None:
--- a/tests/experts/test_direct_switch.py
+++ b/tests/experts/test_direct_switch.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from snipebend.experts.direct_orders import Hold, Reply
+from snipebend.experts.direct_orders import Arm, Go, Hold, Prepare, Reply
 from snipebend.experts.direct_switch import DirectSwitch, Phase
 from snipebend.experts.hold_aim import AHEAD, LOSS_MARGIN, STEP_VALID_S, HoldAim
 
@@ -51,6 +51,15 @@
         self.switch.note_step(1, 103, 10.0 + 3 * 0.14)
         self.assertAlmostEqual(self.switch.aim.pass_s, 0.14)
 
+    def test_readings_that_come_at_one_moment(self):
+        """A process that was frozen gets them so."""
+        now = 10.0 + FETCH_S
+        self.switch.note_step(1, 103, now)
+        self.switch.note_step(1, 104, now)
+        self.assertEqual(
+            self.switch.next_orders(now), [Hold(0, 1, 104 + AHEAD)]
+        )
+
     def test_a_step_ages(self):
         now = 10.0 + FETCH_S
         self.switch.note_step(1, 103, now)
@@ -60,3 +69,41 @@
     def test_another_epoch_ends_it(self):
         self.switch.note_step(2, 3, 10.1)
         self.assertIs(self.switch.phase, Phase.DEAD)
+
+
+class TestLetGo(unittest.TestCase):
+    """A switch is over once the pass is let go that all are armed for."""
+
+    def run_until_go(self, losing=()):
+        """Give orders; lose the first reply to each kind in ``losing``."""
+        switch = DirectSwitch('g', 1, 1, LAYERS, 2)
+        switch.aim = HoldAim(100, 10.0, 0.05)
+        lost = set(losing)
+        given = []
+        now = 10.0
+        for _ in range(40):
+            now += 0.03
+            if switch.needs_step(now):
+                switch.note_step(1, 103, now)
+            for order in switch.next_orders(now):
+                kind = type(order)
+                given.append(kind)
+                reply = Reply.LOST if kind in lost else Reply.ACCEPTED
+                lost.discard(kind)
+                switch.note_reply(order, reply, now)
+        return switch, given
+
+    def test_no_report_is_waited_for(self):
+        switch, given = self.run_until_go()
+        self.assertIs(switch.phase, Phase.LET_GO)
+        self.assertEqual(given, [Prepare, Prepare, Hold, Arm, Arm, Go])
+
+    def test_a_lost_go_is_given_again(self):
+        switch, given = self.run_until_go(losing=[Go])
+        self.assertIs(switch.phase, Phase.LET_GO)
+        self.assertEqual(given[-2:], [Go, Go])
+
+    def test_not_before_every_rank_has_said_that_it_is_armed(self):
+        switch, given = self.run_until_go(losing=[Arm])
+        self.assertIs(switch.phase, Phase.LET_GO)
+        self.assertEqual(given[3:], [Arm, Arm, Arm, Go])
