Ask ranks ever less often to be armed; look for a switch after its pass

Cause: a group whose rank had turned slow made passes of 0.4 s, so that reports didn't show a switch yet when they were looked at. It was driven again, and its ranks, which had switched by then, refused to be armed every 15 ms: some hundred orders in 1.5 s, each of which is paid for.

The pause before a rank is asked again is doubled with each refusal up to 0.12 s, and reports are awaited for the length of a pass on top of their lag.

Test: a rank that refuses for 2 s is asked 20 times at most.

--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -153,6 +153,8 @@
                 self._go_again_at = now + GO_AGAIN_S
                 if order.step == self.hold_step and self._ranks.all_armed:
                     self.phase = Phase.LET_GO
+            case Arm(), Reply.REFUSED:
+                rank.arm_refusals += 1
             case Arm(), Reply.ACCEPTED if order.step == self.hold_step:
                 rank.armed = True
             case _:
--- a/src/snipebend/experts/rank_states.py
+++ b/src/snipebend/experts/rank_states.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from snipebend.experts.hold_aim import RETRY_S
 
 #: Seconds before a rank that refused to be armed is asked again: the group may
-#: stand still meanwhile.
+#: stand still meanwhile. Doubled with each refusal up to the second figure:
+#: each order is paid for, and a rank that fetches slowly refused a hundred.
 ARM_AGAIN_S = 0.015
+MOST_ARM_AGAIN_S = 0.12
 
 #: Refusals of one rank to prepare after which the plan is given up.
 MAX_REFUSALS = 3
@@ -24,12 +27,20 @@
     armed: bool = False
     in_force: bool = False
     refusals: int = 0
+    #: Refusals to be armed, since it was last told to prepare.
+    arm_refusals: int = 0
 
     @property
     def refuses(self) -> bool:
         """Tell whether it won't prepare."""
         return self.prepared_at is None and self.refusals >= MAX_REFUSALS
 
+    @property
+    def arm_again_at(self) -> float:
+        """Return when it may be told again to be armed."""
+        doubled_s = math.ldexp(ARM_AGAIN_S, min(8, self.arm_refusals))
+        return self.sent_at + min(MOST_ARM_AGAIN_S, doubled_s)
+
 
 class RankStates:
     """All ranks of a group, by number."""
@@ -104,7 +115,7 @@
         due = [
             number
             for number, rank in self._ranks.items()
-            if not rank.armed and now >= rank.sent_at + ARM_AGAIN_S
+            if not rank.armed and now >= rank.arm_again_at
         ]
         for number in due:
             self._ranks[number].sent_at = now
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/transport/group_care.py
@@ -312,7 +312,8 @@
         after_s = self._clock.now() + settle_s
         if phase is Phase.LET_GO:
             # The pass before it must end first.
-            self._shown_at = after_s + LONG_PASS_S
+            told_s = self.watch.told_pass_s if self.watch else None
+            self._shown_at = after_s + max(LONG_PASS_S, told_s or 0)
         elif phase is not Phase.DONE:
             self._settled_at = after_s
         self._eyes.forget(self.key)
--- a/tests/experts/test_direct_switch.py
+++ b/tests/experts/test_direct_switch.py
@@ -7,6 +7,7 @@
 from snipebend.experts.direct_orders import Arm, Go, Hold, Prepare, Reply
 from snipebend.experts.direct_switch import DirectSwitch, Phase
 from snipebend.experts.hold_aim import AHEAD, LOSS_MARGIN, STEP_VALID_S, HoldAim
+from snipebend.experts.rank_states import ARM_AGAIN_S, MOST_ARM_AGAIN_S
 
 LAYERS = (((0,), (1,)),)
 FETCH_S = 0.4
@@ -107,3 +108,20 @@
         switch, given = self.run_until_go(losing=[Arm])
         self.assertIs(switch.phase, Phase.LET_GO)
         self.assertEqual(given[3:], [Arm, Arm, Arm, Go])
+
+    def test_a_rank_that_refuses_is_asked_ever_less_often(self):
+        switch = DirectSwitch('g', 1, 1, LAYERS, 2)
+        switch.aim = HoldAim(100, 10.0, 0.05)
+        asked = []
+        for tick in range(200):
+            now = 10.0 + 0.01 * tick
+            if switch.needs_step(now):
+                switch.note_step(1, 103, now)
+            for order in switch.next_orders(now):
+                refuses = isinstance(order, Arm) and order.rank == 1
+                reply = Reply.REFUSED if refuses else Reply.ACCEPTED
+                if refuses:
+                    asked.append(now)
+                switch.note_reply(order, reply, now)
+        self.assertLess(asked[1] - asked[0], 2.5 * ARM_AGAIN_S)
+        self.assertLess(len(asked), 2 / MOST_ARM_AGAIN_S + 4)
