Know lives by their start; refuse reports that can't be read

Cause: a status report with a state that isn't named was taken for leaving, and phases never go back, so that one such report took a good replica out for good. And a replica that started again under the id that it had was dead for good.

A life now is an identity and the time of its start. A later one begins anew, in the roster and at entries (no calls, no failures, no place in a group); late reports of the former one change nothing, and what doesn't tell a start speaks of the life that is known, as before.

--- a/src/snipebend/experts/demand.py
+++ b/src/snipebend/experts/demand.py
@@ -76,11 +76,15 @@
         begun = self._begun.get(rank)
         if begun is None or counts.epoch != begun.epoch:
             return None
+        layers, experts = self._shape
+        if not len(counts.counts) == len(begun.counts) == layers * experts:
+            # Not what the document declares: it tells nothing.
+            return None
         grown = np.array(counts.counts, dtype=float) - np.array(begun.counts)
         if counts.step <= begun.step or grown.min() < 0:
             return None
-        layers: Counts = grown.reshape(self._shape)
-        return layers
+        by_layer: Counts = grown.reshape(self._shape)
+        return by_layer
 
     def _note_span(self, span: Counts, *, is_new: bool) -> None:
         if span.sum(axis=1).min() < LEAST_CHOICES:
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from itertools import chain
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.experts.demand import Demand
@@ -12,7 +13,7 @@
 from snipebend.experts.reading_plan import CALM_SHARE
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from snipebend.experts.demand import RankCounts
     from snipebend.experts.direct_orders import RankReport
@@ -87,6 +88,14 @@
     return (layer,) * sizes.layers
 
 
+def fits(sizes: ExpertSizes, layers: Sequence[LayerMap]) -> bool:
+    """Tell whether a map has all layers, and each of them all experts."""
+    experts = set(range(sizes.experts))
+    return len(layers) == sizes.layers and all(
+        set(chain.from_iterable(layer)) == experts for layer in layers
+    )
+
+
 class GroupWatch:
     """One epoch of a group."""
 
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -87,21 +87,22 @@
         return iter(tuple(self._known.values()))
 
     def take(self, records: Iterable[UpstreamRecord]) -> list[Upstream]:
-        """Take over records; return the upstreams that have ended."""
+        """Take over records; return the upstreams whose lives have ended.
+
+        A later life under a known identity begins with no calls, no failures
+        and no place in a group.
+        """
         ended: list[Upstream] = []
         for record in records:
-            if record.phase is RosterPhase.ENDED:
-                gone = self._drop(record.identity)
-                ended.extend(gone)
-                continue
             known = self._known.get(record.identity)
-            if known is None:
-                known = Upstream(record)
-                known.group = self._group_of.get(record.identity)
-                self._known[record.identity] = known
-                members = self._services.setdefault(record.service, {})
-                members[record.identity] = known
-            if record.phase >= known.record.phase:
+            if known is not None and 0 < known.record.born < record.born:
+                ended.extend(self._drop(record.identity))
+                known = None
+            if record.phase is RosterPhase.ENDED:
+                ended.extend(self._end(known, record))
+            elif known is None:
+                self._add(record)
+            elif record.is_news_after(known.record):
                 known.record = record
         return ended
 
@@ -157,6 +158,20 @@
             for identity, upstream in self._known.items()
         }
 
+    def _add(self, record: UpstreamRecord) -> None:
+        upstream = Upstream(record)
+        upstream.group = self._group_of.get(record.identity)
+        self._known[record.identity] = upstream
+        members = self._services.setdefault(record.service, {})
+        members[record.identity] = upstream
+
+    def _end(
+        self, known: Upstream | None, record: UpstreamRecord
+    ) -> list[Upstream]:
+        if known is None or not record.is_news_after(known.record):
+            return []
+        return self._drop(record.identity)
+
     def _drop(self, identity: str) -> list[Upstream]:
         self._group_of.pop(identity, None)
         gone = self._known.pop(identity, None)
--- a/src/snipebend/state/roster.py
+++ b/src/snipebend/state/roster.py
@@ -1,8 +1,9 @@
 """The replicated roster of upstreams that announce themselves (pure).
 
 What was acknowledged about an upstream must outlive every control daemon: a
-leaving that was forgotten would send work to an upstream that is ending. Each
-identity stands for one life of an upstream, and its phase only grows.
+leaving that was forgotten would send work to an upstream that is ending. An
+identity and the time of its start stand for one life of an upstream, and the
+phase of a life only grows. A later life under the same identity begins anew.
 """
 
 from __future__ import annotations
@@ -38,6 +39,22 @@
     phase: RosterPhase = RosterPhase.READY
     #: The roster's revision that this record came with.
     revision: int = 0
+    #: Unix milliseconds of the life's start; 0: not told.
+    born: int = 0
+
+    def is_news_after(self, known: UpstreamRecord | None) -> bool:
+        """Tell whether this adds to what is known of the identity.
+
+        What doesn't tell its start speaks of the life that is known. What
+        names another service than that life has speaks of somebody else.
+        """
+        if known is None:
+            return True
+        if self.born and self.born != known.born:
+            return self.born > known.born
+        if self.service and known.service and self.service != known.service:
+            return False
+        return self.phase > known.phase
 
 
 class RecordRequest(Struct, frozen=True):
@@ -63,10 +80,12 @@
         """Take over what is news about an upstream."""
         told = req.upstream
         known = self.upstreams.get(told.identity)
-        if known is not None and known.phase >= told.phase:
+        if known is not None and not told.is_news_after(known):
             return RecordReply(known.phase, self.revision)
         self.revision += 1
-        source = told if told.address else (known or told)
+        source = told
+        if known is not None and known.address and told.born in {0, known.born}:
+            source = known
         self.upstreams.pop(told.identity, None)
         self.upstreams[told.identity] = UpstreamRecord(
             told.identity,
@@ -76,6 +95,7 @@
             source.slots,
             told.phase,
             self.revision,
+            told.born or (known or told).born,
         )
         self._forget()
         return RecordReply(told.phase, self.revision)
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from snipebend.experts.group_roll import GroupRoll, whole_group
-from snipebend.experts.group_watch import first_map
+from snipebend.experts.group_watch import first_map, fits
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -188,7 +188,8 @@
             return first_map(sizes, seen.any_report.size)
         if seen.map_versions == {plan.version}:
             return plan.layers
-        return await self._read_map(seen)
+        layers = await self._read_map(seen)
+        return layers if layers and fits(sizes, layers) else None
 
     def _roll(self, service: str) -> GroupRoll:
         return self._rolls.setdefault(service, GroupRoll())
@@ -261,4 +262,4 @@
         by_rank = [experts for experts in held if experts is not None]
         if len(by_rank) < len(ranks):
             return None
-        return tuple(zip(*by_rank, strict=True))
+        return tuple(zip(*by_rank, strict=False))
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -97,7 +97,7 @@
         """Note an upstream; only news is committed."""
         roster = self._store.machine.state.roster
         known = roster.upstreams.get(upstream.identity)
-        if known is not None and known.phase >= upstream.phase:
+        if known is not None and not upstream.is_news_after(known):
             return Ok(RecordReply(known.phase, roster.revision))
         req = RecordRequest(upstream)
         reply = await self._execute(RecordUpstream(req, self._store.wall()))
--- /dev/null
+++ b/tests/platform/test_engine_answers.py
@@ -0,0 +1,68 @@
+"""What engines answer, whoever wrote it."""
+
+from __future__ import annotations
+
+import unittest
+from types import MappingProxyType
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import json
+
+from snipebend.experts.demand import Demand, RankCounts
+from snipebend.experts.group_watch import ExpertSizes, first_map, fits
+from snipebend_platform.documents import read_message
+from snipebend_platform.engine_calls import _Picked, _Report
+
+REPORT = MappingProxyType(
+    {
+        'group': {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'open'},
+        'size': 2,
+        'step': 5,
+        'map': 0,
+        'pace': 1.0,
+    }
+)
+NOISE = st.none() | st.integers(-9, 9) | st.text(max_size=3) | st.booleans()
+
+
+class TestReports(unittest.TestCase):
+    """A report that can't be read says nothing."""
+
+    def test_a_state_that_is_not_named(self):
+        """It doesn't take the group for one that stands still."""
+        group = REPORT['group'] | {'state': 'forming'}
+        body = json.encode(REPORT | {'group': group})
+        self.assertTrue(read_message(body, _Report).is_err())
+        self.assertTrue(
+            read_message(json.encode(dict(REPORT)), _Report).is_ok()
+        )
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=100) | NOISE.map(json.encode))
+    def test_anything_is_read_or_refused(self, body):
+        for kind in (_Report, _Picked):
+            read_message(body, kind)
+
+    def test_no_number_is_below_nothing(self):
+        for name in ('size', 'step', 'map', 'prepared', 'held', 'pace'):
+            body = json.encode(REPORT | {name: -1})
+            self.assertTrue(read_message(body, _Report).is_err(), name)
+
+
+class TestShapes(unittest.TestCase):
+    """What has another shape than the document declares tells nothing."""
+
+    def test_counts_of_another_length(self):
+        demand = Demand(2, 3)
+        demand.begin({0: RankCounts(1, 5, (0, 0, 0))})
+        demand.end({0: RankCounts(1, 6, (900, 900, 900))}, is_new=True)
+        self.assertIsNone(demand.shares)
+
+    def test_maps_that_lack_something(self):
+        sizes = ExpertSizes(2, 4, 3, 1, 0.8)
+        whole = first_map(sizes, 2)
+        self.assertTrue(fits(sizes, whole))
+        self.assertFalse(fits(sizes, whole[:1]))
+        self.assertFalse(fits(sizes, (whole[0], ((0, 2), (1,)))))
+        self.assertFalse(fits(sizes, (whole[0], ((0, 2), (1, 3, 9)))))
