Let one call at a time show the passes of a group with a slow rank

Cause: an entry that gave such a group no work never saw that its map had taken the work off the slow rank; it was left for as long as the rank was slow.

Test: choosing.

--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -103,6 +103,8 @@
         self._upstream = upstream
         self._note_begin(upstream)
         upstream.own_calls += 1
+        if upstream.group is not None:
+            upstream.group.note_call(self._desk.now())
         call: Call | None = None
         try:
             call = await self._open(upstream)
--- a/src/snipebend/relay/upstream_groups.py
+++ b/src/snipebend/relay/upstream_groups.py
@@ -18,7 +18,9 @@
 #: Seconds after which an event counts half: some passes of 50 ms.
 HALF_LIFE_S = 0.2
 
-#: Seconds for which the length of passes is known after the last event.
+#: Seconds for which the length of passes is known after the last event, and for
+#: which one call to a group that shows none is waited for: its map may have
+#: taken the work off the slow rank meanwhile, and nobody else would see it.
 REMEMBERED_S = 3.0
 
 
@@ -32,6 +34,8 @@
     has_slow: bool = False
     #: Own calls saw it down; until then it gets work last.
     left_until: float = 0
+    #: A call was given to it that will show its passes by then.
+    tried_until: float = 0
     _events: float = 0
     _seconds: float = 0
     _event_at: float = 0
@@ -69,7 +73,13 @@
         if not self.has_slow or not allowed_s:
             return False
         pass_s = self.pass_s(now)
-        return pass_s is None or pass_s > allowed_s
+        if pass_s is None:
+            return now < self.tried_until
+        return pass_s > allowed_s
+
+    def note_call(self, now: float) -> None:
+        """Take note of a call that will show its passes."""
+        self.tried_until = now + REMEMBERED_S
 
     def is_down(self, now: float) -> bool:
         """Tell whether it is known to stand still."""
