See through old reports of slow ranks; load what only a leader needs then

- a switch isn't driven again while ranks that lack its map report from before the pass that was let go;
- a hold counts only if it lies beyond the last pass that any rank reports;
- a hold that turns out not to be needed is let go before a switch ends;
- a group whose streams fall silent is looked at again after 0.3 s, not after 1 s: it may be held or broken.

What only a leader needs (numpy, the HTTP client) is loaded with the first lead, in a thread: 23 MB for each follower.

Test: last_switch (reports of different age), direct_switch (a hold that wasn't needed).

--- a/src/snipebend/experts/demand.py
+++ b/src/snipebend/experts/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import numpy as np
 
@@ -11,6 +11,8 @@
 
     from numpy.typing import NDArray
 
+    from snipebend.experts.direct_orders import RankCounts
+
     Counts = NDArray[np.float64]
 
 #: Choices of one layer below which a span of counts says nothing. A rank that
@@ -27,14 +29,6 @@
 KEEP = 0.9
 
 
-class RankCounts(NamedTuple):
-    """How often one rank's requests chose each expert since it started."""
-
-    epoch: int
-    step: int
-    counts: tuple[int, ...]
-
-
 class Demand:
     """The shares of choices that fall on each expert, layer by layer."""
 
--- a/src/snipebend/experts/direct_orders.py
+++ b/src/snipebend/experts/direct_orders.py
@@ -37,6 +37,14 @@
     pace: float = 1
 
 
+class RankCounts(NamedTuple):
+    """How often one rank's requests chose each expert since it started."""
+
+    epoch: int
+    step: int
+    counts: tuple[int, ...]
+
+
 class Prepare(NamedTuple):
     """Fetch the experts that a map newly brings to the rank."""
 
--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -46,6 +46,10 @@
     #: as that pass begins. Waiting for reports that show it took 0.25 s more of
     #: 0.75 s a switch.
     LET_GO = 'let-go'
+    #: Reports show the map in force, but a later pass is held for it: an older
+    #: hold had done its work already. It must be let go, or the group stands
+    #: still until somebody sees it, 0.6 s and more.
+    RELEASING = 'releasing'
     #: Reports show the map in force everywhere.
     DONE = 'done'
     #: The group formed anew; its maps and holds are gone.
@@ -132,7 +136,7 @@
                 return self._hold(now)
             case Phase.ARMING:
                 return self._arm(now)
-            case Phase.GOING:
+            case Phase.GOING | Phase.RELEASING:
                 return self._go(now)
             case _:
                 return []
@@ -149,6 +153,10 @@
                 self.hold_step = self.hold_step or order.step
             case Hold(), Reply.REFUSED:
                 self.aim.note_refusal()
+            case Go(), Reply.ACCEPTED | Reply.REFUSED if (
+                self.phase is Phase.RELEASING
+            ):
+                self.hold_step = None
             case Go(), Reply.ACCEPTED:
                 self._go_again_at = now + GO_AGAIN_S
                 if order.step == self.hold_step and self._ranks.all_armed:
@@ -198,7 +206,8 @@
             self.phase = Phase.REFUSED
             return
         if ranks.all_in_force:
-            self.phase = Phase.DONE
+            waits = (self.hold_step or 0) > self.aim.step
+            self.phase = Phase.RELEASING if waits else Phase.DONE
         elif not ranks.all_told:
             self.phase = Phase.PREPARING
         elif self.hold_step is None:
--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from itertools import chain
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.experts.demand import Demand
@@ -13,10 +12,10 @@
 from snipebend.experts.reading_plan import CALM_SHARE
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
-    from snipebend.experts.demand import RankCounts
-    from snipebend.experts.direct_orders import RankReport
+    from snipebend.experts.direct_orders import RankCounts, RankReport
+    from snipebend.experts.sizes import ExpertSizes
 
 #: A change that saves less is left while passes are short: for its second it
 #: would bar the answer to the next turn. Turns save 0.5 and more.
@@ -27,37 +26,11 @@
 #: to a worth of 0.722, four and more to 0.698, two to 0.677.
 MOST_FETCH_S = 0.35
 
-#: Seconds in which an order that is obeyed at once is, and its reply is back:
-#: some round trips within a region.
-ORDER_MARGIN_S = 0.1
-
 #: Relative fall of a pass's length that a change of map must promise: a
 #: change lengthens passes by 15% while it fetches, about a second.
 LEAST_SAVING = 0.2
 
 
-class ExpertSizes(NamedTuple):
-    """What a service's engines declare of their experts."""
-
-    layers: int
-    experts: int
-    places: int
-    spare: int
-    #: Share of a token's work that its experts do.
-    share: float
-    #: Seconds to fetch one expert.
-    fetch_s: float = 0
-    #: Seconds that a stream may pause and still be on time; 0: not told.
-    pause_s: float = 0
-    #: Seconds by which reports are old.
-    report_lag_s: float = 0.5
-
-    @property
-    def settle_s(self) -> float:
-        """Return seconds after which reports show an order that was given."""
-        return self.report_lag_s + ORDER_MARGIN_S
-
-
 class Pace(NamedTuple):
     """How fast a group goes from pass to pass; times in seconds."""
 
@@ -80,22 +53,6 @@
     most_loads: int = 0
 
 
-def first_map(sizes: ExpertSizes, ranks: int) -> tuple[LayerMap, ...]:
-    """Return the map of a group that has just formed: experts in turn."""
-    layer = tuple(
-        tuple(range(rank, sizes.experts, ranks)) for rank in range(ranks)
-    )
-    return (layer,) * sizes.layers
-
-
-def fits(sizes: ExpertSizes, layers: Sequence[LayerMap]) -> bool:
-    """Tell whether a map has all layers, and each of them all experts."""
-    experts = set(range(sizes.experts))
-    return len(layers) == sizes.layers and all(
-        set(chain.from_iterable(layer)) == experts for layer in layers
-    )
-
-
 class GroupWatch:
     """One epoch of a group."""
 
--- a/src/snipebend/transport/count_reader.py
+++ b/src/snipebend/transport/count_reader.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from snipebend.experts.demand import RankCounts
+    from snipebend.experts.direct_orders import RankCounts
     from snipebend.experts.group_watch import GroupWatch
     from snipebend.kernel.clock import Clock
     from snipebend.transport.group_eyes import EngineLink, Seen
--- /dev/null
+++ b/src/snipebend/transport/demand_follower.py
@@ -0,0 +1,93 @@
+"""Follows the demand on one group: reads its counts when they are wanted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.experts.reading_plan import Reading, ReadingPlan
+
+if TYPE_CHECKING:
+    from snipebend.experts.group_pace import GroupPaces
+    from snipebend.experts.group_watch import GroupWatch
+    from snipebend.experts.sizes import ExpertSizes
+    from snipebend.kernel.clock import Clock
+    from snipebend.transport.count_reader import CountReader
+    from snipebend.transport.group_eyes import Seen
+
+#: Seconds without a pass after which a group counts as idle: reports are read
+#: every second, and are some hundred milliseconds old.
+IDLE_AFTER_S = 1.5
+
+#: Seconds after the last event of a group's streams in which its silence may
+#: mean that it is held or broken, rather than that it has no work.
+DOUBT_FOR_S = 2.5
+
+#: Seconds between two looks at a group that may be held or broken.
+DOUBT_EVERY_S = 0.3
+
+
+class DemandFollower:
+    """Reads one group's counts when its passes say that it is worth it."""
+
+    def __init__(
+        self, group: str, counts: CountReader, paces: GroupPaces, clock: Clock
+    ) -> None:
+        """Start without having heard of the group."""
+        self.plan = ReadingPlan(0)
+        self._group = group
+        self._counts = counts
+        self._paces = paces
+        self._clock = clock
+        #: The last pass that was reported, and when it was news.
+        self._step = 0
+        self._moved_at: float = 0
+        #: When entries last told of its passes, and of a doubt about them.
+        self._heard_at: float | None = None
+        self._doubted_at: float = 0
+
+    def begin(self, sizes: ExpertSizes) -> None:
+        """Begin anew with an epoch."""
+        self.plan = ReadingPlan(sizes.pause_s)
+
+    def hear(self, watch: GroupWatch) -> None:
+        """Take over what entries tell of the group's passes."""
+        now = self._clock.now()
+        watch.told_pass_s = self._paces.of_group(self._group, now)
+        if watch.told_pass_s is not None:
+            self._heard_at = now
+
+    def takes_doubt(self, watch: GroupWatch) -> bool:
+        """Tell whether to look at the group now, since it has fallen silent."""
+        now = self._clock.now()
+        if watch.told_pass_s is not None or self._heard_at is None:
+            return False
+        if now > self._heard_at + DOUBT_FOR_S:
+            return False
+        if now < self._doubted_at + DOUBT_EVERY_S:
+            return False
+        self._doubted_at = now
+        return True
+
+    async def read(self, watch: GroupWatch, seen: Seen) -> bool:
+        """Read counts if it is time; tell whether a span has ended."""
+        now = self._clock.now()
+        if watch.told_pass_s is None and self._is_idle(seen, now):
+            return False
+        reading = self.plan.next_reading(now, watch.told_pass_s)
+        if reading is Reading.NOTHING:
+            return False
+        is_new = self.plan.is_new
+        if not await self._counts.read(watch, seen, reading, is_new=is_new):
+            self.plan.note_failed(now)
+            return False
+        if reading is Reading.BEGIN or watch.turning:
+            self.plan.note_begun(now)
+            return False
+        return True
+
+    def _is_idle(self, seen: Seen, now: float) -> bool:
+        step = max(report.step for report in seen.reports.values())
+        if step != self._step:
+            self._step = step
+            self._moved_at = now
+        return now > self._moved_at + IDLE_AFTER_S
--- /dev/null
+++ b/src/snipebend/transport/direct_http.py
@@ -0,0 +1,107 @@
+"""HTTP calls of upstreams by the control leader, one session for all.
+
+The client library is loaded with the first call: daemons that never lead need
+7 MB less, and start 0.1 s sooner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import ClientSession
+
+    from snipebend.state.roster import UpstreamRecord
+
+#: Seconds for one call: a round trip within a region and an engine's answer,
+#: which takes milliseconds, many times over.
+CALL_TIMEOUT_S = 0.4
+
+#: Seconds for one order: a few round trips. An engine that leaves it unanswered
+#: is given it again, which does no harm, while the whole group may wait.
+ORDER_TIMEOUT_S = 0.04
+
+_OK = 200
+
+
+class DirectHttp:
+    """Reads from upstreams, and gives them orders."""
+
+    def __init__(self) -> None:
+        """Open nothing yet."""
+        self._session: ClientSession | None = None
+
+    def load(self) -> None:
+        """Load the library; takes a tenth of a second."""
+        import aiohttp  # noqa: F401
+
+    async def read(
+        self, upstream: UpstreamRecord, path: str, headers: Mapping[str, str]
+    ) -> bytes | None:
+        """Return the body of a 200; nothing for anything else."""
+        from aiohttp import ClientError
+
+        try:
+            async with self._open().get(
+                _url(upstream, path), headers=headers
+            ) as resp:
+                body = await resp.read()
+                return body if resp.status == _OK else None
+        except (ClientError, asyncio.TimeoutError, OSError) as exc:
+            logger.info(
+                'event=engine_silent upstream={} path={} error={!r}',
+                upstream.identity,
+                path,
+                exc,
+            )
+            return None
+
+    async def order(
+        self,
+        upstream: UpstreamRecord,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> int | None:
+        """Give an order; return the answer's status, nothing without one."""
+        from aiohttp import ClientError, ClientTimeout
+
+        try:
+            async with self._open().post(
+                _url(upstream, path),
+                data=body,
+                headers=headers,
+                timeout=ClientTimeout(total=ORDER_TIMEOUT_S),
+            ) as resp:
+                await resp.read()
+                return resp.status
+        except (ClientError, asyncio.TimeoutError, OSError) as exc:
+            logger.info(
+                'event=order_lost upstream={} error={!r}',
+                upstream.identity,
+                exc,
+            )
+            return None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            from aiohttp import ClientSession, ClientTimeout
+
+            self._session = ClientSession(
+                timeout=ClientTimeout(total=CALL_TIMEOUT_S)
+            )
+        return self._session
+
+
+def _url(upstream: UpstreamRecord, path: str) -> str:
+    return f'http://{upstream.address}{path}'
--- a/src/snipebend/transport/engine_sizes.py
+++ b/src/snipebend/transport/engine_sizes.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from snipebend.experts.group_watch import ExpertSizes
+from snipebend.experts.sizes import ExpertSizes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/transport/group_balancer.py
@@ -9,21 +9,21 @@
 from snipebend.kernel.service import Service
 from snipebend.state.roster import RosterPhase
 from snipebend.transport.control_meters import BalancerMeters
-from snipebend.transport.count_reader import CountReader
 from snipebend.transport.engine_sizes import expert_services
-from snipebend.transport.group_care import CareTools, GroupCare, Lead
 from snipebend.transport.group_eyes import GroupEyes, GroupKey
 from snipebend.transport.host_keeper import HostKeeper
+from snipebend.transport.lead import Lead
 from snipebend.transport.replicated_state import ReplicatedState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from snipebend.experts.group_pace import GroupPaces
-    from snipebend.experts.group_watch import ExpertSizes
+    from snipebend.experts.sizes import ExpertSizes
     from snipebend.hosts.model import HostTable
     from snipebend.kernel.registry import Registry
     from snipebend.state.roster import UpstreamRecord
+    from snipebend.transport.group_care import CareTools, GroupCare
     from snipebend.transport.group_eyes import EngineLink
 
 #: Seconds between two looks for ranks that belong to no group yet: about a
@@ -60,19 +60,8 @@
         self._store = registry.find('state', ReplicatedState)
         self._keeper = registry.find('hosts', HostKeeper)
         self._lead = Lead(self._store, registry.clock)
-        self._tools = CareTools(
-            self._link,
-            registry.clock,
-            GroupEyes(self._link, registry.clock),
-            CountReader(self._link, registry.clock),
-            self._paces,
-            self._store,
-            self._keeper,
-            BalancerMeters(),
-            self._lead,
-            self._members,
-            self._sizes,
-        )
+        self._clock = registry.clock
+        self._tools: CareTools | None = None
         registry.tasks.start('balance', self._balance_for_ever)
 
     async def stop(self) -> None:
@@ -103,16 +92,38 @@
         if not self._lead.may_order:
             self._keeper.forget_groups()
             return []
+        if self._tools is None:
+            self._tools = await asyncio.to_thread(self._load)
         found: list[GroupCare] = []
         for service, _ in expert_services(self._table()):
             members = self._members(service)
             for group in await self._tools.eyes.survey(service, members):
                 key = GroupKey(service, group)
                 if key not in self.cares:
-                    self.cares[key] = GroupCare(key, self._tools)
+                    self.cares[key] = self._tools.care_for(key)
                     found.append(self.cares[key])
         return found
 
+    def _load(self) -> CareTools:
+        """Load what only a leader needs: 23 MB, and 0.3 s of a start."""
+        from snipebend.transport.count_reader import CountReader
+        from snipebend.transport.group_care import CareTools
+
+        self._link.load()
+        return CareTools(
+            self._link,
+            self._clock,
+            GroupEyes(self._link, self._clock),
+            CountReader(self._link, self._clock),
+            self._paces,
+            self._store,
+            self._keeper,
+            BalancerMeters(),
+            self._lead,
+            self._members,
+            self._sizes,
+        )
+
     async def _balance_for_ever(self) -> None:
         while True:
             for care in await self.look():
--- a/src/snipebend/transport/group_eyes.py
+++ b/src/snipebend/transport/group_eyes.py
@@ -6,14 +6,18 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from snipebend.experts.group_roll import GroupRoll, whole_group
-from snipebend.experts.group_watch import first_map, fits
+from snipebend.experts.sizes import first_map, fits
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
-    from snipebend.experts.demand import RankCounts
-    from snipebend.experts.direct_orders import RankOrder, RankReport, Reply
-    from snipebend.experts.group_watch import ExpertSizes
+    from snipebend.experts.direct_orders import (
+        RankCounts,
+        RankOrder,
+        RankReport,
+        Reply,
+    )
+    from snipebend.experts.sizes import ExpertSizes
     from snipebend.experts.layer_state import LayerMap
     from snipebend.kernel.clock import Clock
     from snipebend.state.group_plans import GroupPlan
@@ -50,6 +54,9 @@
     async def close(self) -> None:
         """Close the connections."""
 
+    def load(self) -> None:
+        """Load what calls need; may block."""
+
 
 class GroupKey(NamedTuple):
     """A group of a service's ranks."""
@@ -101,11 +108,14 @@
 
     @property
     def is_held(self) -> bool:
-        """Tell whether a rank holds the group before a pass."""
-        return any(
-            report.held is not None and report.held > report.step
-            for report in self.reports.values()
-        )
+        """Tell whether a rank holds the group before a pass.
+
+        All ranks make each pass, but the reports of a slow one are older: a
+        hold that it tells of may be over.
+        """
+        reports = self.reports.values()
+        begun = max(report.step for report in reports)
+        return any((report.held or 0) > begun for report in reports)
 
     def is_current(self, members: Mapping[str, UpstreamRecord]) -> bool:
         """Tell whether all of its ranks still are in the roster."""
--- a/src/snipebend/transport/switch_driver.py
+++ b/src/snipebend/transport/switch_driver.py
@@ -62,6 +62,11 @@
         for report in seen.reports.values():
             self._switch.note_report(report)
 
+    @property
+    def hold_step(self) -> int | None:
+        """Return the pass that the group was held before."""
+        return self._switch.hold_step
+
     async def run(self, may_order: Callable[[], bool]) -> Phase:
         """Drive to the end, or until this daemon may no longer order."""
         self._may_order = may_order
--- a/tests/experts/test_direct_switch.py
+++ b/tests/experts/test_direct_switch.py
@@ -4,8 +4,15 @@
 
 import unittest
 
-from snipebend.experts.direct_orders import Arm, Go, Hold, Prepare, Reply
-from snipebend.experts.direct_switch import DirectSwitch, Phase
+from snipebend.experts.direct_orders import (
+    Arm,
+    Go,
+    Hold,
+    Prepare,
+    RankReport,
+    Reply,
+)
+from snipebend.experts.direct_switch import GO_AGAIN_S, DirectSwitch, Phase
 from snipebend.experts.hold_aim import AHEAD, LOSS_MARGIN, STEP_VALID_S, HoldAim
 from snipebend.experts.rank_states import ARM_AGAIN_S, MOST_ARM_AGAIN_S
 
@@ -109,6 +116,30 @@
         self.assertIs(switch.phase, Phase.LET_GO)
         self.assertEqual(given[3:], [Arm, Arm, Arm, Go])
 
+    def test_a_hold_that_was_not_needed_is_let_go(self):
+        """The ranks had switched by an older hold; reports tell it late."""
+        switch = DirectSwitch('g', 1, 1, LAYERS, 2)
+        switch.aim = HoldAim(100, 10.0, 0.05)
+        for order in switch.next_orders(10.0):
+            switch.note_reply(order, Reply.ACCEPTED, 10.0)
+        switch.note_step(1, 103, 10.1)
+        held = switch.next_orders(10.1)[0]
+        switch.note_reply(held, Reply.ACCEPTED, 10.1)
+        for rank in range(2):
+            switch.note_report(
+                RankReport(
+                    str(rank), 'g', 1, rank, 2, True, step=102, map_version=1
+                )
+            )
+        self.assertFalse(switch.over)
+        now = 10.2
+        self.assertEqual(switch.next_orders(now), [Go(0, 1, held.step)])
+        switch.note_reply(Go(0, 1, held.step), Reply.LOST, now)
+        now += GO_AGAIN_S
+        self.assertEqual(switch.next_orders(now), [Go(0, 1, held.step)])
+        switch.note_reply(Go(0, 1, held.step), Reply.ACCEPTED, now)
+        self.assertIs(switch.phase, Phase.DONE)
+
     def test_a_rank_that_refuses_is_asked_ever_less_often(self):
         switch = DirectSwitch('g', 1, 1, LAYERS, 2)
         switch.aim = HoldAim(100, 10.0, 0.05)
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -5,14 +5,9 @@
 import random
 import unittest
 
-from snipebend.experts.demand import RankCounts
-from snipebend.experts.direct_orders import RankReport
-from snipebend.experts.group_watch import (
-    URGENT_SAVING,
-    ExpertSizes,
-    GroupWatch,
-    first_map,
-)
+from snipebend.experts.direct_orders import RankCounts, RankReport
+from snipebend.experts.group_watch import URGENT_SAVING, GroupWatch
+from snipebend.experts.sizes import ExpertSizes, first_map
 
 SIZES = ExpertSizes(2, 64, 5, 2, 0.85, 0.1)
 REPORT = RankReport('i', 'g', 3, 0, 16, is_open=True, step=10, map_version=0)
--- a/tests/platform/test_engine_answers.py
+++ b/tests/platform/test_engine_answers.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 from msgspec import json
 
-from snipebend.experts.demand import Demand, RankCounts
-from snipebend.experts.group_watch import ExpertSizes, first_map, fits
+from snipebend.experts.demand import Demand
+from snipebend.experts.direct_orders import RankCounts
+from snipebend.experts.sizes import ExpertSizes, first_map, fits
 from snipebend_platform.documents import read_message
 from snipebend_platform.engine_calls import _Picked, _Report
 
--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -5,8 +5,8 @@
 import unittest
 from types import SimpleNamespace
 
-from snipebend.experts.demand import RankCounts
 from snipebend.experts.direct_orders import (
+    RankCounts,
     Arm,
     Armed,
     Go,
@@ -16,7 +16,7 @@
     Reply,
 )
 from snipebend.experts.group_pace import GroupPaces
-from snipebend.experts.group_watch import ORDER_MARGIN_S
+from snipebend.experts.sizes import ORDER_MARGIN_S
 from snipebend.experts.hold_aim import AHEAD
 from snipebend.hosts.model import EngineProfile, HostService, HostTable
 from snipebend.kernel.registry import Registry
@@ -141,6 +141,9 @@
     async def close(self):
         """Nothing is open."""
 
+    def load(self):
+        """Nothing is needed."""
+
 
 class TestGroupBalancer(unittest.IsolatedAsyncioTestCase):
     """A new leader looks before it orders."""
--- /dev/null
+++ b/tests/transport/test_last_switch.py
@@ -0,0 +1,70 @@
+"""What reports of different age show of a switch."""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.experts.direct_orders import RankReport
+from snipebend.experts.direct_switch import Phase
+from snipebend.state.group_plans import GroupPlan
+from snipebend.state.roster import UpstreamRecord
+from snipebend.transport.group_eyes import Seen
+from snipebend.transport.last_switch import LastSwitch
+
+PLAN = GroupPlan('g', 1, 7, (((0,), (1,)),))
+
+
+def seen(*ranks):
+    """Return a group of which each rank reports step, version and hold."""
+    reports = {
+        rank: RankReport(
+            str(rank), 'g', 1, rank, len(ranks), True, step, version, held=held
+        )
+        for rank, (step, version, held) in enumerate(ranks)
+    }
+    record = UpstreamRecord('0', 's', '10.0.0.1:80', 'dc', 4)
+    return Seen(reports, dict.fromkeys(reports, record), 99.0)
+
+
+class TestLastSwitch(unittest.TestCase):
+    """A switch that was let go at pass 303."""
+
+    def setUp(self):
+        self.last = LastSwitch()
+        self.last.note_end(7, Phase.LET_GO, 303, 10.0)
+
+    def test_reports_from_before_the_pass(self):
+        old = seen((302, 6, 303), (302, 6, None))
+        self.assertTrue(self.last.is_unfinished(PLAN, old))
+        self.assertTrue(self.last.is_under_way(PLAN, old))
+
+    def test_a_slow_ranks_report_is_older(self):
+        mixed = seen((302, 6, 303), (310, 7, None))
+        self.assertTrue(self.last.is_under_way(PLAN, mixed))
+        self.assertFalse(mixed.is_held)
+
+    def test_a_rank_that_did_not_switch_must_be_seen_to(self):
+        failed = seen((310, 6, None), (310, 7, None))
+        self.assertTrue(self.last.is_unfinished(PLAN, failed))
+        self.assertFalse(self.last.is_under_way(PLAN, failed))
+
+    def test_in_force_everywhere(self):
+        self.assertFalse(
+            self.last.is_unfinished(PLAN, seen((310, 7, None), (310, 7, None)))
+        )
+
+    def test_another_plan_or_epoch(self):
+        old = seen((302, 6, None), (302, 6, None))
+        later = GroupPlan('g', 1, 8, PLAN.layers)
+        self.assertFalse(self.last.is_under_way(later, old))
+        formed = GroupPlan('g', 2, 7, PLAN.layers)
+        self.assertFalse(self.last.is_unfinished(formed, old))
+
+    def test_a_hold_is_seen(self):
+        self.assertTrue(seen((302, 7, 303), (301, 7, None)).is_held)
+
+    def test_a_refused_plan_is_left(self):
+        self.last.note_end(7, Phase.REFUSED, None, 11.0)
+        old = seen((302, 6, None), (302, 6, None))
+        self.assertFalse(self.last.is_unfinished(PLAN, old))
+        self.assertEqual(self.last.settled_at, 11.0)
