Leave the second reading after a change that made passes short

Cause: counts were read again 0.8 s after each change, three of the ten readings that a turn costs, although most changes had made passes short and nobody would have gained from another one.

Test: reading_plan.

--- a/src/snipebend/experts/reading_plan.py
+++ b/src/snipebend/experts/reading_plan.py
@@ -30,8 +30,8 @@
 #: Seconds over which choices are counted: two or three passes.
 SPAN_S = 0.15
 
-#: Seconds after a change at which the same counts are read once more: they
-#: then tell of the demand four times as well.
+#: Seconds after a change at which the same counts are read once more, if passes
+#: are long still: they then tell of the demand four times as well.
 REFINE_S = 0.8
 
 
@@ -71,6 +71,11 @@
         """Return what to read; ``pass_s`` are the seconds of a pass."""
         if self._end_at is None:
             return self._look_or_glance(now, pass_s)
+        if not self.is_new and self._is_calm(pass_s):
+            # After a change: nobody needs a better one.
+            if now >= self._end_at:
+                self._end_at = None
+            return Reading.NOTHING
         return Reading.END if now >= self._end_at else Reading.NOTHING
 
     def note_begun(self, now: float) -> None:
@@ -104,10 +109,13 @@
         """Take note that demand hasn't turned."""
         self._glance_at = now + GLANCE_EVERY_S
 
+    def _is_calm(self, pass_s: float | None) -> bool:
+        return pass_s is not None and pass_s < CALM_SHARE * self._allowed_s
+
     def _look_or_glance(self, now: float, pass_s: float | None) -> Reading:
         if pass_s is None or not self._allowed_s:
             return Reading.BEGIN if now >= self._look_at else Reading.NOTHING
-        if pass_s < CALM_SHARE * self._allowed_s:
+        if self._is_calm(pass_s):
             return Reading.NOTHING
         if self._glance_at is None:
             return Reading.BEGIN if now >= self._look_at else Reading.NOTHING
--- a/tests/experts/test_reading_plan.py
+++ b/tests/experts/test_reading_plan.py
@@ -59,11 +59,16 @@
 
     def test_the_same_counts_are_read_again_after_a_change(self):
         self.plan.note_changed(self.now)
-        self.assertIs(self.reads(CALM_S, REFINE_S / 2), Reading.NOTHING)
-        self.assertIs(self.reads(CALM_S, REFINE_S), Reading.END)
+        self.assertIs(self.reads(LONG_S, REFINE_S / 2), Reading.NOTHING)
+        self.assertIs(self.reads(LONG_S, REFINE_S), Reading.END)
         # Demand may have turned within so long a span.
         self.assertFalse(self.plan.is_new)
 
+    def test_not_after_a_change_that_made_passes_short(self):
+        self.plan.note_changed(self.now)
+        self.assertIs(self.reads(CALM_S, REFINE_S), Reading.NOTHING)
+        self.assertIs(self.reads(LONG_S), Reading.BEGIN)
+
     def test_now_and_then_while_nobody_tells_of_passes(self):
         self.assertIs(self.reads(None), Reading.BEGIN)
         self.plan.note_kept(self.now, None)
