Listen for callers before the rest of an entry is loaded

Importing takes an entry 0.45 s. It now opens its callers' socket with the standard library alone, and the kernel takes connections until the process serves them.

Test: a request from before the start is served; nothing heavy is imported.

--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -16,6 +16,8 @@
 from snipebend.transport.rpc_clients import RpcClients
 
 if TYPE_CHECKING:
+    import socket
+
     from snipebend.relay.facts import Dialect
     from snipebend.settings.relay import RelaySettings
 
@@ -24,9 +26,15 @@
 
 
 def build_relay_entry(
-    cfg: RelaySettings, dialect: Dialect, read_table: ReadTable
+    cfg: RelaySettings,
+    dialect: Dialect,
+    read_table: ReadTable,
+    listener: socket.socket | None = None,
 ) -> tuple[Process, HttpServer]:
-    """Build the process, and the server that tells whether it is ready."""
+    """Build the process, and the server that tells whether it is ready.
+
+    ``listener`` is open for callers already.
+    """
     admin = build_admin(cfg.listen)
     ready = HttpServer('readiness', *split_address(cfg.readiness))
     clients = RpcClients(PING_S, PING_S)
@@ -43,7 +51,7 @@
         desk,
         gossip,
         PaceTeller('paces', cfg.process.name, desk.paces.take),
-        RelayServer('callers', cfg),
+        RelayServer('callers', cfg, listener),
         ready,
         admin,
     ]
--- a/src/snipebend/edge/relay_server.py
+++ b/src/snipebend/edge/relay_server.py
@@ -12,9 +12,10 @@
 from snipebend.hosts.model import CallerLimits
 from snipebend.kernel.service import Service
 from snipebend.settings.seeds import split_address
-from snipebend.transport.http_server import open_listener
+from snipebend.transport.listeners import open_listener
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Mapping
 
     from snipebend.edge.answer_writer import AnswerWriter
@@ -39,9 +40,15 @@
 class RelayServer(Service):
     """Serves callers' connections."""
 
-    def __init__(self, name: str, cfg: RelaySettings) -> None:
-        """Keep the settings; nothing listens yet."""
+    def __init__(
+        self,
+        name: str,
+        cfg: RelaySettings,
+        listener: socket.socket | None = None,
+    ) -> None:
+        """Keep the settings, and a listener that is open already."""
         super().__init__(name)
+        self._listener = listener
         self.draining = False
         self.address = ''
         self._cfg = cfg
@@ -52,7 +59,9 @@
         """Listen."""
         self._clock = registry.clock
         self._desk = registry.find('relay', RelayDesk)
-        sock = open_listener(*split_address(self._cfg.callers))
+        sock = self._listener
+        if sock is None:
+            sock = open_listener(*split_address(self._cfg.callers))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self), sock=sock
--- a/src/snipebend/transport/http_server.py
+++ b/src/snipebend/transport/http_server.py
@@ -3,28 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 from uvicorn import Config, Server
 
 from snipebend.kernel.service import Service
+from snipebend.transport.listeners import BACKLOG, open_listener
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Mapping
 
     from snipebend.kernel.registry import Registry
 
-#: Connections that may wait to be accepted.
-BACKLOG = 2048
-
-
-#: Milliseconds after which a connection is dropped whose other end takes no
-#: data: it is silent, or its reader has stopped. Accepted connections inherit
-#: the option (RFC 5482).
-USER_TIMEOUT_MS = 60_000
-
 
 class _QuietServer(Server):
     """Leaves the signals to the process, which drains before it stops."""
@@ -95,18 +87,3 @@
         backlog=BACKLOG,
         timeout_graceful_shutdown=None,
     )
-
-
-def open_listener(host: str, port: int) -> socket.socket:
-    """Return a listening socket; port 0 lets the system choose."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        USER_TIMEOUT_MS,
-    )
-    sock.bind((host, port))
-    sock.listen(BACKLOG)
-    sock.setblocking(False)  # noqa: WPS425  # the flag is positional only
-    return sock
--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -198,7 +198,9 @@
 
 
 @asynccontextmanager
-async def running(*scripts, table=TABLE, stop_within_s=2.0, slots=4):
+async def running(
+    *scripts, table=TABLE, stop_within_s=2.0, slots=4, listener=None
+):
     """Run a relay before upstreams that follow these scripts."""
     cfg = RelaySettings(
         process=ProcessSection(name='entry-1', data_center='dc-a'),
@@ -209,7 +211,7 @@
     registry = Registry(SystemClock(), TaskSupervisor())
     follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
     desk = RelayDesk('relay', cfg, Dialect())
-    server = RelayServer('callers', cfg)
+    server = RelayServer('callers', cfg, listener)
     for service in (follower, desk, server):
         registry.register(service)
     follower._clock = registry.clock
