Test from a group's passes to its map: read when long, left when short

The balancer's tests had no demand: counts never grew. Now streams' passes are told, counts grow with them, and the test sees what is read, the plan and the map in force: nothing while passes are short, a better map once they are long, which then stays. The cases from before are unchanged, on a shared base class.

--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -18,7 +18,14 @@
 from snipebend.experts.group_pace import GroupPaces
 from snipebend.experts.sizes import ORDER_MARGIN_S
 from snipebend.experts.hold_aim import AHEAD
-from snipebend.hosts.model import EngineProfile, HostService, HostTable
+from snipebend.hosts.model import (
+    EngineProfile,
+    HostRoute,
+    HostService,
+    HostTable,
+    Kind,
+    Split,
+)
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
 from snipebend.kernel.tasks import TaskSupervisor
@@ -33,9 +40,29 @@
 LAG_S = 0.2
 SETTLE_S = LAG_S + ORDER_MARGIN_S
 ENGINE = EngineProfile(
-    4, 1000, layers=1, experts=4, places=3, spare=1, report_lag_s=LAG_S
+    4,
+    1000,
+    layers=1,
+    experts=4,
+    places=3,
+    spare=1,
+    expert_share=0.85,
+    report_lag_s=LAG_S,
+)
+ALLOWED_S = 0.12
+ROUTE = HostRoute(
+    'r',
+    'h',
+    '/',
+    Kind.STREAM,
+    8.0,
+    0.4,
+    1,
+    (Split('s', 1),),
+    2,
+    gap_s=ALLOWED_S,
 )
-TABLE = HostTable(1, services=(HostService('s', '/', 9, ENGINE),))
+TABLE = HostTable(1, (ROUTE,), (HostService('s', '/', 9, ENGINE),))
 PLAN = GroupPlan('g', 1, 1, (((0, 2), (1, 3, 2)),))
 
 
@@ -68,6 +95,12 @@
     def machine(self):
         return self.kept
 
+    def wall(self):
+        return 0.0
+
+    async def execute(self, command):
+        return self.kept.state.plans.decide(command.req)
+
 
 class FakeKeeper(HostKeeper):
     """Takes what is told."""
@@ -101,6 +134,7 @@
         self.pace = 1.0
         self.armed = {}
         self.prepared = set()
+        self.chosen = [0, 0, 0, 0]
 
     async def report(self, upstream):
         rank = int(upstream.identity)
@@ -120,7 +154,14 @@
         )
 
     async def counts(self, upstream):
-        return RankCounts(1, self.step, (0, 0, 0, 0))
+        self.asked.append('counts')
+        return RankCounts(1, self.step, tuple(self.chosen))
+
+    def work(self, passes=3):
+        """Make passes that choose the first expert most."""
+        self.step += passes
+        for expert, times in enumerate((900, 100, 300, 100)):
+            self.chosen[expert] += passes * times
 
     async def order(self, upstream, order):
         self.orders.append(type(order))
@@ -145,8 +186,8 @@
         """Nothing is needed."""
 
 
-class TestGroupBalancer(unittest.IsolatedAsyncioTestCase):
-    """A new leader looks before it orders."""
+class BalancerCase(unittest.IsolatedAsyncioTestCase):
+    """A balancer before two ranks, on the test's clock."""
 
     async def asyncSetUp(self):
         self.clock = Clock()
@@ -156,8 +197,9 @@
         self.keeper = FakeKeeper()
         registry.register(self.store)
         registry.register(self.keeper)
+        self.paces = GroupPaces()
         self.balancer = GroupBalancer(
-            'balancer', self.engines, lambda: TABLE, GroupPaces()
+            'balancer', self.engines, lambda: TABLE, self.paces
         )
         state = self.store.machine.state
         for rank in range(RANKS):
@@ -173,6 +215,10 @@
         for care in tuple(self.balancer.cares.values()):
             await care.look()
 
+
+class TestGroupBalancer(BalancerCase):
+    """A new leader looks before it orders."""
+
     async def test_no_order_before_the_last_leaders_show(self):
         await self.look()
         self.clock.at += SETTLE_S / 2
@@ -240,3 +286,48 @@
         self.clock.at += SETTLE_S
         await self.look()
         self.assertEqual(self.keeper.groups['g'].slow, ('0', '1'))
+
+
+class TestDemand(BalancerCase):
+    """Counts are read, and maps changed, when passes have become long."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.store.machine.state.plans.plans.clear()
+        self.paces.note('g', 3, 0.1 * ALLOWED_S, self.clock.at)
+        await self.look()
+        self.clock.at += SETTLE_S
+        self.engines.asked.clear()
+
+    async def pass_time(self, pass_s, passes=3):
+        """Let streams show some passes, and control look at the group."""
+        self.clock.at += passes * pass_s
+        self.engines.work(passes)
+        self.paces.note('g', passes, passes * pass_s, self.clock.at)
+        await self.look()
+
+    async def test_nothing_is_read_while_passes_are_short(self):
+        for _ in range(30):
+            await self.pass_time(0.3 * ALLOWED_S)
+        self.assertNotIn('counts', self.engines.asked)
+        self.assertEqual(self.engines.orders, [])
+
+    async def test_long_passes_lead_to_a_better_map(self):
+        for _ in range(4):
+            await self.pass_time(0.9 * ALLOWED_S)
+        self.assertEqual(self.engines.version, 1)
+        plan = self.store.machine.state.plans.latest('g')
+        holders = sum(0 in held for held in plan.layers[0])
+        self.assertEqual(holders, 2)
+
+    async def test_it_stays_as_long_as_passes_are_short_again(self):
+        for _ in range(4):
+            await self.pass_time(0.9 * ALLOWED_S)
+        # What was seen of the map before counts for a while.
+        for _ in range(6):
+            await self.pass_time(0.3 * ALLOWED_S)
+        self.engines.asked.clear()
+        for _ in range(30):
+            await self.pass_time(0.3 * ALLOWED_S)
+        self.assertNotIn('counts', self.engines.asked)
+        self.assertEqual(self.engines.version, 1)
