Number plans over all groups: a rank may have come from another one

A plan's version is now above those of all groups.

Test: 60 schedules of two groups that exchange ranks, crash, and lose or freeze their leader together: no mixed pass, all switches end. Planted: orders that reach the other group where epochs coincide, ranks that change groups within an epoch, numbers by group; each is found. Single groups as before.

--- a/src/snipebend/state/group_plans.py
+++ b/src/snipebend/state/group_plans.py
@@ -44,6 +44,16 @@
 
     plans: dict[str, GroupPlan] = {}
 
+    @property
+    def next_version(self) -> int:
+        """Return a version above those of all groups.
+
+        A rank refuses versions up to the highest that it has had, and it may
+        have had them in another group: numbered group by group, a group with
+        such a rank kept its first map for as many plans as it was behind.
+        """
+        return 1 + max((one.version for one in self.plans.values()), default=0)
+
     def latest(self, group: str) -> GroupPlan:
         """Return a group's plan; version 0: none was decided."""
         return self.plans.get(group, GroupPlan(group))
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/transport/group_care.py
@@ -213,9 +213,8 @@
     ) -> bool:
         """Decide on a better map, and switch to it; tell whether it began."""
         watch = self._watching(sizes, seen)
-        plan = GroupPlan(
-            watch.group, watch.epoch, before.version + 1, outlook.layers
-        )
+        version = self._tools.store.machine.state.plans.next_version
+        plan = GroupPlan(watch.group, watch.epoch, version, outlook.layers)
         logger.info(
             'event=map_planned group={} epoch={} version={} step={} '
             + 'skew={:.3f} skew_after={:.3f} saving={:.3f} loads={}',
--- a/tests/experts/direct_world.py
+++ b/tests/experts/direct_world.py
@@ -221,7 +221,7 @@
         if planned != epoch or finished:
             if self.replaced or (world.quiet and not held):
                 return
-            version += 1
+            version = world.next_version()
             world.plan = (epoch, version)
         self.switch = self.make(
             GROUP,
@@ -275,6 +275,10 @@
             entry[2]()
         self.now = end
 
+    def next_version(self) -> int:
+        """Return the version of the next plan."""
+        return self.plan[1] + 1
+
     def settle(self) -> None:
         """Stop the faults and let the last switch end."""
         self.quiet = True
--- a/tests/state/test_group_plans.py
+++ b/tests/state/test_group_plans.py
@@ -36,3 +36,11 @@
         self.book.decide(PlanRequest(FIRST, 0))
         again = GroupPlan('g', 2, 1, FIRST.layers)
         self.assertFalse(self.book.decide(PlanRequest(again, 1)).accepted)
+
+    def test_versions_grow_over_all_groups(self):
+        """A rank may come from another group, and refuses what is lower."""
+        self.assertEqual(self.book.next_version, 1)
+        self.book.decide(PlanRequest(FIRST, 0))
+        other = GroupPlan('h', 1, self.book.next_version, FIRST.layers)
+        self.assertTrue(self.book.decide(PlanRequest(other, 0)).accepted)
+        self.assertEqual(self.book.next_version, 3)
