Bound what entries save of retries by the fleet's slack

Both groups had broken, every request was offered four times, and 14 entries spent what each may save: 3 and a fifth of 100 requests, 322 in all, whatever the number of entries. The setting for the fleet's slack was read by nobody.

An entry now saves an even part of half of the slack, by the entries that it knows; the template fills slack and share. The setting of the window, without effect, is gone.

Test: 5 and 14 entries with all that they saved, 10 s of an outage: within the share and the slack (with 23 each they come to 195 of 174 and 658 of 462).

--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -22,7 +22,7 @@
 from snipebend.relay.returning import wait_until
 from snipebend.relay.pace import PaceMeter
 from snipebend.relay.upstreams import UpstreamTable
-from snipebend.routing.retry_budget import RetryBudget
+from snipebend.routing.retry_budget import RetryBudget, savings_of_one
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -207,6 +207,10 @@
         if budget is None:
             budget = RetryBudget(self._cfg.relay.retry_ratio)
             self._budgets[service] = budget
+        entries = len(self._follower.entries) + 1
+        budget.take_savings(
+            savings_of_one(self._cfg.relay.retry_slack, entries)
+        )
         return budget
 
     def _take_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -30,10 +30,9 @@
     silent_after_s: Seconds = 1.5
     #: Share of the requests that may be sent once more, over the whole fleet.
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
-    #: Retries that the whole fleet has on top of that share in one window.
-    retry_slack: Annotated[float, Meta(ge=0)] = 20
-    #: Seconds of that window.
-    retry_window_s: Seconds = 10.0
+    #: Retries that the whole fleet has on top of that share in some seconds;
+    #: entries save half of them.
+    retry_slack: Annotated[float, Meta(ge=0)] = 90
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -37,6 +37,8 @@
         'ip': '10.1.0.40',
         'data_dir': '/data/control',
         'bootstrap': 'true',
+        'bounds.retry_budget_ratio': '0.25',
+        'bounds.budget_slack': '124',
     }
 )
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
@@ -67,11 +69,18 @@
     def fill(self, name):
         text = (ROOT / 'deploy' / f'{name}.template').read_text('utf-8')
         text = re.sub(r'{{#seeds}}.*?{{/seeds}}', SEEDS, text)
+        text = re.sub(
+            r'{{#([\w.]+)}}(.*?){{\.}}{{/\1}}',
+            lambda match: match[2] + FILLED[match[1]],
+            text,
+        )
         return re.sub(r'{{([\w.]+)}}', lambda match: FILLED[match[1]], text)
 
     def test_entry(self):
         cfg = RelaySettings.from_table(tomllib.loads(self.fill('entry')))
         self.assertEqual(cfg.callers, '10.1.0.40:8227')
+        self.assertEqual(cfg.relay.retry_ratio, 0.25)
+        self.assertEqual(cfg.relay.retry_slack, 124)
         self.assertEqual(
             cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
         )
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -9,7 +9,12 @@
 
 from snipebend.routing.concurrency import AdaptiveLimit
 from snipebend.routing.ejection import Ejector
-from snipebend.routing.retry_budget import RESERVE, TRICKLE_PER_S, RetryBudget
+from snipebend.routing.retry_budget import (
+    RESERVE,
+    TRICKLE_PER_S,
+    RetryBudget,
+    savings_of_one,
+)
 
 _NAMES = ('a', 'b', 'c', 'd', 'e')
 
@@ -66,6 +71,14 @@
         self.assertEqual(ejector.standing('a', 16), 'in')
 
 
+def _full_budget(slack: float, entries: int) -> RetryBudget:
+    budget = RetryBudget(0.2)
+    budget.take_savings(savings_of_one(slack, entries))
+    for _ in range(1000):
+        budget.note_request()
+    return budget
+
+
 class RetryBudgetTest(TestCase):
     """Retries stay a small share of requests."""
 
@@ -83,6 +96,19 @@
             earned = 0.1 * budget.requests + TRICKLE_PER_S * now
             self.assertLessEqual(budget.granted, RESERVE + earned + 1e-6)
 
+    def test_all_entries_together_keep_to_the_slack(self) -> None:
+        """Also with all that they saved, in the 10 s of an outage."""
+        for entries, slack, requests in ((5, 94, 400), (14, 124, 1691)):
+            budgets = [_full_budget(slack, entries) for _ in range(entries)]
+            granted = 0
+            for tick in range(requests):
+                mine = budgets[tick % entries]
+                mine.note_request()
+                now = 10 * tick / requests
+                granted += sum(mine.take(now) for _ in range(3))
+            self.assertLessEqual(granted, 0.2 * requests + slack)
+            self.assertGreater(granted, 0.2 * requests)
+
 
 class AdaptiveLimitTest(TestCase):
     """The limit falls when latency rises, and comes back."""
