--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -159,8 +159,8 @@
             self._runs -= 1
             if facts.other_identity:
                 call.upstream.displaced = True
-            self._note_lost_rank(call.upstream, facts.lost_upstream)
-            reason = f'refused with {head.status} for {facts.lost_upstream}'
+            self._note_lost_rank(call.upstream, facts.at_fault)
+            reason = f'refused with {head.status} for {facts.at_fault}'
             return Ended(Ending.NOT_RUN, reason)
         if head.status >= _STATUS_FAILED or not facts.proved:
             return await self._read_failure(call, head, proved=facts.proved)
@@ -169,8 +169,11 @@
         return await self._relay_whole(call, Begun(head))
 
     def _note_lost_rank(self, upstream: Upstream, lost: str) -> None:
-        """Leave a group of which another rank is lost: all of it waits."""
-        if upstream.group is None or lost in {'', upstream.record.identity}:
+        """Leave a group of which another rank is lost: all of it waits.
+
+        One that is full names itself, and says nothing of the others.
+        """
+        if upstream.group is None or lost in {'', upstream.record.address}:
             return
         upstream.group.note_lost_rank(self._desk.now())
 
--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -74,8 +74,8 @@
     not_run: bool = False
     #: Whether another life of an upstream answered at this address.
     other_identity: bool = False
-    #: Another upstream whose loss is why; empty: none is named.
-    lost_upstream: str = ''
+    #: Address of the upstream that is to blame; empty: none is named.
+    at_fault: str = ''
 
 
 class Dialect(Protocol):
--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -68,6 +68,7 @@
             proved=b'x-proof' in sent,
             not_run=b'x-not-run' in sent,
             other_identity=head.status == 421,
+            at_fault=sent.get(b'x-at-fault', ''),
         )
 
     def refusal_headers(self, request_id, wait_s):
