Open an entry's gossip before its first watch of control

As long as control came up after entries, the first watch failed and the second told it; since control starts sooner, an entry may be watched without an address. Then no other entry knows it: it counts itself alone, saves half of the fleet's slack, and hears of nobody's calls.

Gossip starts first now.

Test: the first watch finds the address set.

--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -47,9 +47,12 @@
         desk.take_calls,
     )
     services = [
+        # First: a watch that the follower opens tells control where the others
+        # reach this entry. Without that, they know neither it nor its calls,
+        # and each saves retries as if it were alone.
+        gossip,
         HostFollower('hosts', cfg, clients, read_table),
         desk,
-        gossip,
         PaceTeller('paces', cfg.process.name, desk.paces.take),
         RelayServer('callers', cfg, listener),
         ready,
