--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from itertools import chain
 from typing import TYPE_CHECKING
@@ -50,6 +51,16 @@
 UNCONFIRMED_PATIENCE_S = 3.0
 
 
+@dataclass
+class WatchTally:
+    """What one watch of a daemon has brought, for the line on its end."""
+
+    began_at: float
+    news: int = 0
+    #: Number of the daemon's document as it told last.
+    number: int = 0
+
+
 class HostFollower(Service):
     """Follows every control daemon and merges what they tell."""
 
@@ -162,38 +173,48 @@
 
     async def _watch(self, address: str) -> None:
         """Follow one daemon for ever."""
-        lost = False
+        told_lost = False
         while not self._stopping:
+            tally = WatchTally(self._clock.now())
             try:
-                await self._follow(address)
+                await self._follow(address, tally)
             except (UnavailableError, TimeoutError) as exc:
                 self._clients.retire(address)
                 self._take_groups(address, ())
-                if not lost:
-                    logger.info(
-                        'event=control_lost peer={} reason={!r}',
-                        address,
-                        str(exc) or 'silent',
-                    )
-                lost = True
+                # One that refuses all the while is told once.
+                if tally.news or not told_lost:
+                    self._note_lost(address, tally, str(exc) or 'silent')
+                told_lost = True
             else:
-                lost = False
+                told_lost = False
             await asyncio.sleep(RETRY_S)
 
-    async def _follow(self, address: str) -> None:
+    def _note_lost(self, address: str, tally: WatchTally, reason: str) -> None:
+        logger.info(
+            'event=control_lost peer={} reason={!r} lasted_ms={:.0f} news={} '
+            + 'number={} told_number={}',
+            address,
+            reason,
+            1000 * (self._clock.now() - tally.began_at),
+            tally.news,
+            self._number,
+            tally.number,
+        )
+
+    async def _follow(self, address: str, tally: WatchTally) -> None:
         req = HostWatch(
             self._process, self._number, self._revision, self.gossip_address
         )
         stream = self._clients.stream(address, WATCH_HOSTS, req)
-        first = True
         while True:
             async with asyncio.timeout(SILENT_S):
                 news = await anext(stream, None)
             if news is None:
                 return
-            if first:
+            if not tally.news:
                 logger.info('event=control_found peer={}', address)
-            first = False
+            tally.news += 1
+            tally.number = news.number
             self._take(news, address)
 
     def _take(self, news: HostNews, address: str) -> None:
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -47,6 +47,7 @@
 
     async def start(self, registry: Registry) -> None:
         """Find the state."""
+        self._clock = registry.clock
         self._store = registry.find('state', ReplicatedState)
         self._started = True
 
@@ -141,20 +142,35 @@
 
     async def watch(self, req: HostWatch) -> AsyncIterator[HostNews]:
         """Yield what is newer than the watcher's, and that nothing is."""
-        logger.info('event=watch_opened process={}', req.process)
+        logger.info(
+            'event=watch_opened process={} number={} roster_revision={}',
+            req.process,
+            req.number,
+            req.roster_revision,
+        )
+        began_at = self._clock.now()
+        document_bytes = 0
         self._watchers[req.process] = req.gossip_address
         number, revision = req.number, req.roster_revision
         try:
             while not self._stopping:
                 told = self._groups_told
                 news = self._news_after(number, revision)
+                document_bytes += len(news.document)
                 yield news
                 number = max(number, news.number)
                 revision = max(revision, news.roster_revision)
                 await self._wait_for_newer(number, revision, told)
         finally:
             self._watchers.pop(req.process, None)
-            logger.info('event=watch_closed process={}', req.process)
+            logger.info(
+                'event=watch_closed process={} lasted_ms={:.0f} number={} '
+                + 'document_bytes={}',
+                req.process,
+                1000 * (self._clock.now() - began_at),
+                number,
+                document_bytes,
+            )
 
     def _news_after(self, number: int, revision: int) -> HostNews:
         state = self._store.machine.state
