Close a stream's generator when its caller leaves

Cause: a handler that is cancelled while it sends leaves its generator suspended at a yield; grpclib's exceptions hold the frames in a cycle, so that it ends, and lets go of the reply that it holds, only when the oldest generation of garbage is collected.

--- a/src/snipebend/transport/rpc_server.py
+++ b/src/snipebend/transport/rpc_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import aclosing
 from typing import Any, NamedTuple
 
 from grpclib.const import Cardinality, Handler
@@ -84,8 +85,13 @@
     async def answer(stream: Any) -> None:
         req = await stream.recv_message()
         replies: Any = endpoint.handler(req)
-        async for reply in replies:
-            await stream.send_message(reply)
+        # A caller that leaves while a reply waits for its window ends this
+        # task outside of the generator. Unclosed, it would hold the reply
+        # until garbage is collected: control daemons reached the bound of
+        # their memory, by 10 to 25 MB a second, while watches came and went.
+        async with aclosing(replies):
+            async for reply in replies:
+                await stream.send_message(reply)
 
     return answer
 
