Tell a long roster in pieces; keep a watcher whose old watch ends late

Now 256 records (some 40 KB) a message, in the order of their revisions. Beside it: the end of an old watch forgot the gossip address that the same process's new watch had told. Both tests fail on the code before.

--- a/src/snipebend/state/roster.py
+++ b/src/snipebend/state/roster.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from itertools import islice
 
 from msgspec import Struct
 
@@ -100,13 +101,17 @@
         self._forget()
         return RecordReply(told.phase, self.revision)
 
-    def since(self, revision: int) -> tuple[UpstreamRecord, ...]:
-        """Return the records that are newer than a revision."""
-        return tuple(
+    def since(self, revision: int, most: int) -> tuple[UpstreamRecord, ...]:
+        """Return the oldest records that are newer than a revision.
+
+        What is recorded goes to the end, so that they are in that order.
+        """
+        newer = (
             record
             for record in self.upstreams.values()
             if record.revision > revision
         )
+        return tuple(islice(newer, most))
 
     def _forget(self) -> None:
         ended = [
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -32,6 +32,11 @@
 NEWS_EVERY_S = 0.5
 
 
+#: Records of upstreams in one message, some 40 KB: a watcher that loses
+#: patience with a long roster keeps what came before.
+MOST_RECORDS = 256
+
+
 class HostKeeper(Service):
     """Commits documents and upstreams, and tells entries of them."""
 
@@ -40,7 +45,8 @@
         super().__init__(name)
         self._stopping = False
         self._started = False
-        self._watchers: dict[str, str] = {}
+        #: The latest watch of each process.
+        self._watchers: dict[str, HostWatch] = {}
         self._groups: dict[str, GroupStanding] = {}
         #: Grows with each change of what is told of groups.
         self._groups_told = 0
@@ -70,7 +76,7 @@
         return {
             'document': state.documents.number,
             'roster_revision': state.roster.revision,
-            'watchers': dict(self._watchers),
+            'watchers': self._gossip_addresses(),
         }
 
     @property
@@ -154,7 +160,7 @@
             req.roster_revision,
         )
         began_at = self._clock.now()
-        self._watchers[req.process] = req.gossip_address
+        self._watchers[req.process] = req
         number, revision = req.number, req.roster_revision
         try:
             while not self._stopping:
@@ -165,7 +171,9 @@
                 revision = max(revision, news.roster_revision)
                 await self._wait_for_newer(number, revision, told)
         finally:
-            self._watchers.pop(req.process, None)
+            # An old watch may end after the one that took its place.
+            if self._watchers.get(req.process) is req:
+                self._watchers.pop(req.process)
             logger.info(
                 'event=watch_closed process={} lasted_ms={:.0f} number={}',
                 req.process,
@@ -196,17 +204,24 @@
         voters = group.replica.status.members.voters if group else ()
         book = state.documents
         inline = book.number > number and not req.fetches
+        upstreams = state.roster.since(revision, MOST_RECORDS)
+        all_told = len(upstreams) < MOST_RECORDS
         return HostNews(
             book.number,
-            state.roster.revision,
+            state.roster.revision if all_told else upstreams[-1].revision,
             -1 if ago is None else ago,
             book.body if inline else b'',
-            state.roster.since(revision),
+            upstreams,
             tuple(member.address for member in voters),
-            tuple(filter(None, self._watchers.values())),
+            tuple(filter(None, self._gossip_addresses().values())),
             tuple(self._groups.values()),
         )
 
+    def _gossip_addresses(self) -> dict[str, str]:
+        return {
+            name: req.gossip_address for name, req in self._watchers.items()
+        }
+
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
         try:
             return Ok(await self._store.execute(command))
--- a/tests/state/test_roster.py
+++ b/tests/state/test_roster.py
@@ -110,9 +110,9 @@
         self.record(READY)
         self.record(UpstreamRecord('i-2', 's', '10.0.0.2:80', 'dc-a', 6))
         self.record(ended('i-1'))
-        newer = {one.identity for one in self.roster.since(1)}
+        newer = {one.identity for one in self.roster.since(1, 9)}
         self.assertEqual(newer, {'i-1', 'i-2'})
-        self.assertEqual(self.roster.since(3), ())
+        self.assertEqual(self.roster.since(3, 9), ())
 
     def test_ended_ones_are_forgotten_in_the_end(self):
         self.record(READY)
--- a/tests/transport/test_host_keeper.py
+++ b/tests/transport/test_host_keeper.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, aclosing
 
 from snipebend.state.host_news import HostWatch
+from snipebend.transport import host_keeper
 from tests.edge.document_rig import Daemon
 
 
@@ -29,3 +30,35 @@
         self.assertEqual((told.number, told.document), (4, b''))
         told = await self.first_news(fetches=False)
         self.assertEqual((told.number, told.document), (4, b'4 body'))
+
+    async def test_the_end_of_an_old_watch_leaves_the_new_one(self):
+        """Else the others forget an entry that lives, and its calls."""
+        old = self.keeper.watch(HostWatch('e', 0, 0, '10.0.0.1:7'))
+        await anext(old)
+        new = self.keeper.watch(HostWatch('e', 0, 0, '10.0.0.1:8'))
+        await anext(new)
+        await old.aclose()
+        third = self.keeper.watch(HostWatch('f', 0, 0, '10.0.0.2:7'))
+        told = await anext(third)
+        self.assertEqual(set(told.entries), {'10.0.0.1:8', '10.0.0.2:7'})
+        await new.aclose()
+        await third.aclose()
+
+    async def test_a_long_roster_comes_in_pieces_that_add_up(self):
+        """What a watch brought stays when it ends before the roster does."""
+        count = 2 * host_keeper.MOST_RECORDS + 1
+        for number in range(count):
+            self.daemon.record(f'i-{number}')
+        seen = set()
+        revision = 0
+        pieces = 0
+        while revision < count:
+            watch = HostWatch('e', 0, revision, fetches=True)
+            async with aclosing(self.keeper.watch(watch)) as news:
+                told = await anext(news)
+            self.assertLessEqual(len(told.upstreams), host_keeper.MOST_RECORDS)
+            seen |= {one.identity for one in told.upstreams}
+            revision = told.roster_revision
+            pieces += 1
+        self.assertEqual(len(seen), count)
+        self.assertEqual(pieces, 3)
