--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -53,6 +53,15 @@
     most_loads: int = 0
 
 
+class Kept(NamedTuple):
+    """Why a look left the map as it is."""
+
+    reason: str
+    skew: float = 0
+    skew_after: float = 0
+    saving: float = 0
+
+
 class GroupWatch:
     """One epoch of a group."""
 
@@ -114,18 +123,20 @@
             self._pace = Pace(step, now)
         self.step = max(self.step, step)
 
-    def look(self, layers: tuple[LayerMap, ...]) -> Outlook | None:
-        """Return a map that is worth its loads; none: keep the present."""
+    def look(self, layers: tuple[LayerMap, ...]) -> Outlook | Kept:
+        """Return a map that is worth its loads, or why there is none."""
         shares = self._demand.shares
         if shares is None:
-            return None
+            return Kept('turning')
         loads: list[list[float]] = (shares * self.size).tolist()
         before = self._mean_skew(layers, loads)
         better = self._search(layers, loads)
         after = self._mean_skew(better, loads)
         saving = self._saving(before, after)
-        if saving < LEAST_SAVING or self._is_calm(saving):
-            return None
+        if saving < LEAST_SAVING:
+            return Kept('saving', before, after, saving)
+        if self._is_calm(saving):
+            return Kept('calm', before, after, saving)
         fetched = _loads_by_rank(layers, better)
         return Outlook(
             better, before, after, saving, sum(fetched), max(fetched)
--- a/src/snipebend/transport/control_meters.py
+++ b/src/snipebend/transport/control_meters.py
@@ -48,6 +48,14 @@
             description='switches of expert maps by how they ended',
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
+        self._kept = meter.create_counter(
+            'snipebend_maps_kept',
+            description='looks that left a map as it is, by reason',
+        )
+        self._readings = meter.create_counter(
+            'snipebend_count_readings',
+            description='readings of counts, by what they were for',
+        )
         self._skew = meter.create_gauge(
             'snipebend_map_skew',
             description='load of the fullest rank over the mean, at a plan',
@@ -61,6 +69,14 @@
         """Note how a switch ended, and after how long."""
         self._switches.record(seconds, {'group': group, 'phase': phase})
 
+    def kept(self, group: str, reason: str) -> None:
+        """Count a look at a group that left its map as it is."""
+        self._kept.add(1, {'group': group, 'reason': reason})
+
+    def read(self, group: str, reading: str) -> None:
+        """Count a reading of a group's counts."""
+        self._readings.add(1, {'group': group, 'reading': reading})
+
     def planned(self, group: str, before: float, after: float) -> None:
         """Note the skew of the map in force, and of the one decided on."""
         self._skew.set(before, {'group': group, 'map': 'in-force'})
--- a/src/snipebend/transport/demand_follower.py
+++ b/src/snipebend/transport/demand_follower.py
@@ -4,13 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from snipebend.experts.reading_plan import Reading, ReadingPlan
 
 if TYPE_CHECKING:
     from snipebend.experts.group_pace import GroupPaces
-    from snipebend.experts.group_watch import GroupWatch
+    from snipebend.experts.group_watch import GroupWatch, Kept
     from snipebend.experts.sizes import ExpertSizes
     from snipebend.kernel.clock import Clock
+    from snipebend.transport.control_meters import BalancerMeters
     from snipebend.transport.count_reader import CountReader
     from snipebend.transport.group_eyes import Seen
 
@@ -30,7 +33,12 @@
     """Reads one group's counts when its passes say that it is worth it."""
 
     def __init__(
-        self, group: str, counts: CountReader, paces: GroupPaces, clock: Clock
+        self,
+        group: str,
+        counts: CountReader,
+        paces: GroupPaces,
+        clock: Clock,
+        meters: BalancerMeters,
     ) -> None:
         """Start without having heard of the group."""
         self.plan = ReadingPlan(0)
@@ -38,6 +46,7 @@
         self._counts = counts
         self._paces = paces
         self._clock = clock
+        self._meters = meters
         #: The last pass that was reported, and when it was news.
         self._step = 0
         self._moved_at: float = 0
@@ -68,6 +77,22 @@
         self._doubted_at = now
         return True
 
+    def note_kept(self, watch: GroupWatch, kept: Kept) -> None:
+        """Take note that a look left the map as it is."""
+        logger.info(
+            'event=map_kept group={} epoch={} reason={} skew={:.3f} '
+            + 'skew_after={:.3f} saving={:.3f} pass_ms={:.0f}',
+            watch.group,
+            watch.epoch,
+            kept.reason,
+            kept.skew,
+            kept.skew_after,
+            kept.saving,
+            1000 * (watch.told_pass_s or 0),
+        )
+        self._meters.kept(watch.group, kept.reason)
+        self.plan.note_kept(self._clock.now(), watch.told_pass_s)
+
     async def read(self, watch: GroupWatch, seen: Seen) -> bool:
         """Read counts if it is time; tell whether a span has ended."""
         now = self._clock.now()
@@ -76,6 +101,7 @@
         reading = self.plan.next_reading(now, watch.told_pass_s)
         if reading is Reading.NOTHING:
             return False
+        self._meters.read(self._group, reading.value)
         is_new = self.plan.is_new and reading is Reading.END
         if not await self._counts.read(watch, seen, reading, is_new=is_new):
             self.plan.note_failed(now)
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/transport/group_care.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from snipebend.experts.direct_switch import Phase
-from snipebend.experts.group_watch import GroupWatch, Outlook
+from snipebend.experts.group_watch import GroupWatch, Kept, Outlook
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
 from snipebend.state.host_news import GroupPhase, GroupStanding
@@ -83,7 +83,7 @@
         self._clock = tools.clock
         self._eyes = tools.eyes
         self._follower = DemandFollower(
-            key.group, tools.counts, tools.paces, tools.clock
+            key.group, tools.counts, tools.paces, tools.clock, tools.meters
         )
         self._last = LastSwitch()
 
@@ -176,8 +176,8 @@
         if seen.is_held:
             # A hold whose order came late: only a switch ends it.
             outlook = Outlook(layers)
-        if outlook is None:
-            self._follower.plan.note_kept(self._clock.now(), watch.told_pass_s)
+        if isinstance(outlook, Kept):
+            self._follower.note_kept(watch, outlook)
             return
         if await self._change(sizes, seen, plan, outlook):
             self._follower.plan.note_changed(self._clock.now())
--- a/tests/experts/test_group_watch.py
+++ b/tests/experts/test_group_watch.py
@@ -6,7 +6,11 @@
 import unittest
 
 from snipebend.experts.direct_orders import RankCounts, RankReport
-from snipebend.experts.group_watch import URGENT_SAVING, GroupWatch
+from snipebend.experts.group_watch import (
+    URGENT_SAVING,
+    GroupWatch,
+    Outlook,
+)
 from snipebend.experts.sizes import ExpertSizes, first_map
 
 SIZES = ExpertSizes(2, 64, 5, 2, 0.85, 0.1)
@@ -51,7 +55,7 @@
 
     def test_nothing_before_two_readings(self):
         self.feed()
-        self.assertIsNone(self.watch.look(self.layers))
+        self.assertEqual(self.watch.look(self.layers).reason, 'turning')
         self.feed()
         outlook = self.watch.look(self.layers)
         self.assertGreater(outlook.skew_before, 3)
@@ -63,7 +67,7 @@
         self.feed(3)
         better = self.watch.look(self.layers).layers
         self.feed(5)
-        self.assertIsNone(self.watch.look(better))
+        self.assertEqual(self.watch.look(better).reason, 'saving')
 
     def test_a_small_gain_waits_while_passes_are_short(self):
         # With a small share of the work, experts gain less for a pass.
@@ -72,7 +76,7 @@
         calm = self._seen(small._replace(pause_s=0.2))
         urgent = self._seen(SIZES._replace(pause_s=0.2))
         self.assertLess(hasty.look(self.layers).saving, URGENT_SAVING)
-        self.assertIsNone(calm.look(self.layers))
+        self.assertEqual(calm.look(self.layers).reason, 'calm')
         self.assertGreater(urgent.look(self.layers).saving, URGENT_SAVING)
 
     def test_a_span_with_a_turn_in_it_tells_nothing(self):
@@ -81,10 +85,10 @@
         self.counter.turn()
         self.feed()
         self.assertTrue(self.watch.turning)
-        self.assertIsNone(self.watch.look(self.layers))
+        self.assertEqual(self.watch.look(self.layers).reason, 'turning')
         self.feed()
         self.assertFalse(self.watch.turning)
-        self.assertIsNotNone(self.watch.look(self.layers))
+        self.assertIsInstance(self.watch.look(self.layers), Outlook)
 
     def test_a_span_after_a_turn_tells_the_new_demand(self):
         self.feed(4)
@@ -99,13 +103,13 @@
     def test_short_spans_are_passed_over(self):
         self.feed()
         self.feed(3, choices=100)
-        self.assertIsNone(self.watch.look(self.layers))
+        self.assertEqual(self.watch.look(self.layers).reason, 'turning')
 
     def test_another_epoch_counts_nothing(self):
         self.feed()
         late = self.counter.span()._replace(epoch=2)
         self.watch.end_span({0: late}, self.now, is_new=False)
-        self.assertIsNone(self.watch.look(self.layers))
+        self.assertEqual(self.watch.look(self.layers).reason, 'turning')
 
     def test_the_pace_of_passes(self):
         self.feed(2)
@@ -120,7 +124,7 @@
     def test_a_small_gain_waits_until_passes_are_measured(self):
         watch = self._seen(SIZES._replace(share=0.2, pause_s=0.05))
         watch.renew_pace()
-        self.assertIsNone(watch.look(self.layers))
+        self.assertEqual(watch.look(self.layers).reason, 'calm')
 
     def test_several_ranks_tell_together(self):
         """Fewer choices of each will do."""
