Look again a second after a map was kept, while passes stay long

Passes would have had to grow by a quarter, and one rank's glances told nothing in 6 s. A bound on how long a map that doesn't fit stays in force: a full look 1 s after one that changed nothing, while passes are long. The test fails before (no bound).

--- a/src/snipebend/experts/reading_plan.py
+++ b/src/snipebend/experts/reading_plan.py
@@ -24,6 +24,13 @@
 #: look.
 GLANCE_EVERY_S = 0.3
 
+#: Seconds after a look that changed nothing until the next one, while passes
+#: stay long, whatever a glance tells: it bounds how long a map that doesn't fit
+#: stays in force. One rank of 72 has two or three streams, and shows a turn
+#: after seconds or not at all: on a calm day maps didn't fit for 6 s and half
+#: of the streams were late. Three ranks a second cost 0.003 of worth there.
+AGAIN_S = 1.0
+
 #: Seconds between two looks while no entry tells how long passes take.
 BLIND_EVERY_S = 0.5
 
@@ -64,6 +71,8 @@
         self._look_at: float = 0
         #: When to glance at one rank; none: no look has changed nothing.
         self._glance_at: float | None = None
+        #: When to look in any case while passes stay long.
+        self._again_at: float = 0
         #: The pace of a look that changed nothing.
         self._accepted_s: float = 0
 
@@ -108,6 +117,7 @@
         is_told = pass_s is not None and self._allowed_s > 0
         self._look_at = now + BLIND_EVERY_S
         self._glance_at = now + GLANCE_EVERY_S if is_told else None
+        self._again_at = now + AGAIN_S
 
     def note_changed(self, now: float) -> None:
         """Take note that the group has got another map."""
@@ -130,6 +140,6 @@
             return Reading.NOTHING
         if self._glance_at is None:
             return Reading.BEGIN if now >= self._look_at else Reading.NOTHING
-        if pass_s > LONGER * self._accepted_s:
+        if pass_s > LONGER * self._accepted_s or now >= self._again_at:
             return Reading.BEGIN
         return Reading.GLANCE if now >= self._glance_at else Reading.NOTHING
--- a/tests/experts/test_reading_plan.py
+++ b/tests/experts/test_reading_plan.py
@@ -6,6 +6,7 @@
 
 from snipebend.experts.group_pace import WINDOW_S, GroupPaces
 from snipebend.experts.reading_plan import (
+    AGAIN_S,
     BLIND_EVERY_S,
     CALM_SHARE,
     GLANCE_EVERY_S,
@@ -71,6 +72,16 @@
         self.assertIs(self.reads(CALM_S, GLANCE_EVERY_S), Reading.NOTHING)
         self.assertIs(self.reads(LONG_S), Reading.GLANCE)
 
+    def test_a_map_that_was_kept_is_looked_at_again_within_a_bound(self):
+        """Whatever one rank tells, and however long passes were then."""
+        self.plan.note_kept(self.now, 3 * LONG_S)
+        kept_at = self.now
+        while self.reads(3 * LONG_S, 0.05) is not Reading.BEGIN:
+            self.plan.note_glanced(self.now)
+            self.assertLess(self.now, kept_at + AGAIN_S + 0.1)
+        self.plan.note_kept(self.now, 3 * LONG_S)
+        self.assertIs(self.reads(CALM_S, 2 * AGAIN_S), Reading.NOTHING)
+
     def test_the_same_counts_are_read_again_after_a_change(self):
         self.plan.note_changed(self.now)
         self.assertIs(self.reads(LONG_S, REFINE_S / 2), Reading.NOTHING)
