--- a/src/snipebend/experts/reading_plan.py
+++ b/src/snipebend/experts/reading_plan.py
@@ -28,7 +28,7 @@
 #: stay long, whatever a glance tells: it bounds how long a map that doesn't fit
 #: stays in force. One rank of 72 has two or three streams, and shows a turn
 #: after seconds or not at all: on a calm day maps didn't fit for 6 s and half
-#: of the streams were late. Three ranks a second cost 0.003 of worth there.
+#: of the streams were late. The looks cost 0.0013 of worth there.
 AGAIN_S = 1.0
 
 #: Seconds between two looks while no entry tells how long passes take.
