--- a/src/snipebend/transport/count_reader.py
+++ b/src/snipebend/transport/count_reader.py
@@ -15,14 +15,12 @@
     from snipebend.kernel.clock import Clock
     from snipebend.transport.group_eyes import EngineLink, Seen
 
-#: Ranks whose counts are read at least: each reading is paid for and lets the
-#: group rest, and one rank's few requests tell the demand by a fifth wrong.
+#: Ranks whose counts are read: each reading is paid for and lets the
+#: group rest, and one rank's few requests tell the demand by a fifth wrong. Nine
+#: of 72 ranks came to a worth of 0.890 and 0.911 on two calm days, three to
+#: 0.894 and 0.914.
 SAMPLE = 3
 
-#: One rank of so many is read in larger groups, whose demand is that of more
-#: requests than three ranks have.
-OF_RANKS = 8
-
 
 class CountReader:
     """Reads the counts of as few ranks as will do."""
@@ -41,8 +39,7 @@
         is_new: bool = True,
     ) -> bool:
         """Begin or end a span; tell whether the epoch holds."""
-        size = max(SAMPLE, len(seen.upstreams) // OF_RANKS)
-        ranks = _spread(seen.upstreams, size)
+        ranks = _spread(seen.upstreams, SAMPLE)
         if reading is Reading.GLANCE:
             ranks = ranks[:1]
         found = await asyncio.gather(
--- a/src/snipebend/transport/demand_follower.py
+++ b/src/snipebend/transport/demand_follower.py
@@ -101,7 +101,7 @@
         reading = self.plan.next_reading(now, watch.told_pass_s)
         if reading is Reading.NOTHING:
             return False
-        self._meters.read(self._group, reading.value)
+        self._note_reading(reading, watch)
         is_new = self.plan.is_new and reading is Reading.END
         if not await self._counts.read(watch, seen, reading, is_new=is_new):
             self.plan.note_failed(now)
@@ -123,6 +123,18 @@
             return False
         return True
 
+    def _note_reading(self, reading: Reading, watch: GroupWatch) -> None:
+        logger.info(
+            'event=counts_read group={} reading={} new={} known={} '
+            + 'pass_ms={:.0f}',
+            self._group,
+            reading.value,
+            self.plan.is_new,
+            not watch.turning,
+            1000 * (watch.told_pass_s or 0),
+        )
+        self._meters.read(self._group, reading.value)
+
     async def _begin(self, watch: GroupWatch, seen: Seen) -> None:
         """Begin a span on as many ranks as tell the demand."""
         if await self._counts.read(watch, seen, Reading.BEGIN):
