--- a/src/snipebend/experts/demand.py
+++ b/src/snipebend/experts/demand.py
@@ -29,8 +29,8 @@
 #: requests of one span are alike. Where liking is spread over 144 experts, half
 #: of it may turn and 0.2 of the choices differ: by a fixed bound of 0.22 such
 #: turns were added to what was known, and maps followed them seconds late. Calm
-#: days of two groups of 72 ranks: a worth of 0.624 and 0.724 by the fixed bound,
-#: 0.894 and 0.914 by chance.
+#: days of two groups of 72 ranks: a worth of 0.624 and 0.724 by the fixed
+#: bound, 0.894 and 0.914 by chance.
 BEYOND_CHANCE = 1.5
 
 #: Weight of earlier spans when one is added.
--- a/src/snipebend/transport/count_reader.py
+++ b/src/snipebend/transport/count_reader.py
@@ -16,9 +16,9 @@
     from snipebend.transport.group_eyes import EngineLink, Seen
 
 #: Ranks whose counts are read: each reading is paid for and lets the
-#: group rest, and one rank's few requests tell the demand by a fifth wrong. Nine
-#: of 72 ranks came to a worth of 0.890 and 0.911 on two calm days, three to
-#: 0.894 and 0.914.
+#: group rest, and one rank's few requests tell the demand by a fifth wrong.
+#: Nine of 72 ranks came to a worth of 0.890 and 0.911 on two calm days, three
+#: to 0.894 and 0.914.
 SAMPLE = 3
 
 
