Fetch a damaged document again; one state of the tests' daemons

Found by reading: a document whose digest differed was logged and counted as fetched, so that its change was in force with the next one only. It is fetched again after half a second, from another daemon if there is one. Two stand-ins of the replicated state in the tests are one.

--- a/src/snipebend/edge/document_fetcher.py
+++ b/src/snipebend/edge/document_fetcher.py
@@ -26,6 +26,10 @@
 #: Seconds before the next try after a failed one.
 RETRY_S = 0.05
 
+#: Seconds before a damaged document is fetched again, from another daemon if
+#: there is one: all of it crosses the link once more.
+DAMAGED_RETRY_S = 0.5
+
 
 class DocumentFetcher:
     """Asks one daemon at a time, over connections of its own.
@@ -73,8 +77,7 @@
             while self._sources.newest > self._done:
                 await self._fetch_part(assembly, clock)
                 if assembly.whole:
-                    took_s = clock.now() - began_at
-                    self._finish(assembly, took_s)
+                    await self._finish(assembly, began_at, clock)
                     assembly = Assembly()
                     began_at = clock.now()
 
@@ -96,26 +99,33 @@
         self._sources.note_failure(source, clock.now())
         await asyncio.sleep(RETRY_S)
 
-    def _finish(self, assembly: Assembly, took_s: float) -> None:
-        self._done = max(self._done, assembly.number)
-        unpacked = assembly.unpack()
+    async def _finish(
+        self, assembly: Assembly, began_at: float, clock: Clock
+    ) -> None:
+        """Hand the document on, or fetch it again if it is damaged."""
+        source = self._sources.current
         logger.info(
             'event=document_fetched number={} packed_bytes={} parts={} '
             + 'took_ms={:.0f} peer={}',
             assembly.number,
             assembly.arrived,
             assembly.parts,
-            1000 * took_s,
-            self._sources.current,
+            1000 * (clock.now() - began_at),
+            source,
         )
-        if unpacked.is_err():
-            logger.error(
-                'event=document_damaged number={} error={!r}',
-                assembly.number,
-                str(unpacked.unwrap_err()),
-            )
+        unpacked = assembly.unpack()
+        if unpacked.is_ok():
+            self._done = assembly.number
+            self._take(assembly.number, unpacked.unwrap(), source)
             return
-        self._take(assembly.number, unpacked.unwrap(), self._sources.current)
+        logger.error(
+            'event=document_damaged number={} peer={} error={!r}',
+            assembly.number,
+            source,
+            str(unpacked.unwrap_err()),
+        )
+        self._sources.note_failure(source, clock.now())
+        await asyncio.sleep(DAMAGED_RETRY_S)
 
     def _note_failure(
         self, source: str, assembly: Assembly, reason: str
--- a/tests/edge/document_rig.py
+++ b/tests/edge/document_rig.py
@@ -11,36 +11,17 @@
 from snipebend.hosts.model import HostTable
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
-from snipebend.kernel.service import Service
 from snipebend.kernel.tasks import TaskSupervisor
 from snipebend.settings.model import ProcessSection
 from snipebend.settings.relay import RelaySettings
 from snipebend.settings.seeds import SeedsSection
 from snipebend.state.documents import PutRequest
-from snipebend.state.machine import Machine
 from snipebend.state.roster import RecordRequest, UpstreamRecord
 from snipebend.transport.host_keeper import HostKeeper
-from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_clients import RpcClients
 from snipebend.transport.rpc_server import RpcServer
 from tests.narrow_link import NarrowLink
-
-
-class OwnState(ReplicatedState):
-    """The state of a daemon that needs no others."""
-
-    def __init__(self):
-        Service.__init__(self, 'state')
-        self.changed = asyncio.Condition()
-        self.group = None
-        self.kept = Machine()
-
-    @property
-    def machine(self):
-        return self.kept
-
-    def wall(self):
-        return 0.0
+from tests.transport.own_state import OwnState
 
 
 class Daemon:
--- a/tests/transport/test_group_balancer.py
+++ b/tests/transport/test_group_balancer.py
@@ -30,11 +30,10 @@
 from snipebend.kernel.service import Service
 from snipebend.kernel.tasks import TaskSupervisor
 from snipebend.state.group_plans import GroupPlan
-from snipebend.state.machine import Machine
 from snipebend.state.roster import RecordRequest, UpstreamRecord
 from snipebend.transport.group_balancer import GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
-from snipebend.transport.replicated_state import ReplicatedState
+from tests.transport.own_state import OwnState
 
 RANKS = 2
 LAG_S = 0.2
@@ -80,23 +79,15 @@
         return self.at
 
 
-class FakeStore(ReplicatedState):
-    """A replica that leads, with a machine of the test's."""
+class FakeStore(OwnState):
+    """A replica that leads."""
 
     def __init__(self):
-        Service.__init__(self, 'state')
+        super().__init__()
         status = SimpleNamespace(term=3)
         self.group = SimpleNamespace(
             replica=SimpleNamespace(has_lease=True, status=status)
         )
-        self.kept = Machine()
-
-    @property
-    def machine(self):
-        return self.kept
-
-    def wall(self):
-        return 0.0
 
     async def execute(self, command):
         return self.kept.state.plans.decide(command.req)
