Weigh again only what a step of a map has changed

Cause: 0.7 to 1.0 s of a leader's time went by between counts and a plan for 192 ranks, in which the demand turned each 3.9 s. Each of 600 steps added up the loads of all ranks, who fetches what and how many hold each expert, and weighed each option over all 192 ranks, by general powers.

Change: loads, copies and fetches are kept and renewed where a step changed them; options are weighed over the ranks that any of them concerns (11 of 192 in the mean); eighth powers by squares.

--- a/src/snipebend/experts/layer_steps.py
+++ b/src/snipebend/experts/layer_steps.py
@@ -52,7 +52,12 @@
 
 
 class LayerSteps:
-    """Who holds what in one layer, and each rank's load; the mean is 1."""
+    """Who holds what in one layer, and each rank's load; the mean is 1.
+
+    A step concerns a few ranks and two experts, and only these are weighed
+    again: a search of 600 steps in a group of 192 ranks takes 0.11 s of a core,
+    0.34 s when each step looks at the whole layer.
+    """
 
     def __init__(
         self,
@@ -69,6 +74,11 @@
         for rank, held in enumerate(layer):
             self._held[rank, list(held)] = True
         self._before: Flags = self._held.copy()
+        self._copies: Places = self._held.sum(axis=0)
+        #: The load of each rank, slow ones' as often as they are.
+        self.heat: Floats = self._heat_of(slice(None))
+        #: How many experts each rank fetches.
+        self.fetched: Places = np.zeros(len(layer), dtype=np.intp)
 
     @property
     def skew(self) -> float:
@@ -82,12 +92,6 @@
             tuple(np.flatnonzero(held).tolist()) for held in self._held
         )
 
-    @property
-    def fetched(self) -> list[int]:
-        """Return how many experts each rank fetches."""
-        new: list[int] = (self._held & ~self._before).sum(axis=1).tolist()
-        return new
-
     def fetching_ranks(self, step: FoundStep) -> list[int]:
         """Return the ranks that a step has fetch an expert."""
         ranks = []
@@ -99,16 +103,25 @@
 
     def apply(self, step: FoundStep) -> None:
         """Carry a step out."""
+        concerned = [step.expert]
         self._held[step.target, step.expert] = True
         if step.moves:
             self._held[step.hot, step.expert] = False
         if step.dropped is not None:
+            concerned.append(step.dropped)
             self._held[step.target, step.dropped] = False
         if step.swaps:
             self._held[step.hot, step.dropped] = True
+        self._copies[concerned] = self._held[:, concerned].sum(axis=0)
+        ends = [step.hot, step.target]
+        new = self._held[ends] & ~self._before[ends]
+        self.fetched[ends] = new.sum(axis=1)
+        ranks: Flags = np.any(self._held[:, concerned], axis=1)
+        ranks[ends] = True
+        self.heat[ranks] = self._heat_of(ranks)
 
     def best_step(
-        self, may_fetch: Sequence[bool], spare: int, least_gain: float
+        self, may_fetch: Flags, spare: int, least_gain: float
     ) -> FoundStep | None:
         """Return the step that gains most; none gains ``least_gain``.
 
@@ -123,18 +136,17 @@
             self._before,
             self._loads,
             self._paces,
+            self._copies,
             hot,
             by_heat[by_heat != hot][:TARGETS],
         )
-        free = np.asarray(may_fetch) & (np.asarray(self.fetched) < spare)
+        free = may_fetch & (self.fetched < spare)
         step = options.best(heat, free, self._places)
         return step if step.gain > least_gain else None
 
-    @property
-    def heat(self) -> Floats:
-        """Return the load of each rank, slow ones' as often as they are."""
-        parts: Floats = self._loads / self._held.sum(axis=0)
-        heat: Floats = self._paces * (self._held @ parts)
+    def _heat_of(self, ranks: Flags | slice) -> Floats:
+        parts: Floats = self._loads / self._copies
+        heat: Floats = self._paces[ranks] * (self._held[ranks] @ parts)
         return heat
 
 
@@ -142,7 +154,8 @@
     """The steps from one hot rank to some targets.
 
     Arrays have the axes: the hot rank's experts, targets, what a target drops
-    (nothing first) and all ranks, of which some may be missing.
+    (nothing first) and the ranks that any of the steps concerns, of which some
+    may be missing: 11 in the mean of 192 ranks, 34 at the most.
     """
 
     def __init__(
@@ -151,29 +164,33 @@
         before: Flags,
         loads: Floats,
         paces: Floats,
+        copies: Places,
         hot: int,
         targets: Places,
     ) -> None:
         self._held = held
         self._before = before
         self._loads = loads
-        self._paces = paces
-        self._copies = held.sum(axis=0)
+        self._copies = copies
         self._hot = hot
         self._targets = targets
         self._experts = np.flatnonzero(held[hot])
         #: What each target may drop; padded with 0 where it holds less.
         self._drops = self._list_drops()
         self._is_drop = held[self._targets[:, None], self._drops]
+        self._ranks = self._concerned_ranks()
+        self._near_held: Flags = held[self._ranks]
+        self._near_paces: Floats = paces[self._ranks]
+        #: Where the hot rank and the targets stand among these ranks.
+        self._near_hot = int(np.searchsorted(self._ranks, hot))
+        self._near_targets = np.searchsorted(self._ranks, targets)
 
     def best(self, heat: Floats, free: Flags, places: int) -> FoundStep:
         """Return the best step; ``free`` are the ranks that may fetch."""
-        changes = self._paces * self._changes()
-        after = np.maximum(0, heat + changes) ** _SHARPNESS
-        fall = _norm(heat) - after.sum(axis=-1) ** (1 / _SHARPNESS)
-        fall *= _hot_ranks(heat)
         gain = np.where(
-            self._allowed(free, places), fall / self._costs(), _FORBIDDEN
+            self._allowed(free, places),
+            self._falls(heat) / self._costs(),
+            _FORBIDDEN,
         )
         way, expert, target, drop = np.unravel_index(gain.argmax(), gain.shape)
         return FoundStep(
@@ -186,6 +203,33 @@
             gain=float(gain[way, expert, target, drop]),
         )
 
+    def _falls(self, heat: Floats) -> Floats:
+        """Return by how much each step lowers the norm of the ranks' loads.
+
+        Times the ranks that are as hot as the hottest, in parts: a step takes
+        load off one of them. Weighed by what it brings to all, the last of many
+        hot ranks were left as they were: at 72 ranks a search ended at a skew
+        of 1.57 with 109 loads a turn, where 1.19 can be had with 332.
+        """
+        sharp = _sharpened(heat)
+        total = sharp.sum()
+        apart = max(0, total - sharp[self._ranks].sum())
+        near = heat[self._ranks] + self._near_paces * self._changes()
+        after = _sharpened(np.maximum(0, near)).sum(axis=-1)
+        root = 1 / _SHARPNESS
+        falls: Floats = total**root - (apart + after) ** root
+        falls *= total / sharp.max()
+        return falls
+
+    def _concerned_ranks(self) -> Places:
+        """Return the hot rank, the targets and who shares their experts."""
+        shared = np.concatenate([self._experts, self._drops.ravel()])
+        concerned: Flags = np.any(self._held[:, shared], axis=1)
+        concerned[self._hot] = True
+        concerned[self._targets] = True
+        ranks: Places = np.flatnonzero(concerned)
+        return ranks
+
     def _list_drops(self) -> Places:
         """Return what targets hold; shorter lists repeat what they lack."""
         held = self._held[self._targets]
@@ -214,12 +258,12 @@
         copies = self._copies[self._experts]
         rows = np.arange(len(self._targets))
         fewer = loads / (copies + 1) - loads / copies
-        holders = self._held[:, self._experts].T * fewer[:, None]
+        holders = self._near_held[:, self._experts].T * fewer[:, None]
         copied = np.repeat(holders[:, None], len(rows), axis=1)
-        copied[:, rows, self._targets] = (loads / (copies + 1))[:, None]
+        copied[:, rows, self._near_targets] = (loads / (copies + 1))[:, None]
         moved = np.zeros_like(copied)
-        moved[:, :, self._hot] = -(loads / copies)[:, None]
-        moved[:, rows, self._targets] = (loads / copies)[:, None]
+        moved[:, :, self._near_hot] = -(loads / copies)[:, None]
+        moved[:, rows, self._near_targets] = (loads / copies)[:, None]
         return copied, moved
 
     def _dropped(self) -> tuple[Floats, Floats]:
@@ -228,13 +272,12 @@
         loads = self._loads[self._drops]
         rows = np.arange(len(self._targets))
         shared = loads / np.maximum(1, copies - 1) - loads / copies
-        left = (
-            np.moveaxis(self._held[:, self._drops], 0, -1) * shared[..., None]
-        )
-        left[rows, :, self._targets] = -(loads / copies)
+        holders = np.moveaxis(self._near_held[:, self._drops], 0, -1)
+        left = holders * shared[..., None]
+        left[rows, :, self._near_targets] = -(loads / copies)
         swapped = np.zeros_like(left)
-        swapped[rows, :, self._targets] = -(loads / copies)
-        swapped[:, :, self._hot] = loads / copies
+        swapped[rows, :, self._near_targets] = -(loads / copies)
+        swapped[:, :, self._near_hot] = loads / copies
         return _after_nothing(left), _after_nothing(swapped)
 
     def _allowed(self, free: Flags, places: int) -> Flags:
@@ -265,18 +308,11 @@
         return costs.clip(min=_LEAST_COST)
 
 
-def _norm(heat: Floats) -> float:
-    return float((heat**_SHARPNESS).sum() ** (1 / _SHARPNESS))
-
-
-def _hot_ranks(heat: Floats) -> float:
-    """Return how many ranks are as hot as the hottest, in parts.
-
-    A step takes load off one of them. Weighed by what it brings to all, the
-    last of many hot ranks were left as they were: at 72 ranks a search ended
-    at a skew of 1.57 with 109 loads a turn, where 1.19 can be had with 332.
-    """
-    return float(((heat / heat.max()) ** _SHARPNESS).sum())
+def _sharpened(heat: Floats) -> Floats:
+    """Return the eighth powers, by squares: 3 us, where a power takes 8."""
+    squares = heat * heat
+    fourths = squares * squares
+    return fourths * fourths
 
 
 def _after_nothing(changes: NDArray[Any]) -> NDArray[Any]:
--- a/src/snipebend/experts/map_search.py
+++ b/src/snipebend/experts/map_search.py
@@ -17,6 +17,8 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+import numpy as np
+
 from snipebend.experts.layer_steps import LayerSteps
 
 if TYPE_CHECKING:
@@ -65,7 +67,7 @@
         ranks = len(before[0])
         self._bounds = bounds
         #: What each rank fetches so far.
-        self._fetching = [0 for _ in range(ranks)]
+        self._fetching = np.zeros(ranks, dtype=np.intp)
         self._layers = [
             LayerSteps(layer, load, paces or (1.0,) * ranks, bounds.places)
             for layer, load in zip(before, loads, strict=True)
@@ -92,11 +94,10 @@
         return tuple(layer.layer for layer in self._layers)
 
     def _best(self, layer: LayerSteps) -> FoundStep | None:
-        may_fetch = [
-            fetching < self._bounds.most_fetched for fetching in self._fetching
-        ]
         return layer.best_step(
-            may_fetch, self._bounds.spare, self._bounds.least_gain
+            self._fetching < self._bounds.most_fetched,
+            self._bounds.spare,
+            self._bounds.least_gain,
         )
 
     def _still_fits(self, layer: LayerSteps, step: FoundStep) -> bool:
@@ -107,7 +108,7 @@
         )
 
     def _take(self, layer: LayerSteps, step: FoundStep) -> None:
-        before = layer.fetched
+        ends = [step.hot, step.target]
+        self._fetching[ends] -= layer.fetched[ends]
         layer.apply(step)
-        for rank, fetched in enumerate(layer.fetched):
-            self._fetching[rank] += fetched - before[rank]
+        self._fetching[ends] += layer.fetched[ends]
--- a/tests/experts/test_map_search.py
+++ b/tests/experts/test_map_search.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+import numpy as np
+
 from snipebend.experts.layer_state import layer_skew
 from snipebend.experts.layer_steps import LayerSteps
 from snipebend.experts.map_search import Bounds, MapSearch
@@ -144,7 +146,7 @@
         paces = [2 if rank == 4 else 1 for rank in range(RANKS)]
         steps = LayerSteps(IN_TURN, zipf_loads(rng), paces, BOUNDS.places)
         kinds = set()
-        may_fetch = [True for _ in range(RANKS)]
+        may_fetch = np.ones(RANKS, dtype=bool)
         for _ in range(30):
             step = steps.best_step(may_fetch, 4, 0.001)
             if step is None:
