Tell entries of another data centre once, and have it told on there

Cause: each entry tells each other one what it has under way, at each change.

Change: a message goes to all entries of the own data centre and to one of each other, which tells it on; these take turns. Control tells each entry's data centre; one of an earlier version doesn't, and all are told directly then.

Ruled out: a longer period (calls would be known later, and the fullest rank sets the pace of all), a sum by data centre (one more wait of 25 ms).

--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -13,9 +13,11 @@
 import msgspec
 from loguru import logger
 from msgspec import Struct, msgpack
+from msgspec.structs import replace
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.kernel.service import Service
+from snipebend.relay.spreading import Receivers, spread
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -41,6 +43,8 @@
     started_at: float
     number: int
     calls: dict[str, int]
+    #: Whether the receiver is to tell it on in its data centre.
+    onward: bool = False
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -104,6 +108,8 @@
         self._last[told.entry] = stamp
         self._heard_at[told.entry] = self._clock.now()
         self._on_calls(told.entry, told.calls)
+        if told.onward:
+            self._tell_on(told)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a peer's port is closed; it restarts or is gone."""
@@ -123,8 +129,25 @@
             number += 1
             told = calls
             repeat_at = now + REPEAT_EVERY_S
-            message = CallsTold(self._process, self._started_at, number, calls)
-            self.send_to(self._follower.entries, msgpack.encode(message))
+            self._tell(
+                CallsTold(self._process, self._started_at, number, calls)
+            )
+
+    def _tell(self, message: CallsTold) -> None:
+        receivers = self._receivers(message.number)
+        self.send_to(receivers.near, msgpack.encode(message))
+        onward = replace(message, onward=True)
+        self.send_to(receivers.far, msgpack.encode(onward))
+
+    def _tell_on(self, told: CallsTold) -> None:
+        near = self._receivers(told.number).near
+        self.send_to(near, msgpack.encode(replace(told, onward=False)))
+
+    def _receivers(self, number: int) -> Receivers:
+        follower = self._follower
+        return spread(
+            follower.entries, follower.places, follower.data_center, number
+        )
 
     def send_to(self, addresses: Iterable[str], data: bytes) -> None:
         """Send a datagram to each address; any of them may be lost."""
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -80,6 +80,8 @@
         self.on_upstreams = None
         #: Gossip addresses of the other entries.
         self.entries: frozenset[str] = frozenset()
+        #: The data centre of each, as far as told.
+        self.places: dict[str, str] = {}
         #: Called after each batch of news.
         self.on_news: Callable[[], None] = _nobody
         #: Told of groups of upstreams, and of none while nobody tells.
@@ -88,6 +90,7 @@
         self._groups: dict[str, tuple[GroupStanding, ...]] = {}
         self.gossip_address = ''
         self._process = cfg.process.name
+        self.data_center = cfg.process.data_center
         self._seeds = frozenset(cfg.control.grpc_addresses)
         self._clients = clients
         self._read_table = read_table
@@ -219,6 +222,7 @@
             self._revision,
             self.gossip_address,
             fetches=True,
+            data_center=self.data_center,
         )
         stream = self._clients.stream(address, WATCH_HOSTS, req)
         while True:
@@ -251,6 +255,9 @@
         self._take_groups(address, news.groups)
         if news.entries:
             self.entries = frozenset(news.entries) - {self.gossip_address}
+            self.places = dict(
+                zip(news.entries, news.entry_places, strict=False)
+            )
         if news.members and self._members != frozenset(news.members):
             self._members = frozenset(news.members)
             self._watch_all()
--- a/src/snipebend/state/host_news.py
+++ b/src/snipebend/state/host_news.py
@@ -20,6 +20,7 @@
     #: Whether it fetches documents by parts. One of an earlier version waits
     #: for them in the news.
     fetches: bool = False
+    data_center: str = ''
 
 
 class GroupPhase(IntEnum):
@@ -63,3 +64,5 @@
     entries: tuple[str, ...] = ()
     #: Groups of upstreams; empty unless the sender leads.
     groups: tuple[GroupStanding, ...] = ()
+    #: The data centre of each of the entries, in their order; none: not told.
+    entry_places: tuple[str, ...] = ()
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -76,7 +76,9 @@
         return {
             'document': state.documents.number,
             'roster_revision': state.roster.revision,
-            'watchers': self._gossip_addresses(),
+            'watchers': {
+                name: req.gossip_address for name, req in self._watchers.items()
+            },
         }
 
     @property
@@ -206,6 +208,7 @@
         inline = book.number > number and not req.fetches
         upstreams = state.roster.since(revision, MOST_RECORDS)
         all_told = len(upstreams) < MOST_RECORDS
+        entries = [one for one in self._watchers.values() if one.gossip_address]
         return HostNews(
             book.number,
             state.roster.revision if all_told else upstreams[-1].revision,
@@ -213,15 +216,11 @@
             book.body if inline else b'',
             upstreams,
             tuple(member.address for member in voters),
-            tuple(filter(None, self._gossip_addresses().values())),
+            tuple(entry.gossip_address for entry in entries),
             tuple(self._groups.values()),
+            tuple(entry.data_center for entry in entries),
         )
 
-    def _gossip_addresses(self) -> dict[str, str]:
-        return {
-            name: req.gossip_address for name, req in self._watchers.items()
-        }
-
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
         try:
             return Ok(await self._store.execute(command))
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -21,9 +21,9 @@
 class TestGossip(unittest.IsolatedAsyncioTestCase):
     """Over datagrams on loopback, and from single ones."""
 
-    async def start(self, name, calls):
+    async def start(self, name, calls, data_center='dc'):
         cfg = RelaySettings(
-            process=ProcessSection(name=name, data_center='dc'),
+            process=ProcessSection(name=name, data_center=data_center),
             control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
         )
         registry = Registry(SystemClock(), TaskSupervisor())
@@ -53,6 +53,24 @@
         while told[1]['i-1'] != 5:
             told = await asyncio.wait_for(heard.get(), 10)
 
+    async def test_calls_are_told_on_in_another_data_center(self):
+        _, sender, _ = await self.start('a', {'i-1': 2})
+        _, far, heard = await self.start('b', {}, 'dc-2')
+        _, near_far, heard_on = await self.start('c', {}, 'dc-2')
+        addresses = (far.gossip_address, near_far.gossip_address)
+        places = dict.fromkeys(addresses, 'dc-2')
+        places[sender.gossip_address] = 'dc'
+        for follower in (sender, far, near_far):
+            follower.places = places
+        sender.entries = frozenset(addresses)
+        far.entries = frozenset((sender.gossip_address, addresses[1]))
+        near_far.entries = frozenset((sender.gossip_address, addresses[0]))
+        for queue in (heard, heard_on):
+            told = await asyncio.wait_for(queue.get(), 10)
+            while told[0] != 'a':
+                told = await asyncio.wait_for(queue.get(), 10)
+            self.assertEqual(told, ('a', {'i-1': 2}))
+
     async def test_late_copies_and_noise_change_nothing(self):
         gossip, _, heard = await self.start('b', {})
 
--- a/tests/transport/test_host_keeper.py
+++ b/tests/transport/test_host_keeper.py
@@ -38,9 +38,14 @@
         new = self.keeper.watch(HostWatch('e', 0, 0, '10.0.0.1:8'))
         await anext(new)
         await old.aclose()
-        third = self.keeper.watch(HostWatch('f', 0, 0, '10.0.0.2:7'))
+        third = self.keeper.watch(
+            HostWatch('f', 0, 0, '10.0.0.2:7', data_center='dc-b')
+        )
         told = await anext(third)
-        self.assertEqual(set(told.entries), {'10.0.0.1:8', '10.0.0.2:7'})
+        self.assertEqual(
+            dict(zip(told.entries, told.entry_places, strict=True)),
+            {'10.0.0.1:8': '', '10.0.0.2:7': 'dc-b'},
+        )
         await new.aclose()
         await third.aclose()
 
