Part the care for groups of engines from transport

transport held 89 files under one name, from gRPC stubs to the leader's switches of expert maps. What reads counts, plans and switches is a package of its own now, balancing, above transport in the table of layers (12 modules and their meters, five test modules); imports, names in pages and meters follow. What is left there: the rest is to be parted the same way (consensus, agents, callers).

--- a/src/snipebend/transport/count_reader.py
+++ b/src/snipebend/balancing/count_reader.py
@@ -13,7 +13,7 @@
     from snipebend.experts.direct_orders import RankCounts
     from snipebend.experts.group_watch import GroupWatch
     from snipebend.kernel.clock import Clock
-    from snipebend.transport.group_eyes import EngineLink, Seen
+    from snipebend.balancing.group_eyes import EngineLink, Seen
 
 #: Ranks whose counts are read: each reading is paid for and lets the
 #: group rest, and one rank's few requests tell the demand by a fifth wrong.
--- a/src/snipebend/transport/demand_follower.py
+++ b/src/snipebend/balancing/demand_follower.py
@@ -13,9 +13,9 @@
     from snipebend.experts.group_watch import GroupWatch, Kept
     from snipebend.experts.sizes import ExpertSizes
     from snipebend.kernel.clock import Clock
-    from snipebend.transport.control_meters import BalancerMeters
-    from snipebend.transport.count_reader import CountReader
-    from snipebend.transport.group_eyes import Seen
+    from snipebend.balancing.meters import BalancerMeters
+    from snipebend.balancing.count_reader import CountReader
+    from snipebend.balancing.group_eyes import Seen
 
 #: Seconds without a pass after which a group counts as idle: reports are read
 #: every second, and are some hundred milliseconds old.
--- a/src/snipebend/transport/direct_http.py
+++ b/src/snipebend/balancing/direct_http.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from snipebend.transport.order_desk import OrderDesk
+from snipebend.balancing.order_desk import OrderDesk
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/snipebend/transport/group_balancer.py
+++ b/src/snipebend/balancing/group_balancer.py
@@ -8,11 +8,11 @@
 
 from snipebend.kernel.service import Service
 from snipebend.state.roster import RosterPhase
-from snipebend.transport.control_meters import BalancerMeters
-from snipebend.transport.engine_sizes import expert_services
-from snipebend.transport.group_eyes import GroupEyes, GroupKey
+from snipebend.balancing.meters import BalancerMeters
+from snipebend.balancing.engine_sizes import expert_services
+from snipebend.balancing.group_eyes import GroupEyes, GroupKey
 from snipebend.transport.host_keeper import HostKeeper
-from snipebend.transport.lead import Lead
+from snipebend.balancing.lead import Lead
 from snipebend.transport.replicated_state import ReplicatedState
 
 if TYPE_CHECKING:
@@ -23,8 +23,8 @@
     from snipebend.hosts.model import HostTable
     from snipebend.kernel.registry import Registry
     from snipebend.state.roster import UpstreamRecord
-    from snipebend.transport.group_care import CareTools, GroupCare
-    from snipebend.transport.group_eyes import EngineLink
+    from snipebend.balancing.group_care import CareTools, GroupCare
+    from snipebend.balancing.group_eyes import EngineLink
 
 #: Seconds between two looks for ranks that belong to no group yet: about a
 #: quarter of the time in which a group forms anew (0.6 s and more).
@@ -106,8 +106,8 @@
 
     def _load(self) -> CareTools:
         """Load what only a leader needs: 23 MB, and 0.3 s of a start."""
-        from snipebend.transport.count_reader import CountReader
-        from snipebend.transport.group_care import CareTools
+        from snipebend.balancing.count_reader import CountReader
+        from snipebend.balancing.group_care import CareTools
 
         self._link.load()
         return CareTools(
--- a/src/snipebend/transport/group_care.py
+++ b/src/snipebend/balancing/group_care.py
@@ -13,10 +13,10 @@
 from snipebend.state.commands import DecideGroupPlan
 from snipebend.state.group_plans import GroupPlan, PlanReply, PlanRequest
 from snipebend.state.host_news import GroupPhase, GroupStanding
-from snipebend.transport.demand_follower import DemandFollower
-from snipebend.transport.group_eyes import GroupKey
-from snipebend.transport.last_switch import LastSwitch
-from snipebend.transport.switch_driver import SwitchDriver
+from snipebend.balancing.demand_follower import DemandFollower
+from snipebend.balancing.group_eyes import GroupKey
+from snipebend.balancing.last_switch import LastSwitch
+from snipebend.balancing.switch_driver import SwitchDriver
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -26,11 +26,11 @@
     from snipebend.experts.sizes import ExpertSizes
     from snipebend.kernel.clock import Clock
     from snipebend.state.roster import UpstreamRecord
-    from snipebend.transport.control_meters import BalancerMeters
-    from snipebend.transport.count_reader import CountReader
-    from snipebend.transport.group_eyes import EngineLink, GroupEyes, Seen
+    from snipebend.balancing.meters import BalancerMeters
+    from snipebend.balancing.count_reader import CountReader
+    from snipebend.balancing.group_eyes import EngineLink, GroupEyes, Seen
     from snipebend.transport.host_keeper import HostKeeper
-    from snipebend.transport.lead import Lead
+    from snipebend.balancing.lead import Lead
     from snipebend.transport.replicated_state import ReplicatedState
 
 #: Seconds between two looks at a group: about a pass. Most look only at what
--- a/src/snipebend/transport/last_switch.py
+++ b/src/snipebend/balancing/last_switch.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from snipebend.state.group_plans import GroupPlan
-    from snipebend.transport.group_eyes import Seen
+    from snipebend.balancing.group_eyes import Seen
 
 
 class LastSwitch:
--- a/src/snipebend/transport/switch_driver.py
+++ b/src/snipebend/balancing/switch_driver.py
@@ -19,8 +19,8 @@
     from snipebend.experts.group_watch import Pace
     from snipebend.kernel.clock import Clock
     from snipebend.state.group_plans import GroupPlan
-    from snipebend.transport.control_meters import BalancerMeters
-    from snipebend.transport.group_eyes import EngineLink, Seen
+    from snipebend.balancing.meters import BalancerMeters
+    from snipebend.balancing.group_eyes import EngineLink, Seen
 
 #: Seconds between two steps of a switch.
 STEP_EVERY_S = 0.02
--- a/src/snipebend/daemons/host_control.py
+++ b/src/snipebend/daemons/host_control.py
@@ -9,17 +9,17 @@
 from snipebend.kernel.process import Process
 from snipebend.settings.seeds import split_address
 from snipebend.transport.group_api import GroupApi
-from snipebend.transport.group_balancer import GroupBalancer
+from snipebend.balancing.group_balancer import GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
 from snipebend.transport.http_server import HttpServer
-from snipebend.transport.pace_listener import PaceListener
+from snipebend.balancing.pace_listener import PaceListener
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import RpcServer
 
 if TYPE_CHECKING:
     from snipebend.edge.host_follower import ReadTable
     from snipebend.hosts.model import HostTable
-    from snipebend.transport.group_eyes import EngineLink
+    from snipebend.balancing.group_eyes import EngineLink
     from snipebend.settings.model import ControlSettings
 
 
--- a/src/snipebend/transport/control_meters.py
+++ b/src/snipebend/transport/control_meters.py
@@ -1,4 +1,4 @@
-"""What a control daemon counts and times of its log and of expert maps."""
+"""What a control daemon counts and times of its log."""
 
 from __future__ import annotations
 
@@ -30,54 +30,3 @@
     def synced(self, seconds: float) -> None:
         """Note how long a write took."""
         self._syncs.record(seconds)
-
-
-class BalancerMeters:
-    """The orders and switches that one control daemon drove."""
-
-    def __init__(self) -> None:
-        """Make the instruments."""
-        meter = get_meter()
-        self._orders = meter.create_counter(
-            'snipebend_engine_orders',
-            description='orders to engines by kind and reply',
-        )
-        self._switches = meter.create_histogram(
-            'snipebend_map_switch_seconds',
-            unit='s',
-            description='switches of expert maps by how they ended',
-            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
-        )
-        self._kept = meter.create_counter(
-            'snipebend_maps_kept',
-            description='looks that left a map as it is, by reason',
-        )
-        self._readings = meter.create_counter(
-            'snipebend_count_readings',
-            description='readings of counts, by what they were for',
-        )
-        self._skew = meter.create_gauge(
-            'snipebend_map_skew',
-            description='load of the fullest rank over the mean, at a plan',
-        )
-
-    def order_ended(self, kind: str, reply: str) -> None:
-        """Count an order."""
-        self._orders.add(1, {'kind': kind, 'reply': reply})
-
-    def switch_ended(self, group: str, phase: str, seconds: float) -> None:
-        """Note how a switch ended, and after how long."""
-        self._switches.record(seconds, {'group': group, 'phase': phase})
-
-    def kept(self, group: str, reason: str) -> None:
-        """Count a look at a group that left its map as it is."""
-        self._kept.add(1, {'group': group, 'reason': reason})
-
-    def read(self, group: str, reading: str) -> None:
-        """Count a reading of a group's counts."""
-        self._readings.add(1, {'group': group, 'reading': reading})
-
-    def planned(self, group: str, before: float, after: float) -> None:
-        """Note the skew of the map in force, and of the one decided on."""
-        self._skew.set(before, {'group': group, 'map': 'in-force'})
-        self._skew.set(after, {'group': group, 'map': 'decided'})
--- a/tests/transport/test_direct_http.py
+++ b/tests/balancing/test_direct_http.py
@@ -7,8 +7,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from snipebend.transport import direct_http
-from snipebend.transport.direct_http import DirectHttp
+from snipebend.balancing import direct_http
+from snipebend.balancing.direct_http import DirectHttp
 
 RANKS = 192
 PATIENCE_S = 60
--- a/tests/transport/test_group_balancer.py
+++ b/tests/balancing/test_group_balancer.py
@@ -31,7 +31,7 @@
 from snipebend.kernel.tasks import TaskSupervisor
 from snipebend.state.group_plans import GroupPlan
 from snipebend.state.roster import RecordRequest, UpstreamRecord
-from snipebend.transport.group_balancer import GroupBalancer
+from snipebend.balancing.group_balancer import GroupBalancer
 from snipebend.transport.host_keeper import HostKeeper
 from tests.transport.own_state import OwnState
 
--- a/tests/transport/test_group_eyes.py
+++ b/tests/balancing/test_group_eyes.py
@@ -7,7 +7,7 @@
 
 from snipebend.experts.direct_orders import RankReport
 from snipebend.state.roster import UpstreamRecord
-from snipebend.transport.group_eyes import ASK_AGAIN_S, GroupEyes, GroupKey
+from snipebend.balancing.group_eyes import ASK_AGAIN_S, GroupEyes, GroupKey
 
 G = GroupKey('s', 'g')
 H = GroupKey('s', 'h')
--- a/tests/transport/test_large_switch.py
+++ b/tests/balancing/test_large_switch.py
@@ -25,10 +25,10 @@
 from snipebend.experts.direct_switch import Phase
 from snipebend.orders.flow import WINDOW_BYTES
 from snipebend.state.group_plans import GroupPlan
-from snipebend.transport.control_meters import BalancerMeters
-from snipebend.transport.group_eyes import Seen
-from snipebend.transport.order_desk import OrderDesk
-from snipebend.transport.switch_driver import SwitchDriver
+from snipebend.balancing.meters import BalancerMeters
+from snipebend.balancing.group_eyes import Seen
+from snipebend.balancing.order_desk import OrderDesk
+from snipebend.balancing.switch_driver import SwitchDriver
 from tests.virtual_time import LoopClock, run_virtually
 
 SIZES = (16, 72, 192, 256)
--- a/tests/transport/test_last_switch.py
+++ b/tests/balancing/test_last_switch.py
@@ -8,8 +8,8 @@
 from snipebend.experts.direct_switch import Phase
 from snipebend.state.group_plans import GroupPlan
 from snipebend.state.roster import UpstreamRecord
-from snipebend.transport.group_eyes import Seen
-from snipebend.transport.last_switch import LastSwitch
+from snipebend.balancing.group_eyes import Seen
+from snipebend.balancing.last_switch import LastSwitch
 
 PLAN = GroupPlan('g', 1, 7, (((0,), (1,)),))
 
--- a/tests/edge/test_paces.py
+++ b/tests/edge/test_paces.py
@@ -21,7 +21,7 @@
 from snipebend.settings.relay import RelaySettings
 from snipebend.settings.seeds import SeedsSection
 from snipebend.state.pace_news import PacesTold
-from snipebend.transport.pace_listener import PaceListener
+from snipebend.balancing.pace_listener import PaceListener
 from snipebend.transport.rpc_clients import RpcClients
 from snipebend.transport.rpc_server import RpcServer
 
