--- /dev/null
+++ b/tests/balancing/fakes.py
@@ -0,0 +1,41 @@
+"""What a balancer finds beside itself in a control daemon, without the rest."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from snipebend.kernel.service import Service
+from snipebend.transport.host_keeper import HostKeeper
+from tests.transport.own_state import OwnState
+
+
+class LeadingStore(OwnState):
+    """A replica that leads; it may go on with what another one has kept."""
+
+    def __init__(self, kept=None, term=3):
+        super().__init__()
+        self.kept = kept or self.kept
+        status = SimpleNamespace(term=term)
+        self.group = SimpleNamespace(
+            replica=SimpleNamespace(has_lease=True, status=status)
+        )
+
+    async def execute(self, command):
+        return self.kept.state.plans.decide(command.req)
+
+
+class HearingKeeper(HostKeeper):
+    """Takes what is told."""
+
+    def __init__(self):
+        Service.__init__(self, 'hosts')
+        self.groups = {}
+
+    def tell_group(self, standing):
+        self.groups[standing.group] = standing
+
+    def forget_group(self, group):
+        self.groups.pop(group, None)
+
+    def forget_groups(self):
+        self.groups.clear()
