Have relays of tests draw the same numbers on every run

Traced in its log: by unseeded draws all four requests went to the refusing upstream first; three were sent again, and the fourth refusal met the retry budget of a new entry (3 and a fifth of a retry a request; event=retry_refused), whose answer is a true 'not run'. One run of sixteen by chance; an equal number tried nothing at all.

The rig seeds the draws. The check stays, and more is checked: that at least one request was refused and no more than the budget allows, and, by draws that always name the first upstream, that the fourth caller is told 'not run'.

--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -31,6 +31,8 @@
 
 HOST = 'h.example'
 PATIENCE_S = 10.0
+#: Of the draws by which upstreams are chosen.
+SEED = 2
 
 
 class Dialect:
@@ -202,7 +204,10 @@
 async def running(
     *scripts, table=TABLE, stop_within_s=2.0, slots=4, listener=None
 ):
-    """Run a relay before upstreams that follow these scripts."""
+    """Run a relay before upstreams that follow these scripts.
+
+    It draws the same numbers on every run.
+    """
     cfg = RelaySettings(
         process=ProcessSection(name='entry-1', data_center='dc-a'),
         control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
@@ -212,6 +217,7 @@
     registry = Registry(SystemClock(), TaskSupervisor())
     follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
     desk = RelayDesk('relay', cfg, Dialect())
+    desk._rng.seed(SEED)
     server = RelayServer('callers', cfg, listener)
     for service in (follower, desk, server):
         registry.register(service)
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -6,6 +6,7 @@
 import unittest
 
 from snipebend.hosts.lookup import HostIndex
+from snipebend.routing.retry_budget import RESERVE
 from snipebend.state.roster import RosterPhase
 from tests.edge.rig import (
     TABLE,
@@ -164,8 +165,21 @@
         for script in (refuses, other_life):
             async with running(script, whole) as relay:
                 got = [await ask(relay, request('/unsafe/')) for _ in range(4)]
+                refused = len(relay.upstreams[0].seen)
             with self.subTest(script=script.__name__):
                 self.assertEqual({one.body for one in got}, {b'whole'})
+                # At the least one was sent again, and no more than a new entry
+                # may send again.
+                self.assertGreater(refused, 0)
+                self.assertLessEqual(refused, RESERVE)
+
+    async def test_proved_not_run_beyond_the_budget(self):
+        """The fourth refusal of a new entry is the caller's answer."""
+        async with running(refuses, whole) as relay:
+            relay.desk._rng.random = lambda: 0.5
+            got = [await ask(relay, request('/unsafe/')) for _ in range(4)]
+        self.assertEqual([one.status for one in got], [200, 200, 200, 503])
+        self.assertIn(b'not-run', got[-1].body)
 
     async def test_refused_by_all(self):
         async with running(refuses, refuses) as relay:
