Keep to the limits that upstreams in need name, all entries together

The header was read nowhere.

Now: platform/ decodes the header; each entry keeps an account of each limit, which grows by it and from which calls of all entries are paid, as gossip tells them (cumulative, so that lost datagrams cost nothing); what several entries spend before they hear of each other is a debt. The newest word on an upstream's limit counts, whoever heard it. A call that the least busy upstream's limit leaves no room for goes to another one; if none has room it is refused at once, with a Retry-After from the limit.

The demo's stand-in engines (with agents) don't name limits yet; the relay's stand-ins do.

--- a/src/snipebend/daemons/relay_entry.py
+++ b/src/snipebend/daemons/relay_entry.py
@@ -43,8 +43,7 @@
         'gossip',
         cfg.process.name,
         (cfg.listen.host, cfg.gossip_port),
-        desk.own_calls,
-        desk.take_calls,
+        desk,
     )
     services = [
         # First: a watch that the follower opens tells control where the others
--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -33,10 +33,15 @@
     """A request at one upstream."""
 
     def __init__(
-        self, pool: UpstreamPool, upstream: Upstream, conn: UpstreamConnection
+        self,
+        pool: UpstreamPool,
+        upstream: Upstream,
+        conn: UpstreamConnection,
+        begun_at: float,
     ) -> None:
-        """Keep an acquired connection."""
+        """Keep an acquired connection; ``begun_at`` in monotonic seconds."""
         self.upstream = upstream
+        self.begun_at = begun_at
         self._pool = pool
         self._conn = conn
         self._exchange: Exchange | None = None
--- a/src/snipebend/edge/final_answer.py
+++ b/src/snipebend/edge/final_answer.py
@@ -59,10 +59,19 @@
             case _:
                 self._refuse(problems.lost(reason))
 
-    def refuse_full(self, *, may_have_run: bool, tried: bool) -> None:
-        """Answer that no upstream can take it now."""
+    def refuse_full(
+        self, *, may_have_run: bool, tried: bool, room_after_s: float
+    ) -> None:
+        """Answer that no upstream can take it now.
+
+        ``room_after_s`` are the seconds until one may that has room but for its
+        limit of requests; 0: limits aren't the reason.
+        """
         if may_have_run:
             self._refuse(problems.lost('the call broke, and none is free'))
+        elif room_after_s:
+            wait_s = self._refuser.wait_for_limit_s(room_after_s)
+            self._refuse(problems.busy(wait_s, 'limits leave no room'))
         elif tried:
             self._refuse_for_outage('no other upstream is free')
         else:
--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -8,19 +8,20 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from loguru import logger
-from msgspec import Struct, msgpack
+from msgspec import Struct, field, msgpack
 from msgspec.structs import replace
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.kernel.service import Service
+from snipebend.relay.limit_book import LimitTold
 from snipebend.relay.spreading import Receivers, spread
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
     from snipebend.kernel.registry import Registry
 
@@ -45,6 +46,33 @@
     calls: dict[str, int]
     #: Whether the receiver is to tell it on in its data centre.
     onward: bool = False
+    #: What it heard of upstreams' limits and began under them.
+    limits: dict[str, LimitTold] = field(default_factory=dict)
+
+
+class CallBooks(Protocol):
+    """What an entry has under way, and what it makes of the others'."""
+
+    def own_calls(self) -> dict[str, int]:
+        """Return the calls under way, by the upstream's identity."""
+
+    def own_limits(self) -> dict[str, LimitTold]:
+        """Return what to tell of limits, by the upstream's identity."""
+
+    def take_calls(self, entry: str, calls: dict[str, int]) -> None:
+        """Take over what another entry has under way."""
+
+    def take_limits(
+        self, entry: str, started_at: float, limits: dict[str, LimitTold]
+    ) -> None:
+        """Take over what another entry tells of limits."""
+
+    def note_heard(self, share: float) -> None:
+        """Take note of the part of all entries that is heard."""
+
+
+#: Calls by upstream, and limits but for their ages.
+_Known = tuple[dict[str, int], dict[str, LimitTold]]
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -55,15 +83,13 @@
         name: str,
         process: str,
         address: tuple[str, int],
-        own_calls: Callable[[], dict[str, int]],
-        on_calls: Callable[[str, dict[str, int]], None],
+        books: CallBooks,
     ) -> None:
-        """Keep where to listen, and the table's two ends."""
+        """Keep where to listen, and what is told and heard."""
         super().__init__(name)
         self._process = process
         self._address = address
-        self._own_calls = own_calls
-        self._on_calls = on_calls
+        self._books = books
         self._decoder = msgpack.Decoder(CallsTold)
         self._last: dict[str, tuple[float, int]] = {}
         self._heard_at: dict[str, float] = {}
@@ -107,7 +133,9 @@
             return
         self._last[told.entry] = stamp
         self._heard_at[told.entry] = self._clock.now()
-        self._on_calls(told.entry, told.calls)
+        self._books.take_calls(told.entry, told.calls)
+        if told.limits:
+            self._books.take_limits(told.entry, told.started_at, told.limits)
         if told.onward:
             self._tell_on(told)
 
@@ -117,20 +145,28 @@
 
     async def _tell_for_ever(self) -> None:
         number = 0
-        told: dict[str, int] = {}
+        told: _Known = ({}, {})
         repeat_at: float = 0
         while True:
             await asyncio.sleep(TELL_EVERY_S)
             self._forget_silent()
-            calls = self._own_calls()
+            calls = self._books.own_calls()
+            limits = self._books.own_limits()
+            known = (calls, _without_ages(limits))
             now = self._clock.now()
-            if calls == told and now < repeat_at:
+            if known == told and now < repeat_at:
                 continue
             number += 1
-            told = calls
+            told = known
             repeat_at = now + REPEAT_EVERY_S
             self._tell(
-                CallsTold(self._process, self._started_at, number, calls)
+                CallsTold(
+                    self._process,
+                    self._started_at,
+                    number,
+                    calls,
+                    limits=limits,
+                )
             )
 
     def _tell(self, message: CallsTold) -> None:
@@ -161,5 +197,15 @@
         for entry, heard_at in tuple(self._heard_at.items()):
             if heard_at < oldest:
                 self._heard_at.pop(entry)
-                self._on_calls(entry, {})
+                self._books.take_calls(entry, {})
                 logger.info('event=entry_silent peer={}', entry)
+        known = len(self._follower.entries)
+        heard = min(known, len(self._heard_at))
+        self._books.note_heard((heard + 1) / (known + 1))
+
+
+def _without_ages(limits: Mapping[str, LimitTold]) -> dict[str, LimitTold]:
+    """Return what is news if it changes."""
+    return {
+        upstream: replace(told, age_s=None) for upstream, told in limits.items()
+    }
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from snipebend.edge.host_follower import HostFollower
+from snipebend.edge.limit_keeper import LimitKeeper
 from snipebend.edge.outage_wait import OutageWait
 from snipebend.edge.refuser import Refuser
 from snipebend.edge.relay_meters import RelayMeters, Standing
@@ -33,6 +34,7 @@
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
     from snipebend.relay.facts import Dialect
+    from snipebend.relay.limit_book import LimitTold
     from snipebend.relay.upstreams import Upstream
     from snipebend.settings.relay import RelaySettings
     from snipebend.state.roster import UpstreamRecord
@@ -76,6 +78,7 @@
             )
         )
         self.refuser = Refuser(self.dialect, self._follower, self.meters)
+        self.limits = LimitKeeper(self.now, self.meters)
         self._tasks.start('sweep', self._sweep_for_ever)
 
     async def stop(self) -> None:
@@ -92,6 +95,7 @@
             'in_work': self._in_work,
             'idle_to_upstreams': self.pool.sizes(),
             'upstreams': self._upstreams.dump(),
+            'limits': self.limits.book.dump(),
         }
 
     @property
@@ -131,9 +135,27 @@
         self, admitted: Admitted, tried: Sequence[str]
     ) -> Upstream | None:
         """Return an upstream for a call; none: all are full or away."""
-        wish = Wish(self._cfg.process.data_center, admitted.route.gap_s, tried)
-        members = self._upstreams.of_service(admitted.service)
-        return choose(members, wish, self.now(), self._rng)
+        if not self.limits.book:
+            return self._choose(admitted, tried)
+        wanted = self._choose(admitted, tried)
+        if wanted is None or not self.limits.room_after_s(wanted):
+            return wanted
+        self.limits.note_diverted(
+            admitted.facts.request_id, admitted.service, wanted
+        )
+        return self._choose(admitted, tried, within_limits=True)
+
+    def has_other(self, admitted: Admitted, tried: Sequence[str]) -> bool:
+        """Tell whether an upstream could take one more call now."""
+        found = self._choose(admitted, tried, within_limits=True)
+        return found is not None
+
+    def room_after_s(self, admitted: Admitted, tried: Sequence[str]) -> float:
+        """Return seconds until a limit leaves room for a call.
+
+        0: there is room, or limits aren't what it lacks.
+        """
+        return self.limits.room_after_s(self._choose(admitted, tried))
 
     def note_pause(
         self, upstream: Upstream, events: int, seconds: float
@@ -161,16 +183,45 @@
             if upstream.own_calls
         }
 
+    def own_limits(self) -> dict[str, LimitTold]:
+        """Return what to tell of limits, by the upstream's identity."""
+        return self.limits.book.tell(self.now())
+
     def take_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Take over what another entry has under way."""
         self._upstreams.take_calls(entry, calls)
 
+    def take_limits(
+        self, entry: str, started_at: float, limits: dict[str, LimitTold]
+    ) -> None:
+        """Take over what another entry tells of limits."""
+        self.limits.take_told(entry, started_at, limits)
+
+    def note_heard(self, share: float) -> None:
+        """Take note of the part of all entries that is heard."""
+        self.limits.book.share = share
+
     def finish_behind(self, call: Call, deadline: float) -> None:
         """Let a call end that must not be broken off; its answer is lost."""
         if not call.over:
             span_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: call.read_out(span_s))
 
+    def _choose(
+        self,
+        admitted: Admitted,
+        tried: Sequence[str],
+        *,
+        within_limits: bool = False,
+    ) -> Upstream | None:
+        wish = Wish(self._cfg.process.data_center, admitted.route.gap_s, tried)
+        members: Sequence[Upstream] = self._upstreams.of_service(
+            admitted.service
+        )
+        if within_limits:
+            members = self.limits.with_room(members)
+        return choose(members, wish, self.now(), self._rng)
+
     def _retries_left(self) -> dict[str, float]:
         return {name: one.left for name, one in self._budgets.items()}
 
@@ -226,6 +277,7 @@
             )
         for gone in self._upstreams.take(records):
             self.pool.drop(gone.record.identity)
+            self.limits.book.drop(gone.record.identity)
 
     async def _sweep_for_ever(self) -> None:
         while True:
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -78,6 +78,14 @@
             description='from a whole request to its first call of an upstream',
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
+        self._limits = meter.create_counter(
+            'snipebend_relay_limits',
+            description="changes of upstreams' limits of requests a second",
+        )
+        self._diverted = meter.create_counter(
+            'snipebend_relay_calls_diverted',
+            description='calls that a limit kept from an upstream, by service',
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -102,6 +110,14 @@
         """Count an own answer."""
         self._refusals.add(1, {'status': str(status), 'reason': reason})
 
+    def limit_changed(self, *, in_force: bool) -> None:
+        """Count a limit that an upstream names, changes or ends."""
+        self._limits.add(1, {'in_force': str(in_force).lower()})
+
+    def diverted(self, service: str) -> None:
+        """Count a call that a limit kept from an upstream."""
+        self._diverted.add(1, {'service': service})
+
     def paused(self, seconds: float) -> None:
         """Note the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -88,7 +88,11 @@
             upstream = self._desk.choose(self._admitted, self._tried)
             if upstream is None:
                 self._end.refuse_full(
-                    may_have_run=self._may_have_run, tried=bool(self._tried)
+                    may_have_run=self._may_have_run,
+                    tried=bool(self._tried),
+                    room_after_s=self._desk.room_after_s(
+                        self._admitted, self._tried
+                    ),
                 )
                 return
             ended = await self._call(upstream)
@@ -103,6 +107,7 @@
         self._upstream = upstream
         self._note_begin(upstream)
         upstream.own_calls += 1
+        self._desk.limits.note_call(upstream)
         if upstream.group is not None:
             upstream.group.note_call(self._desk.now())
         call: Call | None = None
@@ -123,7 +128,7 @@
         conn = await self._desk.pool.acquire(
             record.identity, record.address, fresh=not self._route.idempotent
         )
-        return Call(self._desk.pool, upstream, conn)
+        return Call(self._desk.pool, upstream, conn, self._desk.now())
 
     async def _exchange(self, call: Call) -> Ended | None:
         self._send(call)
@@ -155,6 +160,7 @@
 
     async def _read_answer(self, call: Call, head: AnswerHead) -> Ended | None:
         facts = self._desk.dialect.read_answer(head)
+        self._desk.limits.note_answer(call.upstream, facts, call.begun_at)
         if facts.not_run or facts.other_identity:
             self._runs -= 1
             if facts.other_identity:
@@ -271,7 +277,7 @@
             runs_left=self._route.max_attempts - self._runs,
             sends_left=MAX_SENDS - len(self._tried),
             time_left_s=self._time_left_s(),
-            other_upstream=self._desk.choose(admitted, self._tried) is not None,
+            other_upstream=self._desk.has_other(admitted, self._tried),
             may_have_run=self._may_have_run,
         )
 
--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -63,6 +63,13 @@
     headers: Headers
 
 
+class NamedLimit(NamedTuple):
+    """How many requests an upstream in need takes, from all entries."""
+
+    #: Requests a second; absent: what it says can't be read.
+    per_s: float | None
+
+
 class AnswerFacts(NamedTuple):
     """What an answer's head says, in the project's terms."""
 
@@ -76,6 +83,8 @@
     other_identity: bool = False
     #: Address of the upstream that is to blame; empty: none is named.
     at_fault: str = ''
+    #: The limit that it names; absent: none.
+    limit: NamedLimit | None = None
 
 
 class Dialect(Protocol):
--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -22,7 +22,7 @@
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
-from snipebend.relay.facts import AnswerFacts, CallerFacts
+from snipebend.relay.facts import AnswerFacts, CallerFacts, NamedLimit
 from snipebend.settings.model import ProcessSection
 from snipebend.settings.relay import RelaySection, RelaySettings
 from snipebend.settings.seeds import SeedsSection
@@ -65,12 +65,14 @@
 
     def read_answer(self, head):
         sent = {name.lower(): line.decode() for name, line in head.headers}
+        limit = sent.get(b'x-limit')
         return AnswerFacts(
             request_id=sent.get(b'x-id', ''),
             proved=b'x-proof' in sent,
             not_run=b'x-not-run' in sent,
             other_identity=head.status == 421,
             at_fault=sent.get(b'x-at-fault', ''),
+            limit=NamedLimit(float(limit)) if limit else None,
         )
 
     def refusal_headers(self, request_id, wait_s):
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -12,12 +12,39 @@
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.relay.limit_book import LimitTold
 from snipebend.settings.model import ProcessSection
 from snipebend.settings.relay import RelaySettings
 from snipebend.settings.seeds import SeedsSection
 from snipebend.transport.rpc_clients import RpcClients
 
 
+class Books:
+    """What one entry has under way, and what it hears of the others."""
+
+    def __init__(self, calls):
+        self.calls = calls
+        self.limits = {}
+        self.heard = asyncio.Queue()
+        self.heard_limits = asyncio.Queue()
+        self.share = None
+
+    def own_calls(self):
+        return dict(self.calls)
+
+    def own_limits(self):
+        return dict(self.limits)
+
+    def take_calls(self, entry, calls):
+        self.heard.put_nowait((entry, calls))
+
+    def take_limits(self, entry, started_at, limits):
+        self.heard_limits.put_nowait((entry, limits))
+
+    def note_heard(self, share):
+        self.share = share
+
+
 class TestGossip(unittest.IsolatedAsyncioTestCase):
     """Over datagrams on loopback, and from single ones."""
 
@@ -29,18 +56,16 @@
         registry = Registry(SystemClock(), TaskSupervisor())
         follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
         registry.register(follower)
-        heard = asyncio.Queue()
-        gossip = Gossip(
-            'gossip',
-            name,
-            ('127.0.0.1', 0),
-            lambda: dict(calls),
-            lambda entry, told: heard.put_nowait((entry, told)),
-        )
+        books = Books(calls)
+        gossip = Gossip('gossip', name, ('127.0.0.1', 0), books)
         await gossip.start(registry)
         self.addAsyncCleanup(registry.tasks.stop)
         self.addAsyncCleanup(gossip.stop)
-        return gossip, follower, heard
+        self.books[name] = books
+        return gossip, follower, books.heard
+
+    def setUp(self):
+        self.books = {}
 
     async def test_calls_reach_the_others(self):
         calls = {'i-1': 2}
@@ -53,6 +78,23 @@
         while told[1]['i-1'] != 5:
             told = await asyncio.wait_for(heard.get(), 10)
 
+    async def test_limits_reach_the_others(self):
+        _, sender, _ = await self.start('a', {})
+        _, receiver, _ = await self.start('b', {})
+        sender.entries = frozenset((receiver.gossip_address,))
+        self.books['a'].limits['i-1'] = LimitTold(3, 0.5, 2.0)
+        told = await asyncio.wait_for(self.books['b'].heard_limits.get(), 10)
+        self.assertEqual(told, ('a', {'i-1': LimitTold(3, 0.5, 2.0)}))
+        # It hears nobody of one other.
+        self.assertEqual(self.books['a'].share, 0.5)
+
+    async def test_an_entry_of_an_earlier_version_tells_no_limits(self):
+        gossip, _, heard = await self.start('b', {})
+        former = ('a', 10.0, 1, {'i': 2}, False)
+        gossip.datagram_received(msgpack.encode(former), ('h', 1))
+        self.assertEqual(heard.get_nowait(), ('a', {'i': 2}))
+        self.assertTrue(self.books['b'].heard_limits.empty())
+
     async def test_calls_are_told_on_in_another_data_center(self):
         _, sender, _ = await self.start('a', {'i-1': 2})
         _, far, heard = await self.start('b', {}, 'dc-2')
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,6 +6,7 @@
 
 from snipebend.relay.facts import (
     AnswerHead,
+    NamedLimit,
     PrefixPart,
     RequestHead,
     UpstreamCall,
@@ -94,6 +95,21 @@
             facts(200, (b'Snipebend-Attempt-Id', b'9c41')).request_id, '9c41'
         )
 
+    def test_limits_of_requests(self):
+        def limit(*texts):
+            headers = tuple((b'Server-Limit', text) for text in texts)
+            head = AnswerHead(200, b'', headers)
+            return self.dialect.read_answer(head).limit
+
+        self.assertIsNone(limit())
+        self.assertEqual(limit(b'2.5'), NamedLimit(2.5))
+        self.assertEqual(limit(b'0'), NamedLimit(0.0))
+        # The lowest of several that can be read.
+        self.assertEqual(limit(b'4', b'x', b'3, 9'), NamedLimit(3.0))
+        for text in (b'', b'-1', b'nan', b'inf', b'few', b'1;2', b'\xff'):
+            with self.subTest(text=text):
+                self.assertEqual(limit(text), NamedLimit(None))
+
     def test_refusals(self):
         lines = dict(self.dialect.refusal_headers('9c41', 0.25))
         self.assertEqual(lines[b'Retry-After'], b'0.25')
