Count a restarted voter's silence from the beginning of its process

A restarted voter ignores candidates for one election timeout, since its last process may have promised a leader that; it is spared that only if every voter says that it restarted, and those without their disks have no voice any more.

Ruled out: the disks (5 ms a sync), the network, the start of the daemons.

Now: the timeout is counted from when the process began (noted before the libraries are loaded, which takes longer than the timeout's half): what its predecessor promised, it promised before. A voter that heard from no leader since its start asks as often as one that waits for all, for two timeouts.

Tests: consensus search with processes that begin at any time between the end of the last one and their work, red with the planted fault that they take themselves for older (begun_too_early); three cases of one member.

--- a/src/snipebend/consensus/core.py
+++ b/src/snipebend/consensus/core.py
@@ -56,9 +56,14 @@
         restored: Restored,
         now: float,
         rng: random.Random,
+        began_at: float | None = None,
     ) -> None:
-        """Start as a follower from what the disk held."""
-        self._node = restore_node(cfg, member_id, restored, now, rng)
+        """Start as a follower from what the disk held.
+
+        ``began_at`` is when this process began, by the same clock; none: now.
+        """
+        began_at = now if began_at is None else began_at
+        self._node = restore_node(cfg, member_id, restored, now, rng, began_at)
 
     def step(
         self, event: Event, now: float, rng: random.Random
--- a/src/snipebend/consensus/node.py
+++ b/src/snipebend/consensus/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -45,6 +46,10 @@
 #: hold kept entries without a document for 1.0 s; now it is 0.1 s.
 RESTARTED_SHARE = 0.1
 
+#: Election timeouts for which a member that has just restarted asks so often:
+#: one that stays cut off asks no more than others do.
+HASTY_FOR = 2
+
 
 @dataclass(slots=True)
 class Node:
@@ -72,6 +77,8 @@
     leader_id: str | None = None
     leadership: Leadership | None = None
     votes: set[str] = field(default_factory=set)
+    #: Until when a member that heard from no leader since its start is hasty.
+    hasty_until: float = -math.inf
     #: Heard from no leader, and led nobody, since the start.
     restarted: bool = True
     #: Voters that said so of themselves; none: one of them said otherwise.
@@ -119,11 +126,22 @@
     def defer_election(self) -> None:
         """Draw a new election deadline, spread so that few collide."""
         span = self.cfg.election_timeout_s
-        if self.may_all_have_restarted:
+        if self.may_all_have_restarted or self._is_hasty:
             span *= RESTARTED_SHARE
         latest = ELECTION_SPREAD * span
         self.election_at = self.now + self.rng.uniform(span, latest)
 
+    @property
+    def _is_hasty(self) -> bool:
+        """Tell whether most of the voters may wait for a leader as well.
+
+        Several may have restarted together, and some of them not come back:
+        then nobody tells that all have, and a majority suffices once no lease
+        of before can be left.
+        """
+        waits = self.quiet_until <= self.now < self.hasty_until
+        return waits and self.restarted and self.restarted_voters is not None
+
     def append(self, entries: Iterable[LogEntry]) -> None:
         """Add entries that follow the log's end."""
         added = tuple(entries)
@@ -190,9 +208,12 @@
     restored: Restored,
     now: float,
     rng: random.Random,
+    began_at: float,
 ) -> Node:
     """Build a follower from what its disk held.
 
+    ``began_at`` is when its process began, which has promised nothing before.
+
     Raises ``CorruptionError`` when the entries don't follow the snapshot, or
     without one the empty log.
     """
@@ -219,8 +240,9 @@
         rng=rng,
         now=now,
         election_at=now,
-        # Before the restart it may have promised a leader to wait this long.
-        quiet_until=now + cfg.election_timeout_s,
+        # Its last process may have promised a leader to wait this long.
+        quiet_until=began_at + cfg.election_timeout_s,
+        hasty_until=began_at + (1 + HASTY_FOR) * cfg.election_timeout_s,
         commit_index=start,
         handed_out=start,
     )
--- a/src/snipebend/daemons/running.py
+++ b/src/snipebend/daemons/running.py
@@ -13,6 +13,7 @@
 
 from snipebend.daemons.settings_watch import SettingsWatch
 from snipebend.errors.hierarchy import SnipebendError
+from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.process import Process
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.service import Service
@@ -69,8 +70,13 @@
     model: type[AnySettings],
     build: Callable[[AnySettings], Process],
     arguments: list[str] | None = None,
+    began_at: float | None = None,
 ) -> int:
-    """Load the settings, build the process and run it until a signal."""
+    """Load the settings, build the process and run it until a signal.
+
+    ``began_at`` is when this process began; none: now.
+    """
+    clock = SystemClock(began_at)
     parser = ArgumentParser(program, description=description, epilog=_EPILOG)
     parser.add_argument('settings', type=Path, help='the TOML settings file')
     path: Path = parser.parse_args(arguments).settings
@@ -84,6 +90,7 @@
     )
     set_up_metrics(cfg.process.name)
     process = build(cfg)
+    process.registry.clock = clock
     process.registry.register(SettingsWatch(path, model, process))
     try:
         uvloop.run(process.run())
--- a/src/snipebend/kernel/clock.py
+++ b/src/snipebend/kernel/clock.py
@@ -9,6 +9,9 @@
 class Clock(Protocol):
     """A source of time in seconds."""
 
+    #: Monotonic seconds before which this process promised nobody anything.
+    began_at: float
+
     def now(self) -> float:
         """Return monotonic seconds; only differences mean anything."""
 
@@ -19,6 +22,10 @@
 class SystemClock:
     """The machine's own clocks."""
 
+    def __init__(self, began_at: float | None = None) -> None:
+        """Keep when the process began; none: now."""
+        self.began_at = self.now() if began_at is None else began_at
+
     def now(self) -> float:
         """Return seconds since the machine started, its sleep included.
 
--- a/src/snipebend/transport/group.py
+++ b/src/snipebend/transport/group.py
@@ -60,6 +60,7 @@
             PeerLinks(own, registry.tasks),
             cfg.storage.snapshot_every,
             notify,
+            registry.clock.began_at,
         )
         self.questions = GroupQuestions(self.replica, clients, registry.clock)
         self.repairs = Repairs(
--- a/src/snipebend/transport/replica.py
+++ b/src/snipebend/transport/replica.py
@@ -63,8 +63,12 @@
         links: PeerLinks,
         snapshot_every: int,
         notify: Callable[[], None],
+        began_at: float,
     ) -> None:
-        """Restore core and machine from what the disk held."""
+        """Restore core and machine from what the disk held.
+
+        ``began_at`` is when this process began, by the clock.
+        """
         self._clock = clock
         self._notify = notify
         # Spreads elections only; nobody gains by guessing it.
@@ -79,7 +83,12 @@
         start = meta.index if meta else 0
         self.applier = Applier(opened.payload, start, snapshot_every)
         self._core = Core(
-            cfg, opened.member_id, opened.restored, clock.now(), self._rng
+            cfg,
+            opened.member_id,
+            opened.restored,
+            clock.now(),
+            self._rng,
+            began_at,
         )
         self._effects = Effects(
             self._core,
--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -9,6 +9,7 @@
 from snipebend.consensus.durability import Durability
 from snipebend.consensus.node import Node
 from snipebend.consensus.reads import lease_span, majority_contact
+from tests.consensus.world import World
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
@@ -111,6 +112,11 @@
     return mock.patch(f'{CORE}.elections._all_restarted', all_restarted)
 
 
+def begun_too_early() -> AbstractContextManager[object]:
+    """Take a process for older than its predecessor's last promise."""
+    return mock.patch.object(World, 'begun_early', 1)
+
+
 def stale_reads() -> AbstractContextManager[object]:
     """Serve reads without lease or round."""
     return mock.patch(f'{CORE}.reads.lease_until', lambda *_: float('inf'))
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -11,6 +11,7 @@
 from snipebend.consensus import messages as msg
 from snipebend.consensus.config import CoreConfig, Restored
 from snipebend.consensus.core import Core
+from snipebend.consensus.node import HASTY_FOR
 from snipebend.consensus.records import (
     EntryKind,
     HardState,
@@ -32,9 +33,11 @@
     return LogEntry(index, term, EntryKind.COMMAND, payload)
 
 
-def _core(*entries: LogEntry, term: int = 1) -> Core:
+def _core(
+    *entries: LogEntry, term: int = 1, began_at: float | None = None
+) -> Core:
     restored = Restored(HardState(term), None, entries, FOUNDERS)
-    core = Core(CFG, 'a', restored, 0, RNG)
+    core = Core(CFG, 'a', restored, 0, RNG, began_at)
     core.step(evt.Tick(), 0, RNG)
     return core
 
@@ -103,6 +106,39 @@
         self.assertTrue(self._stands(_feed(core, usual, 3.6)))
 
 
+class BegunEarlierTest(unittest.TestCase):
+    """What its last process promised ran out while this one was loading."""
+
+    def test_a_majority_elects_without_the_others(self) -> None:
+        """Two of five members lost their disks: nobody speaks for them."""
+        core = _core(_entry(1, 1), began_at=-CFG.election_timeout_s)
+        asked = _sent(core.step(evt.Tick(), 0.25, RNG))
+        self.assertEqual(asked, 2 * [msg.PreVoteRequest(2, 1, 1)])
+        agreed = msg.PreVoteReply(2, granted=True)
+        stood = _feed(core, agreed, 0.26)
+        self.assertTrue(any(isinstance(one, act.Persist) for one in stood))
+
+    def test_it_gives_its_vote_at_once(self) -> None:
+        request = msg.PreVoteRequest(2, 1, 1)
+        granted = msg.PreVoteReply(2, granted=True)
+        early = _core(_entry(1, 1), began_at=-CFG.election_timeout_s)
+        self.assertEqual(_sent(_feed(early, request, 0.01)), [granted])
+        fresh = _core(_entry(1, 1))
+        refused = msg.PreVoteReply(1, granted=False)
+        self.assertEqual(_sent(_feed(fresh, request, 0.01)), [refused])
+
+    def test_one_that_stays_alone_asks_no_more_than_others(self) -> None:
+        core = _core(_entry(1, 1), began_at=-CFG.election_timeout_s)
+        moments = [0.01 * number for number in range(1000)]
+        asked = [
+            moment
+            for moment in moments
+            if _sent(core.step(evt.Tick(), moment, RNG))
+        ]
+        usual = [at for at in asked if at > HASTY_FOR]
+        self.assertLessEqual(len(usual), 8)
+
+
 class FollowerTest(unittest.TestCase):
     """What one member answers, message by message."""
 
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -120,6 +120,7 @@
     Planted(faults.agreeing_entries_dropped, PLAN, 1),
     Planted(faults.two_changes_at_once, CHANGES, 9),
     Planted(faults.others_leases_forgotten, LEFT_ALONE),
+    Planted(faults.begun_too_early, LEFT_ALONE),
 )
 
 
--- a/tests/consensus/world.py
+++ b/tests/consensus/world.py
@@ -99,6 +99,8 @@
     run: int = 0
     applied: int = 0
     paused_until: float = 0
+    #: When its last process ended.
+    crashed_at: float = 0
     synced_at: float = 0
     reads: dict[str, int] = field(default_factory=dict)
     inbox: list[evt.Event] = field(default_factory=list)
@@ -111,10 +113,16 @@
 class World:
     """Hosts, network and virtual time; every step goes to the checker."""
 
+    #: Planted: by how many election timeouts processes take themselves for
+    #: older than their predecessors' end.
+    begun_early = 0.0
+
     def __init__(self, seed: int, cfg: CoreConfig, voters: int) -> None:
         """Found a group of ``voters`` members."""
         self.rng = random.Random(seed)
         self.cfg = cfg
+        #: When processes began, between the end of the last one and their work.
+        self._births = random.Random(seed)
         self.checker = Checker()
         self.now = 0.0
         self.steps = 0
@@ -151,12 +159,15 @@
         restored = host.disk.restored()
         host.applied = restored.snapshot.index if restored.snapshot else 0
         host.reads = {}
+        began_at = self._births.uniform(host.crashed_at, self.now)
+        early_s = self.begun_early * self.cfg.election_timeout_s
         host.core = Core(
             self.cfg,
             host.member.member_id,
             restored,
             host.clock(self.now),
             self.rng,
+            host.clock(began_at - early_s),
         )
         self._tick(host, host.run)
 
@@ -164,6 +175,7 @@
         """Kill the process; of its unsynced writes the first few may last."""
         if host.core is not None:
             host.core = None
+            host.crashed_at = self.now
             host.disk.sync(self.rng.randint(0, len(host.disk.unsynced)))
             host.disk.unsynced = []
 
--- /dev/null
+++ b/tests/edge/books.py
@@ -0,0 +1,31 @@
+"""Stand-ins of what gossip tells from, and tells."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class Books:
+    """What one entry has under way, and what it hears of the others."""
+
+    def __init__(self, calls):
+        self.calls = calls
+        self.limits = {}
+        self.heard = asyncio.Queue()
+        self.heard_limits = asyncio.Queue()
+        self.share = None
+
+    def own_calls(self):
+        return dict(self.calls)
+
+    def own_limits(self):
+        return dict(self.limits)
+
+    def take_calls(self, entry, calls):
+        self.heard.put_nowait((entry, calls))
+
+    def take_limits(self, entry, started_at, limits):
+        self.heard_limits.put_nowait((entry, limits))
+
+    def note_heard(self, share):
+        self.share = share
--- a/tests/edge/test_paces.py
+++ b/tests/edge/test_paces.py
@@ -24,6 +24,7 @@
 from snipebend.balancing.pace_listener import PaceListener
 from snipebend.transport.rpc_clients import RpcClients
 from snipebend.transport.rpc_server import RpcServer
+from tests.edge.books import Books
 
 
 class Answer:
@@ -106,7 +107,7 @@
         registry.register(
             HostFollower('hosts', cfg, RpcClients(), read_table=None)
         )
-        gossip = Gossip('gossip', 'e', ('127.0.0.1', 0), dict, print)
+        gossip = Gossip('gossip', 'e', ('127.0.0.1', 0), Books({}))
         registry.register(gossip)
         await gossip.start(registry)
         self.addAsyncCleanup(gossip.stop)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -42,6 +42,8 @@
 class LoopClock:
     """The clock of services that run on a loop."""
 
+    began_at = 0.0
+
     def now(self):
         return asyncio.get_running_loop().time()
 
