Tell watchers of groups and entries when they change

Cause: each message to each watcher held all ranks of all groups and all entries, and each change was told by a message of its own: with 1,000 upstreams in 32 groups and 100 entries one change made 1.65 MB (16.5 kB a watcher), and so did each sign of life, twice a second. A watcher's news were found by going through the whole roster.

Now: a watch tells of groups and entries when they have changed since it told last (to entries of earlier versions as before); changes within 20 ms are told together; newer records are found from the roster's end. Since a daemon no longer repeats its list of entries, an entry joins the lists of all daemons: one that is cut off hides nobody.

--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -21,6 +21,7 @@
 from snipebend.hosts.lookup import HostIndex
 from snipebend.hosts.model import HostTable
 from snipebend.kernel.service import Service
+from snipebend.relay.entry_lists import EntryLists
 from snipebend.settings.relay import RelaySettings
 from snipebend.state.host_news import HostWatch
 from snipebend.transport.methods import WATCH_HOSTS
@@ -82,6 +83,7 @@
         self.entries: frozenset[str] = frozenset()
         #: The data centre of each, as far as told.
         self.places: dict[str, str] = {}
+        self._lists = EntryLists()
         #: Called after each batch of news.
         self.on_news: Callable[[], None] = _nobody
         #: Told of groups of upstreams, and of none while nobody tells.
@@ -194,6 +196,7 @@
             except (UnavailableError, TimeoutError) as exc:
                 self._clients.retire(address)
                 self._take_groups(address, ())
+                self._lists.drop(address)
                 self._fetcher.note_lost(address)
                 # One that refuses all the while is told once.
                 if tally.news or not told_lost:
@@ -222,6 +225,7 @@
             self._revision,
             self.gossip_address,
             fetches=True,
+            keeps_groups=True,
             data_center=self.data_center,
         )
         stream = self._clients.stream(address, WATCH_HOSTS, req)
@@ -252,17 +256,20 @@
         if 0 <= news.confirmed_ago_s <= CONFIRMED_S:
             self._confirmed_number = max(self._confirmed_number, news.number)
             self._note_confirmed()
-        self._take_groups(address, news.groups)
+        if not news.groups_hold:
+            self._take_groups(address, news.groups)
         if news.entries:
-            self.entries = frozenset(news.entries) - {self.gossip_address}
-            self.places = dict(
-                zip(news.entries, news.entry_places, strict=False)
-            )
+            self._lists.take(address, news.entries, news.entry_places)
+            self._note_entries()
         if news.members and self._members != frozenset(news.members):
             self._members = frozenset(news.members)
             self._watch_all()
         self.on_news()
 
+    def _note_entries(self) -> None:
+        self.places = self._lists.places()
+        self.entries = frozenset(self.places) - {self.gossip_address}
+
     def _take_groups(
         self, address: str, groups: tuple[GroupStanding, ...]
     ) -> None:
--- a/src/snipebend/state/host_news.py
+++ b/src/snipebend/state/host_news.py
@@ -20,6 +20,8 @@
     #: Whether it fetches documents by parts. One of an earlier version waits
     #: for them in the news.
     fetches: bool = False
+    #: Whether it keeps what a watch told of groups until it tells otherwise.
+    keeps_groups: bool = False
     data_center: str = ''
 
 
@@ -64,5 +66,7 @@
     entries: tuple[str, ...] = ()
     #: Groups of upstreams; empty unless the sender leads.
     groups: tuple[GroupStanding, ...] = ()
+    #: What this watch told of groups before holds still.
+    groups_hold: bool = False
     #: The data centre of each of the entries, in their order; none: not told.
     entry_places: tuple[str, ...] = ()
--- a/src/snipebend/state/roster.py
+++ b/src/snipebend/state/roster.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from itertools import islice
+from itertools import takewhile
 
 from msgspec import Struct
 
@@ -106,12 +106,14 @@
 
         What is recorded goes to the end, so that they are in that order.
         """
-        newer = (
-            record
-            for record in self.upstreams.values()
-            if record.revision > revision
+        newer = list(
+            takewhile(
+                lambda record: record.revision > revision,
+                reversed(self.upstreams.values()),
+            )
         )
-        return tuple(islice(newer, most))
+        newer.reverse()
+        return tuple(newer[:most])
 
     def _forget(self) -> None:
         ended = [
--- a/src/snipebend/transport/host_keeper.py
+++ b/src/snipebend/transport/host_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from grpclib.exceptions import GRPCError
@@ -32,11 +33,27 @@
 NEWS_EVERY_S = 0.5
 
 
+#: Least seconds between two messages of one watch: what changes meanwhile is
+#: told together. While a thousand upstreams arrive, a hundred watchers would be
+#: told of each.
+NEWS_APART_S = 0.02
+
 #: Records of upstreams in one message, some 40 KB: a watcher that loses
 #: patience with a long roster keeps what came before.
 MOST_RECORDS = 256
 
 
+@dataclass(slots=True)
+class Told:
+    """What one watch has told its watcher so far."""
+
+    number: int
+    revision: int
+    #: Counts of changes, of groups and of watchers; -1: none was told of.
+    groups: int = -1
+    watchers: int = -1
+
+
 class HostKeeper(Service):
     """Commits documents and upstreams, and tells entries of them."""
 
@@ -48,8 +65,9 @@
         #: The latest watch of each process.
         self._watchers: dict[str, HostWatch] = {}
         self._groups: dict[str, GroupStanding] = {}
-        #: Grows with each change of what is told of groups.
-        self._groups_told = 0
+        #: Grow with each change of what is told of groups, and of watchers.
+        self._groups_changed = 0
+        self._watchers_changed = 0
         self._shelf = DocumentShelf()
         server.add(
             Endpoint(WATCH_HOSTS, self.watch),
@@ -140,13 +158,13 @@
             ','.join(standing.slow) or '-',
         )
         self._groups[standing.group] = standing
-        self._groups_told += 1
+        self._groups_changed += 1
         self._store.tell_changed()
 
     def forget_group(self, group: str) -> None:
         """Leave it to others to tell of a group."""
         if self._groups.pop(group, None) is not None:
-            self._groups_told += 1
+            self._groups_changed += 1
 
     def forget_groups(self) -> None:
         """Leave it to the leader to tell."""
@@ -163,24 +181,26 @@
         )
         began_at = self._clock.now()
         self._watchers[req.process] = req
-        number, revision = req.number, req.roster_revision
+        self._watchers_changed += 1
+        told = Told(req.number, req.roster_revision)
         try:
             while not self._stopping:
-                told = self._groups_told
-                news = self._news_after(req, number, revision)
+                news = self._news_after(req, told)
+                told.number = max(told.number, news.number)
+                told.revision = max(told.revision, news.roster_revision)
                 yield news
-                number = max(number, news.number)
-                revision = max(revision, news.roster_revision)
-                await self._wait_for_newer(number, revision, told)
+                await asyncio.sleep(NEWS_APART_S)
+                await self._wait_for_newer(told)
         finally:
             # An old watch may end after the one that took its place.
             if self._watchers.get(req.process) is req:
                 self._watchers.pop(req.process)
+                self._watchers_changed += 1
             logger.info(
                 'event=watch_closed process={} lasted_ms={:.0f} number={}',
                 req.process,
                 1000 * (self._clock.now() - began_at),
-                number,
+                told.number,
             )
 
     async def fetch_part(self, req: PartRequest) -> DocumentPart:
@@ -197,18 +217,20 @@
             )
         return part
 
-    def _news_after(
-        self, req: HostWatch, number: int, revision: int
-    ) -> HostNews:
+    def _news_after(self, req: HostWatch, told: Told) -> HostNews:
+        """Return what a watcher wasn't told yet."""
         state = self._store.machine.state
         group = self._store.group
         ago = group.confirmed_ago if group else None
         voters = group.replica.status.members.voters if group else ()
         book = state.documents
-        inline = book.number > number and not req.fetches
-        upstreams = state.roster.since(revision, MOST_RECORDS)
+        inline = book.number > told.number and not req.fetches
+        upstreams = state.roster.since(told.revision, MOST_RECORDS)
         all_told = len(upstreams) < MOST_RECORDS
-        entries = [one for one in self._watchers.values() if one.gossip_address]
+        groups_hold = req.keeps_groups and told.groups == self._groups_changed
+        entries = self._entries_after(told)
+        told.groups = self._groups_changed
+        told.watchers = self._watchers_changed
         return HostNews(
             book.number,
             state.roster.revision if all_told else upstreams[-1].revision,
@@ -217,26 +239,31 @@
             upstreams,
             tuple(member.address for member in voters),
             tuple(entry.gossip_address for entry in entries),
-            tuple(self._groups.values()),
+            () if groups_hold else tuple(self._groups.values()),
+            groups_hold,
             tuple(entry.data_center for entry in entries),
         )
 
+    def _entries_after(self, told: Told) -> list[HostWatch]:
+        """Return the entries, unless a watch told of the same ones before."""
+        if told.watchers == self._watchers_changed:
+            return []
+        return [one for one in self._watchers.values() if one.gossip_address]
+
     async def _execute(self, command: Command) -> Result[Any, UnavailableError]:
         try:
             return Ok(await self._store.execute(command))
         except GRPCError as exc:
             return Err(UnavailableError(str(exc.message), step='execute'))
 
-    async def _wait_for_newer(
-        self, number: int, revision: int, told: int
-    ) -> None:
+    async def _wait_for_newer(self, told: Told) -> None:
         try:
             async with asyncio.timeout(NEWS_EVERY_S), self._store.changed:
                 await self._store.changed.wait_for(
                     lambda: (
                         self._stopping
-                        or self._groups_told != told
-                        or self._is_newer(number, revision)
+                        or self._groups_changed != told.groups
+                        or self._is_newer(told.number, told.revision)
                     ),
                 )
         except TimeoutError:
--- a/tests/transport/test_host_keeper.py
+++ b/tests/transport/test_host_keeper.py
@@ -5,7 +5,7 @@
 import unittest
 from contextlib import AsyncExitStack, aclosing
 
-from snipebend.state.host_news import HostWatch
+from snipebend.state.host_news import GroupPhase, GroupStanding, HostWatch
 from snipebend.transport import host_keeper
 from tests.edge.document_rig import Daemon
 
@@ -67,3 +67,43 @@
             pieces += 1
         self.assertEqual(len(seen), count)
         self.assertEqual(pieces, 3)
+
+    async def test_entries_and_groups_are_told_when_they_change(self):
+        """Each message held all ranks of all groups, and all entries.
+
+        With 1,000 upstreams and 100 entries that made 17 kB of a sign of life.
+        """
+        standing = GroupStanding('g', 's', GroupPhase.OPEN, ('i-1', 'i-2'))
+        self.keeper.tell_group(standing)
+        watch = HostWatch('e', 0, 0, '10.0.0.1:7', keeps_groups=True)
+        async with aclosing(self.keeper.watch(watch)) as news:
+            first = await anext(news)
+            self.assertEqual(first.groups, (standing,))
+            self.assertEqual(first.entries, ('10.0.0.1:7',))
+            self.daemon.record('i-1')
+            second = await anext(news)
+            self.assertEqual((second.groups, second.entries), ((), ()))
+            self.assertTrue(second.groups_hold)
+            self.keeper.forget_groups()
+            third = await anext(news)
+            self.assertEqual((third.groups, third.groups_hold), ((), False))
+
+    async def test_earlier_versions_are_told_of_groups_each_time(self):
+        standing = GroupStanding('g', 's', GroupPhase.OPEN, ('i-1', 'i-2'))
+        self.keeper.tell_group(standing)
+        watch = HostWatch('e', 0, 0, '10.0.0.1:7')
+        async with aclosing(self.keeper.watch(watch)) as news:
+            for number in range(2):
+                told = await anext(news)
+                self.assertEqual(told.groups, (standing,))
+                self.assertFalse(told.groups_hold)
+                self.daemon.record(f'i-{number}')
+
+    async def test_changes_that_come_together_are_told_together(self):
+        watch = HostWatch('e', 0, 0, '10.0.0.1:7')
+        async with aclosing(self.keeper.watch(watch)) as news:
+            await anext(news)
+            for number in range(50):
+                self.daemon.record(f'i-{number}')
+            told = await anext(news)
+        self.assertEqual(len(told.upstreams), 50)
