Read no counts of a group that its streams don't tell of any more

Now: such a group has no streams, or too few for a better map to serve anybody; it is read once entries tell of its passes again. A group that was never told of is read as before.

--- a/src/snipebend/balancing/demand_follower.py
+++ b/src/snipebend/balancing/demand_follower.py
@@ -96,7 +96,7 @@
     async def read(self, watch: GroupWatch, seen: Seen) -> bool:
         """Read counts if it is time; tell whether a span has ended."""
         now = self._clock.now()
-        if watch.told_pass_s is None and self._is_idle(seen, now):
+        if watch.told_pass_s is None and self._needs_none(seen, now):
             return False
         reading = self.plan.next_reading(now, watch.told_pass_s)
         if reading is Reading.NOTHING:
@@ -142,6 +142,15 @@
         else:
             self.plan.note_failed(self._clock.now())
 
+    def _needs_none(self, seen: Seen, now: float) -> bool:
+        """Tell whether a reading serves nobody while no entry tells of passes.
+
+        Entries that told before have no streams there now, or too few to show
+        many events: with dozens of groups, readings of those cost more than
+        half of what all requests were worth.
+        """
+        return self._heard_at is not None or self._is_idle(seen, now)
+
     def _is_idle(self, seen: Seen, now: float) -> bool:
         step = max(report.step for report in seen.reports.values())
         if step != self._step:
