Take a switch of maps for as dear as 0.4 s, and ask for a fifth at most

Cause: since maps are changed by what they save while demand lasts, small changes came soon after turns.

--- a/src/snipebend/experts/change_value.py
+++ b/src/snipebend/experts/change_value.py
@@ -12,14 +12,18 @@
 FIRST_LASTS_S = 1.0
 
 #: Seconds that it is taken to last at most: it may turn at any moment.
-MOST_LASTS_S = 5.0
+MOST_LASTS_S = 10.0
 
 #: Share by which passes are longer while ranks fetch experts.
 FETCH_DRAG = 0.15
 
 #: Seconds of passes that a switch itself costs: the pass that it holds back,
-#: and the streams that this makes late.
-SWITCH_S = 0.2
+#: and the streams under way that this makes late.
+SWITCH_S = 0.4
+
+#: A saving that pays for a change whatever the age of the demand: passes are as
+#: long as they are because it has turned.
+ENOUGH_SAVING = 0.2
 
 
 def lasts_s(known_s: float) -> float:
@@ -32,4 +36,5 @@
 
     ``fetch_s`` is how long the rank fetches that fetches most.
     """
-    return (SWITCH_S + FETCH_DRAG * fetch_s) / lasts_s(known_s)
+    cost_s = SWITCH_S + FETCH_DRAG * fetch_s
+    return min(ENOUGH_SAVING, cost_s / lasts_s(known_s))
