--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -8,6 +8,15 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+def texts_of(headers: Headers, name: bytes) -> list[str]:
+    """Return what each line of a header says, in their order."""
+    return [
+        sent.decode('latin-1')
+        for each, sent in headers
+        if each.lower() == name.lower()
+    ]
+
+
 class PrefixPart(NamedTuple):
     """One part of a prompt, which other requests may share."""
 
