Let small changes of map wait where demand turns often

Now: the group's last demand tells how long this one lasts; until twice as long has gone by, what is left of that counts. Where none turned yet, a demand lasts as long as it has.

Tests: experts.test_change_value, balancing.test_steady_demand.

--- a/src/snipebend/experts/group_watch.py
+++ b/src/snipebend/experts/group_watch.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from snipebend.experts.change_value import least_saving
+from snipebend.experts.change_value import DemandAge, least_saving
 from snipebend.experts.demand import Demand
 from snipebend.experts.hold_aim import LEAST_PASS_S
 from snipebend.experts.layer_state import LayerMap
@@ -76,9 +76,9 @@
         self.slowness: tuple[float, ...] = ()
         self._sizes = sizes
         self.demand = Demand(sizes.layers, sizes.experts)
-        #: When counts were read last, and when the demand that is known began.
+        #: When counts were read last.
         self._read_at: float = 0
-        self._known_since: float = 0
+        self._age = DemandAge()
 
     @property
     def turning(self) -> bool:
@@ -97,8 +97,8 @@
         """Take over what was chosen since the span began; begin another."""
         self._note_steps(read, now)
         self.demand.end(read, is_new=is_new)
-        if self.demand.told and self.demand.is_fresh:
-            self._known_since = self._read_at
+        if self.demand.told and self.demand.is_fresh and not self.turning:
+            self._age.note_turn(self._read_at)
         self._read_at = now
 
     @property
@@ -149,8 +149,9 @@
         )
 
     def _least_saving(self, most_loads: int) -> float:
-        known_s = self._read_at - self._known_since
-        return least_saving(known_s, most_loads * self._sizes.fetch_s)
+        known_s = self._age.known_s(self._read_at)
+        fetch_s = most_loads * self._sizes.fetch_s
+        return least_saving(known_s, self._age.last_lasted_s, fetch_s)
 
     def _is_calm(self, saving: float) -> bool:
         """Tell whether streams are on time without this change, too.
