--- a/bench/calm_days.py
+++ b/bench/calm_days.py
@@ -1,10 +1,11 @@
-"""Plays a calm day of each deployment, beside what it was worth before.
+"""Plays days without trouble of each deployment, beside what they were worth.
 
 ``python -m bench.calm_days PLAYER SITE... --why WHY [--keep]`` prints a row a
-deployment: its worth at the last landing, now, and whether it fell by more than
-what one and the same day spreads by. ``--keep`` writes the worths down for the
-next landing. The program that plays and the deployments' files are named on the
-command line.
+deployment and day: its worth at the last landing, now, and whether it fell by
+more than what one and the same day spreads by. The days are a calm one, and one
+with 1.3 times its requests under a steady demand. ``--keep`` writes the worths
+down for the next landing. The program that plays and the deployments' files are
+named on the command line.
 """
 
 from __future__ import annotations
@@ -15,13 +16,25 @@
 import tomllib
 from argparse import ArgumentParser
 from pathlib import Path
+from types import MappingProxyType
+from typing import NamedTuple
 
 WORTHS = Path(__file__).parent / 'calm_days.toml'
 
-#: A calm day that every deployment has.
-DAY = 'quiet-1'
+#: By name, as the player takes them: a calm day that every deployment has, and
+#: one of our own.
+DAYS = MappingProxyType(
+    {
+        'quiet-1': 'quiet-1',
+        'burst_without_turns': str(
+            Path(__file__).parent / 'days' / 'burst_without_turns.toml'
+        ),
+    }
+)
 
-HEAD = '| deployment | before | now | |\n| --- | --- | --- | --- |\n'
+HEAD = (
+    '| deployment | day | before | now | |\n| --- | --- | --- | --- | --- |\n'
+)
 
 #: A larger fall of worth than this is a finding.
 MOST_FALL = 0.03
@@ -35,30 +48,54 @@
     parser.add_argument('--keep', action='store_true')
     parser.add_argument('--why', required=True)
     args = parser.parse_args()
-    before = tomllib.loads(WORTHS.read_text(encoding='utf-8'))
-    sys.stdout.write(
-        '| deployment | before | now | |\n| --- | --- | --- | --- |\n'
-    )
-    worths = dict(before)
+    worths = tomllib.loads(WORTHS.read_text(encoding='utf-8'))
+    sys.stdout.write(HEAD)
     sound = True
     for site in args.sites:
-        name = Path(site).stem
-        worth = _play(args.player, site, args.why)
-        verdict = _verdict(before.get(name), worth)
-        sound = sound and not verdict
-        row = (name, before.get(name, '-'), worth or '-', verdict)
-        sys.stdout.write('| {} | {} | {} | {} |\n'.format(*row))
-        sys.stdout.flush()
-        if worth is not None:
-            worths[name] = worth
+        for day in DAYS:
+            known = worths.setdefault(day, {})
+            row = _play_row(args.player, site, day, known, args.why)
+            sound = sound and row.verdict == ''
     if args.keep:
-        lines = [
-            f'{name} = {worth}\n' for name, worth in sorted(worths.items())
-        ]
-        WORTHS.write_text(''.join(lines), encoding='utf-8')
+        WORTHS.write_text(_to_toml(worths), encoding='utf-8')
     return 0 if sound else 1
 
 
+class Row(NamedTuple):
+    """One played day beside its last figure."""
+
+    name: str
+    day: str
+    before: float | None
+    now: float | None
+    verdict: str
+
+
+def _play_row(
+    player: str, site: str, day: str, known: dict[str, float], why: str
+) -> Row:
+    """Play one day, print its row and note its worth."""
+    name = Path(site).stem
+    before = known.get(name)
+    now = _play(player, site, DAYS[day], why)
+    row = Row(name, day, before, now, _verdict(before, now))
+    shown = ['-' if one is None else str(one) for one in row]
+    line = ' | '.join(shown)
+    sys.stdout.write(f'| {line} |\n')
+    sys.stdout.flush()
+    if now is not None:
+        known[name] = now
+    return row
+
+
+def _to_toml(worths: dict[str, dict[str, float]]) -> str:
+    parts: list[str] = []
+    for day, known in worths.items():
+        lines = [f'{name} = {worth}' for name, worth in sorted(known.items())]
+        parts.append('\n'.join((f'[{day}]', *lines, '')))
+    return '\n'.join(parts)
+
+
 def _verdict(before: float | None, now: float | None) -> str:
     if now is None:
         return 'not played'
@@ -67,8 +104,9 @@
     return ''
 
 
-def _play(player: str, site: str, why: str) -> float | None:
-    command = [player, 'run', site, DAY, '--no-cpu', '--why', why]
+def _play(player: str, site: str, day: str, why: str) -> float | None:
+    command = [player, 'run', site, day, '--no-cpu', '--jobs', '1']
+    command += ['--why', why]
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     found = re.search(r'^worth ([\d.]+) =', done.stdout, re.MULTILINE)
     if found is None or 'BROKEN' in done.stdout:
