--- a/src/snipebend/balancing/count_reader.py
+++ b/src/snipebend/balancing/count_reader.py
@@ -22,9 +22,8 @@
 SAMPLE = 3
 
 #: Ranks whose counts are read while nothing is known of a group's demand: each
-#: rank counts its own requests, and after an outage three ranks have fifteen,
-#: whose contents aren't those of the next ones: maps planned for a skew of 1.2
-#: came to 1.8.
+#: rank counts its own requests, and the contents of a few aren't those of the
+#: next ones.
 FIRST_SAMPLE = 9
 
 
--- a/src/snipebend/balancing/demand_follower.py
+++ b/src/snipebend/balancing/demand_follower.py
@@ -145,9 +145,8 @@
     def _needs_none(self, seen: Seen, now: float) -> bool:
         """Tell whether a reading serves nobody while no entry tells of passes.
 
-        Entries that told before have no streams there now, or too few to show
-        many events: with dozens of groups, readings of those cost more than
-        half of what all requests were worth.
+        Entries that told before have no streams there now, or too few for a
+        better map to serve anybody; each reading is paid for.
         """
         return self._heard_at is not None or self._is_idle(seen, now)
 
--- a/src/snipebend/experts/uncertain_skew.py
+++ b/src/snipebend/experts/uncertain_skew.py
@@ -1,8 +1,7 @@
 """The skew that a map is to expect where the demand is known by counts (pure).
 
-The skew of the counted shares flatters a map that was made from them: with a
-few dozen choices an expert, a map planned for 1.2 comes to 1.5. So a map is
-weighed over demands that fit the counts as well.
+The skew of the counted shares flatters a map that was made from them. So a map
+is weighed over demands that fit the counts as well.
 """
 
 from __future__ import annotations
