Load again what leaders need when it failed

A cause was not shown. One that would fit, if its one group stood still from then on: what a leader needs is loaded in a thread beside all else that a daemon starts, imports of two threads can meet half loaded, and a failure stayed for the daemon's life: no group was cared for, and one that was held stayed so.

Now: a failure is logged and loading begins anew.

Measured: balancing.test_group_balancer (a load that fails once), and the platform's processes.

--- a/src/snipebend/balancing/group_balancer.py
+++ b/src/snipebend/balancing/group_balancer.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from snipebend.kernel.service import Service
 from snipebend.state.roster import RosterPhase
 from snipebend.balancing.meters import BalancerMeters
@@ -63,12 +65,12 @@
         self._clock = registry.clock
         # Every daemon may have to lead, while groups stand still or have maps
         # that don't fit: what that needs is loaded beside its first election.
-        self._loading = asyncio.create_task(asyncio.to_thread(self._load))
+        self._loading = self._begin_loading()
         registry.tasks.start('balance', self._balance_for_ever)
 
     async def stop(self) -> None:
         """Close the connections to engines."""
-        await self._loading
+        await asyncio.wait((self._loading,))
         await self._link.close()
 
     def dump(self) -> Mapping[str, object]:
@@ -95,7 +97,22 @@
         if not self._lead.may_order:
             self._keeper.forget_groups()
             return []
-        return await self._survey(await self._loading)
+        return await self._survey(await self._find_tools())
+
+    async def _find_tools(self) -> CareTools:
+        """Return what was loaded; load it again if that failed.
+
+        The first time it is loaded beside all else that a daemon starts.
+        """
+        await asyncio.wait((self._loading,))
+        failure = self._loading.exception()
+        if failure is not None:
+            logger.warning('event=load_failed error={!r}', str(failure))
+            self._loading = self._begin_loading()
+        return await self._loading
+
+    def _begin_loading(self) -> asyncio.Task[CareTools]:
+        return asyncio.create_task(asyncio.to_thread(self._load))
 
     async def _survey(self, tools: CareTools) -> list[GroupCare]:
         found: list[GroupCare] = []
--- a/tests/balancing/test_group_balancer.py
+++ b/tests/balancing/test_group_balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from snipebend.experts.direct_orders import (
     RankCounts,
@@ -179,6 +180,16 @@
 class TestGroupBalancer(BalancerCase):
     """A new leader looks before it orders."""
 
+    async def test_what_failed_to_load_is_loaded_again(self):
+        """Else no leader cares for groups, and one that is held stays so."""
+        load = self.balancer._load
+        failing = mock.Mock(side_effect=(ImportError('half loaded'), load()))
+        with mock.patch.object(self.balancer, '_load', failing):
+            self.balancer._loading = self.balancer._begin_loading()
+            await self.look()
+        self.assertEqual(failing.call_count, 2)
+        self.assertTrue(self.balancer.cares)
+
     async def test_no_order_before_the_last_leaders_show(self):
         await self.look()
         self.clock.at += SETTLE_S / 2
