Stop a balancer that never started

Cause: what leaders need is loaded by a task since, and stop() waits for it. A process whose data folder is damaged stops services that it hasn't started: stop() failed for want of the task, hid the folder's error and left the services before it unstopped. Found by reading the change again.

Now: stop() waits only for what has begun.

Measured: test_one_that_never_started_stops, red before (AttributeError), green now; the balancer's and the platform's process tests, 20 passed.

--- a/src/snipebend/balancing/group_balancer.py
+++ b/src/snipebend/balancing/group_balancer.py
@@ -55,6 +55,8 @@
         self._table = table
         #: The care for each group, while a task gives it.
         self.cares: dict[GroupKey, GroupCare] = {}
+        #: What the care for groups needs; none: not started.
+        self._loading: asyncio.Task[CareTools] | None = None
 
     async def start(self, registry: Registry) -> None:
         """Start the task."""
@@ -70,7 +72,8 @@
 
     async def stop(self) -> None:
         """Close the connections to engines."""
-        await asyncio.wait((self._loading,))
+        if self._loading is not None:
+            await asyncio.wait((self._loading,))
         await self._link.close()
 
     def dump(self) -> Mapping[str, object]:
@@ -104,6 +107,7 @@
 
         The first time it is loaded beside all else that a daemon starts.
         """
+        assert self._loading is not None, 'start() comes first'
         await asyncio.wait((self._loading,))
         failure = self._loading.exception()
         if failure is not None:
--- a/tests/balancing/test_group_balancer.py
+++ b/tests/balancing/test_group_balancer.py
@@ -180,6 +180,13 @@
 class TestGroupBalancer(BalancerCase):
     """A new leader looks before it orders."""
 
+    async def test_one_that_never_started_stops(self):
+        """Else it hides why another service of the process didn't start."""
+        unstarted = GroupBalancer(
+            'balancer', FakeEngines(), lambda: TABLE, GroupPaces()
+        )
+        await unstarted.stop()
+
     async def test_what_failed_to_load_is_loaded_again(self):
         """Else no leader cares for groups, and one that is held stays so."""
         load = self.balancer._load
