Read, log and count what upstreams ask for in their answers

An answer's head is now read once, by its connection, into facts that hold the rest and whether the upstream is leaving; 'upstream_rests', 'upstream_leaves' and 'rest_ms' of 'call_begun' tell them, and a counter counts calls that an upstream had asked not to get. No decision goes by them yet.

--- a/src/snipebend/edge/answer_parser.py
+++ b/src/snipebend/edge/answer_parser.py
@@ -92,13 +92,14 @@
             self._skipping = self.exchange is None
             return
         head = AnswerHead(status, self._reason, tuple(self._headers))
-        told = self._dialect.read_answer(head).request_id
+        facts = self._dialect.read_answer(head)
         self._note_framing(head)
         # A late copy of an earlier answer is passed over; the own one follows.
-        self._skipping = told not in {'', self.exchange.request_id}
+        own = {'', self.exchange.request_id}
+        self._skipping = facts.request_id not in own
         if not self._skipping:
             self._answered = True
-            self.exchange.tell(Begun(head))
+            self.exchange.tell(Begun(head, facts))
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body on."""
--- a/src/snipebend/edge/exchange.py
+++ b/src/snipebend/edge/exchange.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import NamedTuple
 
-from snipebend.relay.facts import AnswerHead
+from snipebend.relay.facts import AnswerFacts, AnswerHead
 
 
 class Begun(NamedTuple):
-    """The head of the answer."""
+    """The head of the answer, and what it says."""
 
     head: AnswerHead
+    facts: AnswerFacts
 
 
 class Piece(NamedTuple):
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -15,6 +15,7 @@
 from snipebend.edge.relay_meters import RelayMeters, Standing
 from snipebend.edge.relayed_request import RelayedRequest
 from snipebend.edge.upstream_pool import UpstreamPool
+from snipebend.edge.upstream_statements import UpstreamStatements
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
 from snipebend.relay.admitting import USUAL_PATIENCE_S, Admitted, admit
@@ -79,6 +80,7 @@
         )
         self.refuser = Refuser(self.dialect, self._follower, self.meters)
         self.limits = LimitKeeper(self.now, self.meters)
+        self.statements = UpstreamStatements(self.now, self.meters)
         self._tasks.start('sweep', self._sweep_for_ever)
 
     async def stop(self) -> None:
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -86,6 +86,14 @@
             'snipebend_relay_calls_diverted',
             description='calls that a limit kept from an upstream, by service',
         )
+        self._declined = meter.create_counter(
+            'snipebend_relay_upstreams_declined',
+            description='answers by which an upstream asked for no more work',
+        )
+        self._unwanted = meter.create_counter(
+            'snipebend_relay_unwanted_calls',
+            description='calls of upstreams that had asked for no more work',
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -118,6 +126,14 @@
         """Count a call that a limit kept from an upstream."""
         self._diverted.add(1, {'service': service})
 
+    def declined(self, service: str, reason: str) -> None:
+        """Count an upstream that asks for a rest, or says that it leaves."""
+        self._declined.add(1, {'service': service, 'reason': reason})
+
+    def unwanted(self, service: str, reason: str) -> None:
+        """Count a call of an upstream that wants none."""
+        self._unwanted.add(1, {'service': service, 'reason': reason})
+
     def paused(self, seconds: float) -> None:
         """Note the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -106,6 +106,7 @@
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
         self._note_begin(upstream)
+        self._desk.statements.note_call(upstream)
         upstream.own_calls += 1
         self._desk.limits.note_call(upstream)
         if upstream.group is not None:
@@ -134,8 +135,8 @@
         self._send(call)
         message = await call.receive()
         match message:
-            case Begun(head):
-                return await self._read_answer(call, head)
+            case Begun():
+                return await self._read_answer(call, message)
             case Broken(reason):
                 return self._unknown(reason)
             case _:
@@ -158,9 +159,10 @@
         )
         self._runs += 1
 
-    async def _read_answer(self, call: Call, head: AnswerHead) -> Ended | None:
-        facts = self._desk.dialect.read_answer(head)
+    async def _read_answer(self, call: Call, begun: Begun) -> Ended | None:
+        head, facts = begun
         self._desk.limits.note_answer(call.upstream, facts, call.begun_at)
+        self._desk.statements.take(call.upstream, facts)
         if facts.not_run or facts.other_identity:
             self._runs -= 1
             if facts.other_identity:
@@ -169,10 +171,10 @@
             reason = f'refused with {head.status} for {facts.at_fault}'
             return Ended(Ending.NOT_RUN, reason)
         if head.status >= _STATUS_FAILED or not facts.proved:
-            return await self._read_failure(call, head, proved=facts.proved)
+            return await self._read_failure(call, begun)
         if self._route.kind is Kind.STREAM and head.status == HTTPStatus.OK:
             return await self._relay_stream(call, head)
-        return await self._relay_whole(call, Begun(head))
+        return await self._relay_whole(call, begun)
 
     def _note_lost_rank(self, upstream: Upstream, lost: str) -> None:
         """Leave a group of which another rank is lost: all of it waits.
@@ -183,12 +185,10 @@
             return
         upstream.group.note_lost_rank(self._desk.now())
 
-    async def _read_failure(
-        self, call: Call, head: AnswerHead, *, proved: bool
-    ) -> Ended:
-        answer = await call.receive_whole(Begun(head))
-        reason = f'failed with {head.status}'
-        if isinstance(answer, Broken) or not proved:
+    async def _read_failure(self, call: Call, begun: Begun) -> Ended:
+        answer = await call.receive_whole(begun)
+        reason = f'failed with {begun.head.status}'
+        if isinstance(answer, Broken) or not begun.facts.proved:
             return self._unknown(reason)
         return Ended(Ending.FAILED, reason, answer, faulty=True)
 
@@ -225,7 +225,8 @@
         logger.info(
             'event=call_begun request={} call={} route={} service={} '
             + 'workspace={} priority={} left_ms={:.0f} upstream={} '
-            + 'own_calls={} all_calls={} slots={} after_event={} {}',
+            + 'own_calls={} all_calls={} slots={} rest_ms={:.0f} '
+            + 'after_event={} {}',
             admitted.facts.request_id,
             len(self._tried),
             admitted.route.name,
@@ -237,6 +238,7 @@
             upstream.own_calls,
             upstream.calls,
             upstream.record.slots,
+            1000 * upstream.rest_left_s(self._desk.now()),
             self._stream.resume_after,
             self._desk.refuser.knowledge(),
         )
--- /dev/null
+++ b/src/snipebend/edge/upstream_statements.py
@@ -0,0 +1,67 @@
+"""Takes over what upstreams say of themselves in answers, and logs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from snipebend.edge.relay_meters import RelayMeters
+    from snipebend.relay.facts import AnswerFacts, RestAsked
+    from snipebend.relay.upstreams import Upstream
+
+
+class UpstreamStatements:
+    """What upstreams told one entry that they want no work."""
+
+    def __init__(self, now: Callable[[], float], meters: RelayMeters) -> None:
+        """Start without any."""
+        self._now = now
+        self._meters = meters
+
+    def take(self, upstream: Upstream, facts: AnswerFacts) -> None:
+        """Take over what an answer says, unless another life gave it."""
+        if facts.other_identity:
+            return
+        if facts.rest is not None:
+            self._take_rest(upstream, facts.rest)
+        if facts.leaving and not upstream.leaving:
+            self._take_leaving(upstream)
+
+    def note_call(self, upstream: Upstream) -> None:
+        """Count a call that begins although the upstream wants none."""
+        service = upstream.record.service
+        if upstream.rest_left_s(self._now()):
+            self._meters.unwanted(service, 'resting')
+        if upstream.leaving:
+            self._meters.unwanted(service, 'leaving')
+
+    def _take_rest(self, upstream: Upstream, rest: RestAsked) -> None:
+        record = upstream.record
+        if rest.seconds is None:
+            logger.warning('event=rest_unreadable upstream={}', record.identity)
+            return
+        upstream.note_rest(self._now() + rest.seconds)
+        self._meters.declined(record.service, 'resting')
+        logger.info(
+            'event=upstream_rests upstream={} service={} rest_ms={:.0f}',
+            record.identity,
+            record.service,
+            1000 * rest.seconds,
+        )
+
+    def _take_leaving(self, upstream: Upstream) -> None:
+        record = upstream.record
+        upstream.leaving = True
+        self._meters.declined(record.service, 'leaving')
+        logger.info(
+            'event=upstream_leaves upstream={} service={} phase={} '
+            + 'roster_revision={}',
+            record.identity,
+            record.service,
+            record.phase.name,
+            record.revision,
+        )
--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -79,6 +79,13 @@
     per_s: float | None
 
 
+class RestAsked(NamedTuple):
+    """For how long an upstream wants nothing more from this entry."""
+
+    #: From its answer on; absent: what it says can't be read.
+    seconds: float | None
+
+
 class AnswerFacts(NamedTuple):
     """What an answer's head says, in the project's terms."""
 
@@ -94,6 +101,10 @@
     at_fault: str = ''
     #: The limit that it names; absent: none.
     limit: NamedLimit | None = None
+    #: The rest that it asks for as it refuses the request; absent: none.
+    rest: RestAsked | None = None
+    #: Whether it says that it is leaving, and takes no new work.
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -39,6 +39,10 @@
     group: UpstreamGroup | None = None
     #: It holds its group back.
     slow: bool = False
+    #: Until then it wants nothing from this entry; monotonic seconds.
+    rests_until: float = 0
+    #: It said in an answer that it is leaving.
+    leaving: bool = False
 
     @property
     def calls(self) -> int:
@@ -59,6 +63,14 @@
             return self.record.phase.name.lower()
         return 'open' if now >= self.paused_until else 'paused'
 
+    def rest_left_s(self, now: float) -> float:
+        """Return seconds for which it wants nothing from this entry."""
+        return max(0, self.rests_until - now)
+
+    def note_rest(self, until: float) -> None:
+        """Take note of a rest; a longer one that it asked for stays."""
+        self.rests_until = max(self.rests_until, until)
+
     def note_failure(self, now: float) -> None:
         """Leave it alone for a while."""
         pause_s = FIRST_PAUSE_S * 2 ** min(self.failures, 8)
@@ -154,6 +166,8 @@
                 'displaced': upstream.displaced,
                 'group': upstream.group.name if upstream.group else '',
                 'slow': upstream.slow,
+                'rests_until': upstream.rests_until,
+                'leaving': upstream.leaving,
             }
             for identity, upstream in self._known.items()
         }
--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -22,7 +22,12 @@
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
-from snipebend.relay.facts import AnswerFacts, CallerFacts, NamedLimit
+from snipebend.relay.facts import (
+    AnswerFacts,
+    CallerFacts,
+    NamedLimit,
+    RestAsked,
+)
 from snipebend.settings.model import ProcessSection
 from snipebend.settings.relay import RelaySection, RelaySettings
 from snipebend.settings.seeds import SeedsSection
@@ -66,6 +71,7 @@
     def read_answer(self, head):
         sent = {name.lower(): line.decode() for name, line in head.headers}
         limit = sent.get(b'x-limit')
+        rest = sent.get(b'x-rest')
         return AnswerFacts(
             request_id=sent.get(b'x-id', ''),
             proved=b'x-proof' in sent,
@@ -73,6 +79,8 @@
             other_identity=head.status == 421,
             at_fault=sent.get(b'x-at-fault', ''),
             limit=NamedLimit(float(limit)) if limit else None,
+            rest=RestAsked(float(rest)) if rest else None,
+            leaving=b'x-leaving' in sent,
         )
 
     def refusal_headers(self, request_id, wait_s):
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -9,6 +9,7 @@
     NamedLimit,
     PrefixPart,
     RequestHead,
+    RestAsked,
     UpstreamCall,
 )
 from snipebend_platform.dialect import PlatformDialect
@@ -110,6 +111,31 @@
             with self.subTest(text=text):
                 self.assertEqual(limit(text), NamedLimit(None))
 
+    def test_rests(self):
+        def rest(*texts, status=503):
+            headers = tuple((b'Retry-After', text) for text in texts)
+            head = AnswerHead(status, b'', headers)
+            return self.dialect.read_answer(head).rest
+
+        self.assertIsNone(rest())
+        self.assertIsNone(rest(b'3', status=200))
+        self.assertEqual(rest(b'3'), RestAsked(3.0))
+        self.assertEqual(rest(b'2.5', status=429), RestAsked(2.5))
+        # The longest of several that can be read.
+        self.assertEqual(rest(b'1', b'x', b'3, 2'), RestAsked(3.0))
+        for text in (b'', b'-1', b'nan', b'inf', b'soon', b'\xff'):
+            with self.subTest(text=text):
+                self.assertEqual(rest(text), RestAsked(None))
+
+    def test_leaving(self):
+        def leaving(*headers):
+            head = AnswerHead(200, b'', headers)
+            return self.dialect.read_answer(head).leaving
+
+        self.assertFalse(leaving())
+        self.assertTrue(leaving((b'server-leaving', b'1')))
+        self.assertFalse(leaving((b'Server-Leaving', b'0')))
+
     def test_refusals(self):
         lines = dict(self.dialect.refusal_headers('9c41', 0.25))
         self.assertEqual(lines[b'Retry-After'], b'0.25')
