Give an upstream no calls in the rest that it asked for

Callers saw 68 of 222 requests refused while eleven of 16 upstreams took work, and upstreams that asked an entry for 3 s of rest got up to 11 requests in it. Cause: a refusal with 'Retry-After' counted as 'full' and left nothing behind at the upstream; it had no calls under way, looked like the one with the least work, and drew the next calls. Ruled out by the lines of the test: nothing takes a rest back, and the calls were chosen after it was known.

A rest is kept with the life of the upstream, as the moment when it ends; the longest one asked for counts, and neither a good answer nor news of the same life shorten it. A resting upstream isn't chosen, for a first call or a retry; a call that waited for its connection meanwhile is given up unsent, and the connection is kept. Where all that may serve rest, callers are refused at once and told when the first rest ends.

--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -63,6 +63,11 @@
         data = encode_head(line, headers) + req.body
         self._exchange = self._conn.send(data, request_id)
 
+    def give_back(self) -> None:
+        """Keep the connection for another call; nothing was sent on it."""
+        self.over = True
+        self._pool.release(self.upstream.record.identity, self._conn)
+
     async def receive(self) -> Message:
         """Wait for the next message about the answer."""
         assert self._exchange is not None, 'send() comes first'
--- a/src/snipebend/edge/final_answer.py
+++ b/src/snipebend/edge/final_answer.py
@@ -15,6 +15,7 @@
     from snipebend.edge.answer_writer import AnswerWriter
     from snipebend.edge.call import WholeAnswer
     from snipebend.edge.refuser import Refuser
+    from snipebend.relay.choosing import NoRoom
     from snipebend.relay.facts import CallerFacts
     from snipebend.relay.problems import Refusal
 
@@ -48,30 +49,32 @@
         self._answer.end()
 
     def finish(
-        self, step: Next, reason: str, failure: WholeAnswer | None
+        self,
+        step: Next,
+        reason: str,
+        failure: WholeAnswer | None,
+        *,
+        no_room: NoRoom | None,
     ) -> None:
         """Answer after the last call; ``failure`` is the upstream's own."""
         match step:
             case Next.PASS_ON if failure is not None and not self._begun:
                 self.pass_on(failure)
+            case Next.REFUSE if no_room is not None:
+                self._refuse_until(no_room)
             case Next.REFUSE:
                 self._refuse_for_outage(reason)
             case _:
                 self._refuse(problems.lost(reason))
 
     def refuse_full(
-        self, *, may_have_run: bool, tried: bool, room_after_s: float
+        self, *, may_have_run: bool, tried: bool, no_room: NoRoom | None
     ) -> None:
-        """Answer that no upstream can take it now.
-
-        ``room_after_s`` are the seconds until one may that has room but for its
-        limit of requests; 0: limits aren't the reason.
-        """
+        """Answer that no upstream can take it now."""
         if may_have_run:
             self._refuse(problems.lost('the call broke, and none is free'))
-        elif room_after_s:
-            wait_s = self._refuser.wait_for_limit_s(room_after_s)
-            self._refuse(problems.busy(wait_s, 'limits leave no room'))
+        elif no_room is not None:
+            self._refuse_until(no_room)
         elif tried:
             self._refuse_for_outage('no other upstream is free')
         else:
@@ -89,6 +92,10 @@
     def _begun(self) -> bool:
         return self._answer.begun
 
+    def _refuse_until(self, no_room: NoRoom) -> None:
+        wait_s = self._refuser.wait_for_room_s(no_room.after_s)
+        self._refuse(problems.busy(wait_s, no_room.detail))
+
     def _refuse_for_outage(self, reason: str) -> None:
         wait_s = self._refuser.wait_for_outage_s(self._time_left_s())
         self._refuse(problems.busy(wait_s, reason))
--- a/src/snipebend/edge/refuser.py
+++ b/src/snipebend/edge/refuser.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from snipebend.relay.returning import when_full, when_limited, when_out
+from snipebend.relay.returning import when_full, when_known, when_out
 from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
@@ -41,9 +41,9 @@
         """Return when a caller that found all places taken comes back."""
         return when_full(self._rng.random())
 
-    def wait_for_limit_s(self, room_after_s: float) -> float:
-        """Return when a caller comes back that no limit left room for."""
-        return when_limited(room_after_s, self._rng.random())
+    def wait_for_room_s(self, after_s: float) -> float:
+        """Return when a caller comes back that upstreams had no room for."""
+        return when_known(after_s, self._rng.random())
 
     def wait_for_outage_s(self, time_left_s: float) -> float:
         """Return when a caller that nobody can serve now comes back."""
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -19,7 +19,12 @@
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
 from snipebend.relay.admitting import USUAL_PATIENCE_S, Admitted, admit
-from snipebend.relay.choosing import Wish, choose
+from snipebend.relay.choosing import (
+    NoRoom,
+    Wish,
+    choose,
+    first_end_of_rest,
+)
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.returning import wait_until
 from snipebend.relay.pace import PaceMeter
@@ -152,12 +157,19 @@
         found = self._choose(admitted, tried, within_limits=True)
         return found is not None
 
-    def room_after_s(self, admitted: Admitted, tried: Sequence[str]) -> float:
-        """Return seconds until a limit leaves room for a call.
-
-        0: there is room, or limits aren't what it lacks.
-        """
-        return self.limits.room_after_s(self._choose(admitted, tried))
+    def no_room(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> NoRoom | None:
+        """Return what upstreams said that leaves no room; none: nothing."""
+        now = self.now()
+        members = self._upstreams.of_service(admitted.service)
+        rested_at = first_end_of_rest(members, now)
+        if rested_at is not None:
+            return NoRoom('all upstreams asked for a rest', rested_at - now)
+        limited_s = self.limits.room_after_s(self._choose(admitted, tried))
+        if limited_s:
+            return NoRoom('limits leave no room', limited_s)
+        return None
 
     def note_pause(
         self, upstream: Upstream, events: int, seconds: float
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -90,10 +90,6 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
-        self._unwanted = meter.create_counter(
-            'snipebend_relay_unwanted_calls',
-            description='calls of upstreams that had asked for no more work',
-        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -130,10 +126,6 @@
         """Count an upstream that asks for a rest, or says that it leaves."""
         self._declined.add(1, {'service': service, 'reason': reason})
 
-    def unwanted(self, service: str, reason: str) -> None:
-        """Count a call of an upstream that wants none."""
-        self._unwanted.add(1, {'service': service, 'reason': reason})
-
     def paused(self, seconds: float) -> None:
         """Note the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -22,6 +22,7 @@
     from snipebend.edge.caller_parser import WholeRequest
     from snipebend.edge.relay_desk import RelayDesk
     from snipebend.relay.admitting import Admitted
+    from snipebend.relay.choosing import NoRoom
     from snipebend.relay.facts import AnswerHead
     from snipebend.relay.upstreams import Upstream
 
@@ -90,9 +91,7 @@
                 self._end.refuse_full(
                     may_have_run=self._may_have_run,
                     tried=bool(self._tried),
-                    room_after_s=self._desk.room_after_s(
-                        self._admitted, self._tried
-                    ),
+                    no_room=self._no_room(),
                 )
                 return
             ended = await self._call(upstream)
@@ -101,12 +100,14 @@
             if not self._goes_on(ended):
                 return
 
+    def _no_room(self) -> NoRoom | None:
+        return self._desk.no_room(self._admitted, self._tried)
+
     async def _call(self, upstream: Upstream) -> Ended | None:
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
         self._note_begin(upstream)
-        self._desk.statements.note_call(upstream)
         upstream.own_calls += 1
         self._desk.limits.note_call(upstream)
         if upstream.group is not None:
@@ -114,7 +115,7 @@
         call: Call | None = None
         try:
             call = await self._open(upstream)
-            ended = await self._exchange(call)
+            ended = self._decline(call) or await self._exchange(call)
         except UnavailableError as exc:
             ended = Ended(Ending.UNSENT, str(exc), faulty=True)
         finally:
@@ -131,6 +132,16 @@
         )
         return Call(self._desk.pool, upstream, conn, self._desk.now())
 
+    def _decline(self, call: Call) -> Ended | None:
+        """Give up a call whose upstream has said meanwhile that it wants none.
+
+        Opening the connection may have taken a while.
+        """
+        if not call.upstream.declines(self._desk.now()):
+            return None
+        call.give_back()
+        return Ended(Ending.UNSENT, 'the upstream asked for no more work')
+
     async def _exchange(self, call: Call) -> Ended | None:
         self._send(call)
         message = await call.receive()
@@ -269,7 +280,9 @@
         if step is Next.RETRY and self._desk.take_retry(self._admitted.service):
             return True
         final = when_over(ended.ending, may_have_run=self._may_have_run)
-        self._end.finish(final, ended.reason, ended.answer)
+        self._end.finish(
+            final, ended.reason, ended.answer, no_room=self._no_room()
+        )
         return False
 
     def _chances(self) -> Chances:
--- a/src/snipebend/edge/upstream_statements.py
+++ b/src/snipebend/edge/upstream_statements.py
@@ -31,14 +31,6 @@
         if facts.leaving and not upstream.leaving:
             self._take_leaving(upstream)
 
-    def note_call(self, upstream: Upstream) -> None:
-        """Count a call that begins although the upstream wants none."""
-        service = upstream.record.service
-        if upstream.rest_left_s(self._now()):
-            self._meters.unwanted(service, 'resting')
-        if upstream.leaving:
-            self._meters.unwanted(service, 'leaving')
-
     def _take_rest(self, upstream: Upstream, rest: RestAsked) -> None:
         record = upstream.record
         if rest.seconds is None:
--- a/src/snipebend/relay/choosing.py
+++ b/src/snipebend/relay/choosing.py
@@ -25,6 +25,13 @@
     tried: Collection[str] = ()
 
 
+class NoRoom(NamedTuple):
+    """Why no upstream takes a call, where it is known when one will."""
+
+    detail: str
+    after_s: float
+
+
 class _Rank(NamedTuple):
     """What speaks against an upstream, the weightiest first."""
 
@@ -59,6 +66,19 @@
     return min(ranked, key=lambda pair: pair[0])[1]
 
 
+def first_end_of_rest(
+    upstreams: Iterable[Upstream], now: float
+) -> float | None:
+    """Return when the first rest ends; none unless all rest that may serve."""
+    ends: list[float] = []
+    for upstream in upstreams:
+        if upstream.is_open(now):
+            return None
+        if upstream.is_resting(now):
+            ends.append(upstream.rests_until)
+    return min(ends, default=None)
+
+
 def _has_room(upstream: Upstream) -> bool:
     limit = upstream.record.slots * (1 + WAITING_SHARE)
     return upstream.calls < limit
--- a/src/snipebend/relay/returning.py
+++ b/src/snipebend/relay/returning.py
@@ -36,9 +36,9 @@
     return FULL_LEAST_S + draw * (FULL_MOST_S - FULL_LEAST_S)
 
 
-def when_limited(room_after_s: float, draw: float) -> float:
-    """Return seconds until a limit leaves room, spread by the draw."""
-    return room_after_s + when_full(draw)
+def when_known(after_s: float, draw: float) -> float:
+    """Return seconds until upstreams take work again, spread by the draw."""
+    return after_s + when_full(draw)
 
 
 def when_out(time_left_s: float, draw: float) -> float:
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -49,11 +49,23 @@
         """Return the calls of all entries, as far as known."""
         return self.own_calls + sum(self.others_calls.values())
 
+    @property
+    def _may_serve(self) -> bool:
+        return not self.displaced and self.record.phase is RosterPhase.READY
+
     def is_open(self, now: float) -> bool:
         """Tell whether it may be given work."""
-        if self.displaced or self.record.phase is not RosterPhase.READY:
-            return False
-        return now >= self.paused_until
+        return self._may_serve and now >= max(
+            self.paused_until, self.rests_until
+        )
+
+    def is_resting(self, now: float) -> bool:
+        """Tell whether only the rest that it asked for keeps work away."""
+        return self._may_serve and now < self.rests_until
+
+    def declines(self, now: float) -> bool:
+        """Tell whether it has said itself that it wants no work now."""
+        return self.displaced or now < self.rests_until
 
     def standing(self, now: float) -> str:
         """Return in a word whether it may be given work, or why not."""
@@ -61,6 +73,8 @@
             return 'displaced'
         if self.record.phase is not RosterPhase.READY:
             return self.record.phase.name.lower()
+        if self.is_resting(now):
+            return 'resting'
         return 'open' if now >= self.paused_until else 'paused'
 
     def rest_left_s(self, now: float) -> float:
--- a/tests/edge/test_rest.py
+++ b/tests/edge/test_rest.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from snipebend.relay.returning import FULL_MOST_S
 from tests.edge.rig import answer, ask, request, running
 
 #: Seconds; longer than any of these tests.
@@ -40,6 +41,34 @@
         self.assertIn(b'not-run', got.body)
         self.assertEqual(seen, [1, 1])
 
+    async def test_told_when_the_first_rest_ends(self):
+        async with running(in_need_of_rest, in_need_of_rest) as relay:
+            got = [await ask(relay, request('/unsafe/')) for _ in range(2)]
+        for one in got:
+            told_s = float(one.headers['retry-after'])
+            self.assertGreater(told_s, REST_S - 5)
+            self.assertLessEqual(told_s, REST_S + FULL_MOST_S)
+
+    async def test_a_rest_that_begins_while_a_call_waits_for_its_connection(
+        self,
+    ):
+        async with running(whole) as relay:
+            upstream = relay.desk._upstreams.find('i-0')
+            acquire = relay.desk.pool.acquire
+
+            async def told_meanwhile(*args, **kwargs):
+                conn = await acquire(*args, **kwargs)
+                upstream.note_rest(relay.desk.now() + REST_S)
+                return conn
+
+            relay.desk.pool.acquire = told_meanwhile
+            got = await ask(relay, request('/safe/'))
+            seen = relay.upstreams[0].seen
+            idle = relay.desk.pool.sizes()
+        self.assertEqual(got.status, 503)
+        self.assertEqual(seen, [])
+        self.assertEqual(idle, {'i-0': 1})
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/relay/test_choosing.py
+++ b/tests/relay/test_choosing.py
@@ -54,6 +54,7 @@
         closed = (
             Upstream(leaving),
             upstream('paused', paused_until=11.0),
+            upstream('resting', rests_until=11.0),
             upstream('displaced', displaced=True),
             upstream('full', own_calls=8),
         )
