Give no work to an upstream that says in an answer that it leaves

The same class of fault as the calls in a rest: what an upstream says of itself in an answer wasn't taken over by the choice. An upstream whose leaving control hadn't told yet, or never heard of, got work until its status report came round or its process was gone. From the answer on, a call of that entry doesn't begin there, for the life of the upstream; other entries learn it from their own answers and from control, as before. A 421 of another life at the address says nothing of this one.

Test first: three of five failed before (calls after a whole answer, after a stream's head, and where all leave); the one after a failure passed before as well, by the pause that follows a failure.

--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -51,7 +51,9 @@
 
     @property
     def _may_serve(self) -> bool:
-        return not self.displaced and self.record.phase is RosterPhase.READY
+        if self.displaced or self.leaving:
+            return False
+        return self.record.phase is RosterPhase.READY
 
     def is_open(self, now: float) -> bool:
         """Tell whether it may be given work."""
@@ -65,12 +67,14 @@
 
     def declines(self, now: float) -> bool:
         """Tell whether it has said itself that it wants no work now."""
-        return self.displaced or now < self.rests_until
+        return self.displaced or self.leaving or now < self.rests_until
 
     def standing(self, now: float) -> str:
         """Return in a word whether it may be given work, or why not."""
         if self.displaced:
             return 'displaced'
+        if self.leaving:
+            return 'leaving'
         if self.record.phase is not RosterPhase.READY:
             return self.record.phase.name.lower()
         if self.is_resting(now):
--- /dev/null
+++ b/tests/edge/test_leaving.py
@@ -0,0 +1,83 @@
+"""Requests through a relay to upstreams that say in answers that they leave."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.edge.rig import (
+    answer,
+    ask,
+    chunk,
+    event,
+    request,
+    running,
+    stream_head,
+)
+
+LEAVES = 'X-Proof: p\r\nX-Leaving: 1\r\n'
+
+
+async def whole(req, writer):
+    writer.write(answer(req))
+    return True
+
+
+async def leaving(req, writer):
+    writer.write(answer(req, extra=LEAVES))
+    return True
+
+
+async def leaving_and_failing(req, writer):
+    writer.write(answer(req, b'', '500 Failed', LEAVES))
+    return True
+
+
+async def leaving_stream(req, writer):
+    head = stream_head(req).replace(b'X-Proof', b'X-Leaving: 1\r\nX-Proof')
+    writer.write(head + chunk(event(1)) + chunk(b''))
+    return True
+
+
+async def of_another_life(req, writer):
+    writer.write(answer(req, b'', '421 Other', 'X-Leaving: 1\r\n'))
+    return True
+
+
+class TestLeaving(unittest.IsolatedAsyncioTestCase):
+    """One that leaves gets no new work, whoever else knows of it."""
+
+    async def seen(self, script, path, number=8):
+        """Return how many requests each upstream got."""
+        async with running(script, whole) as relay:
+            for _ in range(number):
+                await ask(relay, request(path))
+            return [len(one.seen) for one in relay.upstreams]
+
+    async def test_no_calls_of_an_upstream_that_said_it_leaves(self):
+        self.assertEqual(await self.seen(leaving, '/unsafe/'), [1, 7])
+
+    async def test_said_as_it_fails(self):
+        self.assertEqual(await self.seen(leaving_and_failing, '/safe/'), [1, 8])
+
+    async def test_said_at_the_head_of_a_stream(self):
+        self.assertEqual(await self.seen(leaving_stream, '/stream/'), [1, 7])
+
+    async def test_refused_at_once_where_all_leave(self):
+        async with running(leaving) as relay:
+            await ask(relay, request('/unsafe/'))
+            got = await ask(relay, request('/unsafe/'))
+            seen = len(relay.upstreams[0].seen)
+        self.assertEqual((got.status, seen), (503, 1))
+        self.assertIn(b'not-run', got.body)
+
+    async def test_another_lifes_words_are_not_its_own(self):
+        async with running(of_another_life, whole) as relay:
+            for _ in range(4):
+                await ask(relay, request('/safe/'))
+            upstream = relay.desk._upstreams.find('i-0')
+        self.assertTrue(upstream.displaced)
+        self.assertFalse(upstream.leaving)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/relay/test_choosing.py
+++ b/tests/relay/test_choosing.py
@@ -55,6 +55,7 @@
             Upstream(leaving),
             upstream('paused', paused_until=11.0),
             upstream('resting', rests_until=11.0),
+            upstream('said it leaves', leaving=True),
             upstream('displaced', displaced=True),
             upstream('full', own_calls=8),
         )
