Hear what answers say also after their callers have left

A call that must run once goes on when its caller leaves; its answer was read to the end and nothing in it was taken note of: not the rest, nor the leaving, the limit or another life at the address. The same class of fault again: what an upstream says hung on the life of the request that happened to ask. A call now hands each answer's facts on as it reads the head, whoever waits for it, and one place takes all of them over.

The test failed before (nothing heard in 10 s) and passes now.

--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -11,11 +11,13 @@
 from snipebend.edge.http_headers import encode_head, end_to_end
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from snipebend.edge.caller_parser import WholeRequest
     from snipebend.edge.exchange import Exchange, Message
     from snipebend.edge.upstream_connection import UpstreamConnection
     from snipebend.edge.upstream_pool import UpstreamPool
-    from snipebend.relay.facts import Dialect, UpstreamCall
+    from snipebend.relay.facts import AnswerFacts, Dialect, UpstreamCall
     from snipebend.relay.upstreams import Upstream
 
 #: Bytes of an answer that is kept whole before it is passed on.
@@ -38,10 +40,16 @@
         upstream: Upstream,
         conn: UpstreamConnection,
         begun_at: float,
+        hear: Callable[[Upstream, AnswerFacts, float], None],
     ) -> None:
-        """Keep an acquired connection; ``begun_at`` in monotonic seconds."""
+        """Keep an acquired connection; ``begun_at`` in monotonic seconds.
+
+        ``hear`` takes over what the answer says of the upstream, also where
+        the caller has left.
+        """
         self.upstream = upstream
-        self.begun_at = begun_at
+        self._begun_at = begun_at
+        self._hear = hear
         self._pool = pool
         self._conn = conn
         self._exchange: Exchange | None = None
@@ -74,6 +82,8 @@
         message = await self._exchange.receive()
         self._conn.resume()
         match message:
+            case Begun(facts=facts):
+                self._hear(self.upstream, facts, self._begun_at)
             case Whole():
                 self.over = True
                 self._pool.release(self.upstream.record.identity, self._conn)
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -85,7 +85,7 @@
         )
         self.refuser = Refuser(self.dialect, self._follower, self.meters)
         self.limits = LimitKeeper(self.now, self.meters)
-        self.statements = UpstreamStatements(self.now, self.meters)
+        self.statements = UpstreamStatements(self.now, self.meters, self.limits)
         self._tasks.start('sweep', self._sweep_for_ever)
 
     async def stop(self) -> None:
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -130,7 +130,13 @@
         conn = await self._desk.pool.acquire(
             record.identity, record.address, fresh=not self._route.idempotent
         )
-        return Call(self._desk.pool, upstream, conn, self._desk.now())
+        return Call(
+            self._desk.pool,
+            upstream,
+            conn,
+            self._desk.now(),
+            self._desk.statements.take,
+        )
 
     def _decline(self, call: Call) -> Ended | None:
         """Give up a call whose upstream has said meanwhile that it wants none.
@@ -172,12 +178,8 @@
 
     async def _read_answer(self, call: Call, begun: Begun) -> Ended | None:
         head, facts = begun
-        self._desk.limits.note_answer(call.upstream, facts, call.begun_at)
-        self._desk.statements.take(call.upstream, facts)
         if facts.not_run or facts.other_identity:
             self._runs -= 1
-            if facts.other_identity:
-                call.upstream.displaced = True
             self._note_lost_rank(call.upstream, facts.at_fault)
             reason = f'refused with {head.status} for {facts.at_fault}'
             return Ended(Ending.NOT_RUN, reason)
--- a/src/snipebend/edge/upstream_statements.py
+++ b/src/snipebend/edge/upstream_statements.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from snipebend.edge.limit_keeper import LimitKeeper
     from snipebend.edge.relay_meters import RelayMeters
     from snipebend.relay.facts import AnswerFacts, RestAsked
     from snipebend.relay.upstreams import Upstream
@@ -17,15 +18,28 @@
 class UpstreamStatements:
     """What upstreams told one entry that they want no work."""
 
-    def __init__(self, now: Callable[[], float], meters: RelayMeters) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        meters: RelayMeters,
+        limits: LimitKeeper,
+    ) -> None:
         """Start without any."""
         self._now = now
         self._meters = meters
+        self._limits = limits
 
-    def take(self, upstream: Upstream, facts: AnswerFacts) -> None:
-        """Take over what an answer says, unless another life gave it."""
+    def take(
+        self, upstream: Upstream, facts: AnswerFacts, begun_at: float
+    ) -> None:
+        """Take over what the answer to a call says, unless another life spoke.
+
+        ``begun_at`` is when the call began, in monotonic seconds.
+        """
         if facts.other_identity:
+            upstream.displaced = True
             return
+        self._limits.note_answer(upstream, facts, begun_at)
         if facts.rest is not None:
             self._take_rest(upstream, facts.rest)
         if facts.leaving and not upstream.leaving:
--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -205,6 +205,18 @@
     async def connect(self):
         return await asyncio.open_connection('127.0.0.1', self.port)
 
+    def hear_answers(self):
+        """Return a queue of the upstreams whose answers are taken note of."""
+        heard = asyncio.Queue()
+        take = self.desk.statements.take
+
+        def note(upstream, *said):
+            take(upstream, *said)
+            heard.put_nowait(upstream)
+
+        self.desk.statements.take = note
+        return heard
+
     def announce(self, identity, address, phase=RosterPhase.READY, slots=4):
         record = UpstreamRecord(identity, 's', address, 'dc-a', slots, phase)
         self.follower.on_upstreams((record,))
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.edge.rig import (
+    PATIENCE_S,
     answer,
     ask,
     chunk,
@@ -78,6 +80,27 @@
         self.assertTrue(upstream.displaced)
         self.assertFalse(upstream.leaving)
 
+    async def test_heard_after_its_caller_has_left(self):
+        started = asyncio.Event()
+        go_on = asyncio.Event()
+
+        async def late(req, writer):
+            started.set()
+            await go_on.wait()
+            return await leaving(req, writer)
+
+        async with running(late) as relay:
+            heard = relay.hear_answers()
+            _, writer = await relay.connect()
+            writer.write(request('/unsafe/'))
+            async with asyncio.timeout(PATIENCE_S):
+                await started.wait()
+                writer.close()
+                await writer.wait_closed()
+                go_on.set()
+                upstream = await heard.get()
+            self.assertTrue(upstream.leaving)
+
 
 if __name__ == '__main__':
     unittest.main()
