--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -41,6 +41,8 @@
     answer: WholeAnswer | None = None
     #: Whether the upstream itself failed, rather than being full.
     faulty: bool = False
+    #: Whether it was given up unsent, since the upstream wants no work.
+    declined: bool = False
 
 
 class RelayedRequest:
@@ -146,7 +148,8 @@
         if not call.upstream.declines(self._desk.now()):
             return None
         call.give_back()
-        return Ended(Ending.UNSENT, 'the upstream asked for no more work')
+        reason = 'the upstream asked for no more work'
+        return Ended(Ending.UNSENT, reason, declined=True)
 
     async def _exchange(self, call: Call) -> Ended | None:
         self._send(call)
@@ -278,6 +281,9 @@
 
     def _goes_on(self, ended: Ended) -> bool:
         """Tell whether another upstream shall be called; else answer."""
+        if ended.declined:
+            # Nothing reached an upstream, so there is nothing to pay for.
+            return True
         step = decide(ended.ending, self._chances())
         if step is Next.RETRY and self._desk.take_retry(self._admitted.service):
             return True
--- a/tests/edge/test_rest.py
+++ b/tests/edge/test_rest.py
@@ -69,6 +69,26 @@
         self.assertEqual(seen, [])
         self.assertEqual(idle, {'i-0': 1})
 
+    async def test_a_call_that_was_not_sent_takes_no_retry(self):
+        async with running(whole, whole) as relay:
+            for upstream in relay.desk._upstreams:
+                upstream.slow = upstream.record.identity == 'i-1'
+            acquire = relay.desk.pool.acquire
+
+            async def told_meanwhile(identity, *args, **kwargs):
+                conn = await acquire(identity, *args, **kwargs)
+                if identity == 'i-0':
+                    upstream = relay.desk._upstreams.find(identity)
+                    upstream.note_rest(relay.desk.now() + REST_S)
+                return conn
+
+            relay.desk.pool.acquire = told_meanwhile
+            relay.desk.take_retry = lambda service: False
+            got = await ask(relay, request('/unsafe/'))
+            seen = [len(one.seen) for one in relay.upstreams]
+        self.assertEqual(got.status, 200)
+        self.assertEqual(seen, [0, 1])
+
 
 if __name__ == '__main__':
     unittest.main()
