Give an upstream that refuses its requests work last for a while

An upstream that refuses answers within 2 ms, has no calls under way, and so looks like the one with the least work: it drew five to ten times the calls of those that served, and they used up the retry budget.

Now each refusal in a row doubles the time for which the upstream gets work last, from 0.1 s to 4 s; calls that were under way at once count as one, and a whole answer ends it. It isn't closed: where all refuse a part of their requests, the others have no more room than it has.

Changed test: test_proved_not_run_beyond_the_budget plays four refusals in one place, so it now runs with the avoidance switched off; its check and figures stand.

--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -48,7 +48,7 @@
         the caller has left.
         """
         self.upstream = upstream
-        self._begun_at = begun_at
+        self.begun_at = begun_at
         self._hear = hear
         self._pool = pool
         self._conn = conn
@@ -83,7 +83,7 @@
         self._conn.resume()
         match message:
             case Begun(facts=facts):
-                self._hear(self.upstream, facts, self._begun_at)
+                self._hear(self.upstream, facts, self.begun_at)
             case Whole():
                 self.over = True
                 self._pool.release(self.upstream.record.identity, self._conn)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -23,7 +23,7 @@
     from snipebend.edge.relay_desk import RelayDesk
     from snipebend.relay.admitting import Admitted
     from snipebend.relay.choosing import NoRoom
-    from snipebend.relay.facts import AnswerHead
+    from snipebend.relay.facts import AnswerFacts, AnswerHead
     from snipebend.relay.upstreams import Upstream
 
 #: Upstreams that one request is offered to at most, while each proves that it
@@ -183,7 +183,7 @@
         head, facts = begun
         if facts.not_run or facts.other_identity:
             self._runs -= 1
-            self._note_lost_rank(call.upstream, facts.at_fault)
+            self._note_refusal(call, facts)
             reason = f'refused with {head.status} for {facts.at_fault}'
             return Ended(Ending.NOT_RUN, reason)
         if head.status >= _STATUS_FAILED or not facts.proved:
@@ -192,14 +192,17 @@
             return await self._relay_stream(call, head)
         return await self._relay_whole(call, begun)
 
-    def _note_lost_rank(self, upstream: Upstream, lost: str) -> None:
-        """Leave a group of which another rank is lost: all of it waits.
+    def _note_refusal(self, call: Call, facts: AnswerFacts) -> None:
+        """Avoid an upstream that refuses, or the group that waits for a rank.
 
         One that is full names itself, and says nothing of the others.
         """
-        if upstream.group is None or lost in {'', upstream.record.address}:
-            return
-        upstream.group.note_lost_rank(self._desk.now())
+        now = self._desk.now()
+        upstream = call.upstream
+        if facts.at_fault in {'', upstream.record.address}:
+            upstream.refusals.note(call.begun_at, now)
+        elif upstream.group is not None:
+            upstream.group.note_lost_rank(now)
 
     async def _read_failure(self, call: Call, begun: Begun) -> Ended:
         answer = await call.receive_whole(begun)
@@ -270,12 +273,13 @@
             upstream.note_failure(self._desk.now())
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'failures={} {}',
+            + 'failures={} refusals={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
             ended.ending.value,
             ended.reason,
             upstream.failures,
+            upstream.refusals.number,
             self._desk.refuser.knowledge(),
         )
 
--- a/src/snipebend/relay/choosing.py
+++ b/src/snipebend/relay/choosing.py
@@ -37,6 +37,7 @@
 
     is_down: bool
     is_late: bool
+    is_avoided: bool
     is_slow: bool
     load: float
     is_far: bool
@@ -50,7 +51,8 @@
 
     One whose group is down comes last, before it those of groups whose passes
     make every stream late: with one slow rank of eight, passes took 0.4 s in
-    place of 0.06 s, and a stream there is over after its caller's time. Work
+    place of 0.06 s, and a stream there is over after its caller's time. One
+    that has refused lately follows, since its few calls don't show that. Work
     counts as a share of the slots. Among equals the own data center goes first,
     then chance: entries that always took the first would meet there.
     """
@@ -89,6 +91,7 @@
     return _Rank(
         group is not None and group.is_down(now),
         group is not None and group.is_late(now, wish.allowed_pause_s),
+        upstream.refusals.is_avoided(now),
         upstream.slow,
         upstream.calls / max(1, upstream.record.slots),
         upstream.record.data_center != wish.data_center,
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from snipebend.relay.refusals import Refusals
 from snipebend.relay.upstream_groups import UpstreamGroup
 from snipebend.state.roster import RosterPhase
 
@@ -43,6 +44,7 @@
     rests_until: float = 0
     #: It said in an answer that it is leaving.
     leaving: bool = False
+    refusals: Refusals = field(default_factory=Refusals)
 
     @property
     def calls(self) -> int:
@@ -99,6 +101,7 @@
         """Trust it again."""
         self.failures = 0
         self.paused_until = 0
+        self.refusals.note_answer()
 
 
 class UpstreamTable:
@@ -186,6 +189,7 @@
                 'slow': upstream.slow,
                 'rests_until': upstream.rests_until,
                 'leaving': upstream.leaving,
+                'refusals': upstream.refusals.number,
             }
             for identity, upstream in self._known.items()
         }
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from snipebend.hosts.lookup import HostIndex
 from snipebend.routing.retry_budget import RESERVE
@@ -175,9 +176,11 @@
 
     async def test_proved_not_run_beyond_the_budget(self):
         """The fourth refusal of a new entry is the caller's answer."""
+        avoided_s = 'snipebend.relay.refusals.LONGEST_AVOIDED_S'
         async with running(refuses, whole) as relay:
             relay.desk._rng.random = lambda: 0.5
-            got = [await ask(relay, request('/unsafe/')) for _ in range(4)]
+            with mock.patch(avoided_s, 0):
+                got = [await ask(relay, request('/unsafe/')) for _ in range(4)]
         self.assertEqual([one.status for one in got], [200, 200, 200, 503])
         self.assertIn(b'not-run', got[-1].body)
 
