Have entries tell each other which upstreams refuse

Each entry had to be refused by each upstream that refuses before it avoided it. With 15 entries and 22 such upstreams of 72 that takes the whole of an outage: every entry still lost most of its retries to them. Entries now tell each other the refusals of their own calls, with their ages, in the datagrams that tell their calls; a call that an upstream took after a refusal outweighs it. A call that it had taken before, and that only ends now, no longer does.

--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import msgspec
 from loguru import logger
@@ -18,6 +18,7 @@
 from snipebend.edge.host_follower import HostFollower
 from snipebend.kernel.service import Service
 from snipebend.relay.limit_book import LimitTold
+from snipebend.relay.refusals import RefusalsTold
 from snipebend.relay.spreading import Receivers, spread
 
 if TYPE_CHECKING:
@@ -48,6 +49,8 @@
     onward: bool = False
     #: What it heard of upstreams' limits and began under them.
     limits: dict[str, LimitTold] = field(default_factory=dict)
+    #: What upstreams refused to it lately.
+    refusals: dict[str, RefusalsTold] = field(default_factory=dict)
 
 
 class CallBooks(Protocol):
@@ -59,6 +62,9 @@
     def own_limits(self) -> dict[str, LimitTold]:
         """Return what to tell of limits, by the upstream's identity."""
 
+    def own_refusals(self) -> dict[str, RefusalsTold]:
+        """Return what to tell of refusals, by the upstream's identity."""
+
     def take_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Take over what another entry has under way."""
 
@@ -67,12 +73,23 @@
     ) -> None:
         """Take over what another entry tells of limits."""
 
+    def take_refusals(
+        self, entry: str, refusals: dict[str, RefusalsTold]
+    ) -> None:
+        """Take over what another entry tells of refusals."""
+
     def note_heard(self, share: float) -> None:
         """Take note of the part of all entries that is heard."""
 
 
-#: Calls by upstream, and limits but for their ages.
-_Known = tuple[dict[str, int], dict[str, LimitTold]]
+class _Known(NamedTuple):
+    """What is news to the others if it changes."""
+
+    calls: dict[str, int]
+    #: Without their ages.
+    limits: dict[str, LimitTold]
+    #: Numbers by upstream.
+    refusals: dict[str, int]
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -136,6 +153,8 @@
         self._books.take_calls(told.entry, told.calls)
         if told.limits:
             self._books.take_limits(told.entry, told.started_at, told.limits)
+        if told.refusals:
+            self._books.take_refusals(told.entry, told.refusals)
         if told.onward:
             self._tell_on(told)
 
@@ -145,14 +164,15 @@
 
     async def _tell_for_ever(self) -> None:
         number = 0
-        told: _Known = ({}, {})
+        told = _Known({}, {}, {})
         repeat_at: float = 0
         while True:
             await asyncio.sleep(TELL_EVERY_S)
             self._forget_silent()
             calls = self._books.own_calls()
             limits = self._books.own_limits()
-            known = (calls, _without_ages(limits))
+            refusals = self._books.own_refusals()
+            known = _Known(calls, _without_ages(limits), _numbers_of(refusals))
             now = self._clock.now()
             if known == told and now < repeat_at:
                 continue
@@ -166,6 +186,7 @@
                     number,
                     calls,
                     limits=limits,
+                    refusals=refusals,
                 )
             )
 
@@ -209,3 +230,7 @@
     return {
         upstream: replace(told, age_s=None) for upstream, told in limits.items()
     }
+
+
+def _numbers_of(refusals: Mapping[str, RefusalsTold]) -> dict[str, int]:
+    return {upstream: told.number for upstream, told in refusals.items()}
--- a/src/snipebend/edge/relay_desk.py
+++ b/src/snipebend/edge/relay_desk.py
@@ -41,6 +41,7 @@
     from snipebend.kernel.registry import Registry
     from snipebend.relay.facts import Dialect
     from snipebend.relay.limit_book import LimitTold
+    from snipebend.relay.refusals import RefusalsTold
     from snipebend.relay.upstreams import Upstream
     from snipebend.settings.relay import RelaySettings
     from snipebend.state.roster import UpstreamRecord
@@ -211,6 +212,24 @@
         """Take over what another entry tells of limits."""
         self.limits.take_told(entry, started_at, limits)
 
+    def own_refusals(self) -> dict[str, RefusalsTold]:
+        """Return what to tell of refusals, by the upstream's identity."""
+        return self._upstreams.tell_refusals(self.now())
+
+    def take_refusals(
+        self, entry: str, refusals: dict[str, RefusalsTold]
+    ) -> None:
+        """Take over what another entry tells of refusals."""
+        for upstream in self._upstreams.take_refusals(refusals, self.now()):
+            logger.info(
+                'event=upstream_avoided upstream={} service={} refusals={} '
+                + 'heard_by={}',
+                upstream.record.identity,
+                upstream.record.service,
+                upstream.refusals.number,
+                entry,
+            )
+
     def note_heard(self, share: float) -> None:
         """Take note of the part of all entries that is heard."""
         self.limits.book.share = share
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -109,6 +109,7 @@
         """Call one upstream; nothing when the caller has its answer."""
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
+        begun_at = self._desk.now()
         self._note_begin(upstream)
         upstream.own_calls += 1
         self._desk.limits.note_call(upstream)
@@ -124,7 +125,7 @@
             upstream.own_calls -= 1
             if call is not None:
                 self._give_up(call)
-        self._note(upstream, ended)
+        self._note(upstream, ended, begun_at)
         return ended
 
     async def _open(self, upstream: Upstream) -> Call:
@@ -262,10 +263,12 @@
             self._desk.refuser.knowledge(),
         )
 
-    def _note(self, upstream: Upstream, ended: Ended | None) -> None:
+    def _note(
+        self, upstream: Upstream, ended: Ended | None, begun_at: float
+    ) -> None:
         service = self._admitted.service
         if ended is None:
-            upstream.note_answer()
+            upstream.note_answer(begun_at)
             self._desk.meters.call_ended(service, 'answered')
             return
         self._desk.meters.call_ended(service, ended.ending.value)
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -11,8 +11,9 @@
 from snipebend.state.roster import RosterPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Mapping
 
+    from snipebend.relay.refusals import RefusalsTold
     from snipebend.state.host_news import GroupStanding
     from snipebend.state.roster import UpstreamRecord
 
@@ -81,7 +82,9 @@
             return self.record.phase.name.lower()
         if self.is_resting(now):
             return 'resting'
-        return 'open' if now >= self.paused_until else 'paused'
+        if now < self.paused_until:
+            return 'paused'
+        return 'refusing' if self.refusals.is_avoided(now) else 'open'
 
     def rest_left_s(self, now: float) -> float:
         """Return seconds for which it wants nothing from this entry."""
@@ -97,11 +100,11 @@
         self.failures += 1
         self.paused_until = now + min(LONGEST_PAUSE_S, pause_s)
 
-    def note_answer(self) -> None:
-        """Trust it again."""
+    def note_answer(self, begun_at: float) -> None:
+        """Trust it again: it has answered a call that began then."""
         self.failures = 0
         self.paused_until = 0
-        self.refusals.note_answer()
+        self.refusals.note_answer(begun_at)
 
 
 class UpstreamTable:
@@ -170,6 +173,29 @@
             else:
                 upstream.others_calls.pop(entry, None)
 
+    def tell_refusals(self, now: float) -> dict[str, RefusalsTold]:
+        """Return what to tell of refusals, by the upstream's identity."""
+        return {
+            identity: told
+            for identity, upstream in self._known.items()
+            if (told := upstream.refusals.tell(now)) is not None
+        }
+
+    def take_refusals(
+        self, told: Mapping[str, RefusalsTold], now: float
+    ) -> list[Upstream]:
+        """Take over what another entry heard; return those avoided by it."""
+        avoided: list[Upstream] = []
+        for identity, one in told.items():
+            upstream = self._known.get(identity)
+            if upstream is None:
+                continue
+            before = upstream.refusals.is_avoided(now)
+            upstream.refusals.take_told(one, now)
+            if upstream.refusals.is_avoided(now) and not before:
+                avoided.append(upstream)
+        return avoided
+
     def standings(self, now: float) -> dict[str, int]:
         """Return how many upstreams may be given work, and why others not."""
         found = Counter(one.standing(now) for one in self._known.values())
--- a/tests/edge/books.py
+++ b/tests/edge/books.py
@@ -11,8 +11,10 @@
     def __init__(self, calls):
         self.calls = calls
         self.limits = {}
+        self.refusals = {}
         self.heard = asyncio.Queue()
         self.heard_limits = asyncio.Queue()
+        self.heard_refusals = asyncio.Queue()
         self.share = None
 
     def own_calls(self):
@@ -21,6 +23,12 @@
     def own_limits(self):
         return dict(self.limits)
 
+    def own_refusals(self):
+        return dict(self.refusals)
+
+    def take_refusals(self, entry, refusals):
+        self.heard_refusals.put_nowait((entry, refusals))
+
     def take_calls(self, entry, calls):
         self.heard.put_nowait((entry, calls))
 
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -13,6 +13,7 @@
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
 from snipebend.relay.limit_book import LimitTold
+from snipebend.relay.refusals import RefusalsTold
 from snipebend.settings.model import ProcessSection
 from snipebend.settings.relay import RelaySettings
 from snipebend.settings.seeds import SeedsSection
@@ -63,12 +64,21 @@
         # It hears nobody of one other.
         self.assertEqual(self.books['a'].share, 0.5)
 
+    async def test_refusals_reach_the_others(self):
+        _, sender, _ = await self.start('a', {})
+        _, receiver, _ = await self.start('b', {})
+        sender.entries = frozenset((receiver.gossip_address,))
+        self.books['a'].refusals['i-1'] = RefusalsTold(3, 0.5)
+        told = await asyncio.wait_for(self.books['b'].heard_refusals.get(), 10)
+        self.assertEqual(told, ('a', {'i-1': RefusalsTold(3, 0.5)}))
+
     async def test_an_entry_of_an_earlier_version_tells_no_limits(self):
         gossip, _, heard = await self.start('b', {})
         former = ('a', 10.0, 1, {'i': 2}, False)
         gossip.datagram_received(msgpack.encode(former), ('h', 1))
         self.assertEqual(heard.get_nowait(), ('a', {'i': 2}))
         self.assertTrue(self.books['b'].heard_limits.empty())
+        self.assertTrue(self.books['b'].heard_refusals.empty())
 
     async def test_calls_are_told_on_in_another_data_center(self):
         _, sender, _ = await self.start('a', {'i-1': 2})
--- a/tests/relay/test_choosing.py
+++ b/tests/relay/test_choosing.py
@@ -126,7 +126,7 @@
         for _ in range(20):
             one.note_failure(5.0)
         self.assertEqual(one.paused_until, 5.0 + LONGEST_PAUSE_S)
-        one.note_answer()
+        one.note_answer(14.0)
         self.assertTrue(one.is_open(5.0))
 
     def test_ended_ones_leave_the_table(self):
--- a/tests/relay/test_rests.py
+++ b/tests/relay/test_rests.py
@@ -67,7 +67,7 @@
         upstream = self.table.find(identity)
         upstream.own_calls -= 1
         if draw >= REFUSED:
-            upstream.note_answer()
+            upstream.note_answer(now - ANSWER_S)
             return
         rest_s = self.rng.choice((0, 0.1, LONGEST_REST_S))
         self.rests[identity] = max(self.rests.get(identity, 0), now + rest_s)
@@ -87,7 +87,7 @@
                 self.assertGreater(len(play.rests), UPSTREAMS / 2)
 
     def test_planted_faults_are_found(self):
-        def forget(self):
+        def forget(self, begun_at):
             self.failures = 0
             self.rests_until = 0
 
