Wait in a test for the daemon that the majority didn't need

Traced: two of three daemons accept the document, so the third may not have written when it is asked. The case is allowed. The check stays for all three daemons: each must show the figure within the test's patience.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -204,6 +204,15 @@
         async with self.session.get(url) as resp:
             return await resp.text()
 
+    async def metrics_until(self, host, figure):
+        """Read a process's metrics until they hold a figure."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                text = await self.metrics(host)
+                if figure in text:
+                    return text
+                await asyncio.sleep(POLL_S)
+
     async def _start(self, kind, name, text):
         settings = self.folder / f'{name}.toml'
         settings.write_text(text, encoding='utf-8')
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -11,6 +11,8 @@
 #: Labels that the metrics library adds to each line.
 SCOPE = re.compile(r'otel_scope_\w+="[^"]*",?')
 
+SYNCS = 'snipebend_log_sync_seconds_count'
+
 ENTRY_FIGURES = (
     'snipebend_relay_requests_total{kind="unsafe",status="200"}',
     'snipebend_relay_refusals_total{reason="No route",status="404"} 1',
@@ -43,8 +45,9 @@
                 shown = SCOPE.sub('', await made.metrics(ENTRY_HOST))
                 for figure in ENTRY_FIGURES:
                     self.assertIn(figure, shown)
+                # A majority is enough for what was asked so far.
                 texts = [
-                    SCOPE.sub('', await made.metrics(host))
+                    SCOPE.sub('', await made.metrics_until(host, SYNCS))
                     for host in made.controls
                 ]
                 leading = [
@@ -53,5 +56,3 @@
                     if 'snipebend_role_changes_total{role="leader"}' in text
                 ]
                 self.assertTrue(leading)
-                for text in texts:
-                    self.assertIn('snipebend_log_sync_seconds_count', text)
