Name the scripts of test upstreams once

The four test modules of limits, rests, leavings and refusals each wrote the same script; the rig now makes one of an answer.

--- a/tests/edge/rig.py
+++ b/tests/edge/rig.py
@@ -146,6 +146,19 @@
     return head.encode() + body
 
 
+def answering(body=b'whole', status='200 OK', extra='X-Proof: p\r\n'):
+    """Return a script that gives each request the same answer."""
+
+    async def script(req, writer):
+        writer.write(answer(req, body, status, extra))
+        return True
+
+    return script
+
+
+whole = answering()
+
+
 def event(number):
     """Return one event of a stream."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -7,31 +7,22 @@
 
 from tests.edge.rig import (
     PATIENCE_S,
-    answer,
+    answering,
     ask,
     chunk,
     event,
     request,
     running,
     stream_head,
+    whole,
 )
 
 LEAVES = 'X-Proof: p\r\nX-Leaving: 1\r\n'
 
 
-async def whole(req, writer):
-    writer.write(answer(req))
-    return True
-
-
-async def leaving(req, writer):
-    writer.write(answer(req, extra=LEAVES))
-    return True
-
-
-async def leaving_and_failing(req, writer):
-    writer.write(answer(req, b'', '500 Failed', LEAVES))
-    return True
+leaving = answering(extra=LEAVES)
+leaving_and_failing = answering(b'', '500 Failed', LEAVES)
+of_another_life = answering(b'', '421 Other', 'X-Leaving: 1\r\n')
 
 
 async def leaving_stream(req, writer):
@@ -40,11 +31,6 @@
     return True
 
 
-async def of_another_life(req, writer):
-    writer.write(answer(req, b'', '421 Other', 'X-Leaving: 1\r\n'))
-    return True
-
-
 class TestLeaving(unittest.IsolatedAsyncioTestCase):
     """One that leaves gets no new work, whoever else knows of it."""
 
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -5,25 +5,14 @@
 import unittest
 
 from snipebend.relay.limit_book import LimitTold
-from tests.edge.rig import answer, ask, request, running
+from tests.edge.rig import answering, ask, request, running, whole
 
 #: Of nothing: one call each four seconds, so none within a test.
 NAMES_LIMIT = 'X-Proof: p\r\nX-Limit: 0\r\n'
 
 
-async def whole(req, writer):
-    writer.write(answer(req))
-    return True
-
-
-async def in_need(req, writer):
-    writer.write(answer(req, extra=NAMES_LIMIT))
-    return True
-
-
-async def full_and_in_need(req, writer):
-    writer.write(answer(req, b'', '503 Busy', 'X-Not-Run: 1\r\nX-Limit: 0\r\n'))
-    return True
+in_need = answering(extra=NAMES_LIMIT)
+full_and_in_need = answering(b'', '503 Busy', 'X-Not-Run: 1\r\nX-Limit: 0\r\n')
 
 
 class TestLimits(unittest.IsolatedAsyncioTestCase):
--- a/tests/edge/test_refusals.py
+++ b/tests/edge/test_refusals.py
@@ -4,19 +4,12 @@
 
 import unittest
 
-from tests.edge.rig import answer, ask, request, running
+from tests.edge.rig import answering, ask, request, running, whole
 
 NUMBER = 20
 
 
-async def whole(req, writer):
-    writer.write(answer(req))
-    return True
-
-
-async def refuses(req, writer):
-    writer.write(answer(req, b'', '503 Busy', 'X-Not-Run: 1\r\n'))
-    return True
+refuses = answering(b'', '503 Busy', 'X-Not-Run: 1\r\n')
 
 
 class TestRefusals(unittest.IsolatedAsyncioTestCase):
--- a/tests/edge/test_rest.py
+++ b/tests/edge/test_rest.py
@@ -5,21 +5,14 @@
 import unittest
 
 from snipebend.relay.returning import FULL_MOST_S
-from tests.edge.rig import answer, ask, request, running
+from tests.edge.rig import answering, ask, request, running, whole
 
 #: Seconds; longer than any of these tests.
 REST_S = 60
 ASKS_FOR_REST = f'X-Not-Run: 1\r\nX-Rest: {REST_S}\r\n'
 
 
-async def whole(req, writer):
-    writer.write(answer(req))
-    return True
-
-
-async def in_need_of_rest(req, writer):
-    writer.write(answer(req, b'', '503 Busy', ASKS_FOR_REST))
-    return True
+in_need_of_rest = answering(b'', '503 Busy', ASKS_FOR_REST)
 
 
 class TestRest(unittest.IsolatedAsyncioTestCase):
