--- a/tests/platform/test_declining.py
+++ b/tests/platform/test_declining.py
@@ -37,23 +37,26 @@
     """What upstreams say in answers reaches the choice of the next call."""
 
     async def seen_by(self, script):
-        """Return how many requests the first of two upstreams got."""
+        """Return how many requests the second of two upstreams got."""
         with tempfile.TemporaryDirectory() as folder:
             async with deployment(folder) as made:
-                declining = await made.start_upstream(script)
                 serving = await made.start_upstream(whole)
                 await made.call('/-/config/put', config(4, '/a/'))
-                await made.beat('i-1', declining)
-                await made.beat('i-2', serving)
+                await made.beat('i-1', serving)
                 await made.ask_until(200)
-                async with asyncio.timeout(PATIENCE_S):
-                    while not declining.seen:
-                        await made.ask_until(200)
+                declining = await made.start_upstream(script)
+                await made.beat('i-2', declining)
+                await self.ask_until_seen(made, declining)
                 for _ in range(NUMBER):
                     got = await made.ask()
                     self.assertEqual(got.status, 200)
                 return len(declining.seen)
 
+    async def ask_until_seen(self, made, upstream):
+        async with asyncio.timeout(PATIENCE_S):
+            while not upstream.seen:
+                await made.ask_until(200)
+
     async def test_no_request_in_a_rest(self):
         self.assertEqual(await self.seen_by(rests), 1)
 
