Say in doc comments where statements go, and what after_s counts

Doc comments only, found by reading the change as a newcomer: the class of statements told of work only, and a duration told no unit. No code changed.

--- a/src/snipebend/edge/upstream_statements.py
+++ b/src/snipebend/edge/upstream_statements.py
@@ -16,7 +16,7 @@
 
 
 class UpstreamStatements:
-    """What upstreams told one entry that they want no work."""
+    """Hears of limits, rests, leavings and other lives at an address."""
 
     def __init__(
         self,
@@ -24,7 +24,7 @@
         meters: RelayMeters,
         limits: LimitKeeper,
     ) -> None:
-        """Start without any."""
+        """Keep where limits go; the rest stays with each upstream."""
         self._now = now
         self._meters = meters
         self._limits = limits
--- a/src/snipebend/relay/choosing.py
+++ b/src/snipebend/relay/choosing.py
@@ -28,7 +28,9 @@
 class NoRoom(NamedTuple):
     """Why no upstream takes a call, where it is known when one will."""
 
+    #: For the caller and the log.
     detail: str
+    #: Seconds until the first of them may.
     after_s: float
 
 
