--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -46,7 +46,11 @@
             'snipebend_relay_calls',
             description='calls of upstreams by service and ending',
         )
-        self._retries = meter.create_counter(
+        self._retries_granted = meter.create_counter(
+            'snipebend_relay_retries_granted',
+            description='retries taken from the budget, by service',
+        )
+        self._retries_refused = meter.create_counter(
             'snipebend_relay_retries_refused',
             description='retries that the budget forbade, by service',
         )
@@ -138,9 +142,10 @@
         """Count a call that has ended."""
         self._calls.add(1, {'service': service, 'ending': ending})
 
-    def count_refused_retry(self, service: str) -> None:
-        """Count a retry that the budget does not allow."""
-        self._retries.add(1, {'service': service})
+    def count_retry(self, service: str, *, granted: bool) -> None:
+        """Count a retry that the budget allows or denies."""
+        counter = self._retries_granted if granted else self._retries_refused
+        counter.add(1, {'service': service})
 
     def record_request(
         self, admitted: Admitted, response: ResponseWriter, now: float
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -192,12 +192,21 @@
             group.record_passes(events, seconds, self.now())
             self.pass_times.record(group.name, events, seconds)
 
-    def acquire_retry(self, service: str) -> bool:
-        """Spend one retry of a service's budget, if there is one left."""
-        acquired = self._budget(service).try_acquire(self.now())
-        if not acquired:
-            self.meters.count_refused_retry(service)
-            logger.info('event=retry_refused service={}', service)
+    def acquire_retry(self, admitted: Admitted) -> bool:
+        """Spend one retry of the service's budget, if there is one left."""
+        service = admitted.service
+        budget = self._budget(service)
+        acquired = budget.try_acquire(self.now())
+        self.meters.count_retry(service, granted=acquired)
+        logger.info(
+            'event={} request={} service={} left={:.1f} cap={:.1f} entries={}',
+            'retry_granted' if acquired else 'retry_refused',
+            admitted.facts.request_id,
+            service,
+            budget.left,
+            budget.balance_cap,
+            self._count_entries(),
+        )
         return acquired
 
     def own_calls(self) -> dict[str, int]:
@@ -309,12 +318,16 @@
         if budget is None:
             budget = RetryBudget(self._cfg.relay.retry_ratio)
             self._budgets[service] = budget
-        entries = len(self._follower.entries) + 1
         budget.update_balance_cap(
-            balance_cap_per_entry(self._cfg.relay.retry_slack, entries)
+            balance_cap_per_entry(
+                self._cfg.relay.retry_slack, self._count_entries()
+            )
         )
         return budget
 
+    def _count_entries(self) -> int:
+        return len(self._follower.entries) + 1
+
     def _apply_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
         for record in records:
             logger.info(
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import cached_property
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -27,6 +28,7 @@
     final_action,
 )
 from snipebend.relay.facts import CallContext
+from snipebend.routing.quarantine import fingerprint_of
 
 if TYPE_CHECKING:
     from snipebend.edge.caller_parser import CompleteRequest
@@ -89,6 +91,12 @@
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what all attempts to send the same request have in common."""
+        target = self._req.head.target.decode('latin-1')
+        return fingerprint_of(self._admitted.workspace, target, self._req.body)
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline - self._relay.now()
 
@@ -307,11 +315,12 @@
             upstream.record_failure(self._relay.now())
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'failures={} refusals={} {}',
+            + 'fingerprint={} failures={} refusals={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
             result.outcome.value,
             result.reason,
+            self.fingerprint,
             upstream.failures,
             upstream.refusals.consecutive,
             self._relay.refusal_writer.describe_host_state(),
@@ -324,7 +333,7 @@
             return True
         action = decide_next_action(result.outcome, self._retry_conditions())
         if action is NextAction.RETRY and self._relay.acquire_retry(
-            self._admitted.service
+            self._admitted
         ):
             return True
         final = final_action(result.outcome, may_have_run=self._may_have_run)
--- a/src/snipebend/routing/retry_budget.py
+++ b/src/snipebend/routing/retry_budget.py
@@ -54,6 +54,11 @@
         """Return the retries available now."""
         return self._balance
 
+    @property
+    def balance_cap(self) -> float:
+        """Return how many retries can be saved."""
+        return self._cap()
+
     def update_ratio(self, ratio: float) -> None:
         """Set a new ratio."""
         self._ratio = ratio
--- a/src/snipebend/transport/admin.py
+++ b/src/snipebend/transport/admin.py
@@ -13,16 +13,25 @@
 
 import falcon
 from falcon.asgi import App
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    REGISTRY,
+    generate_latest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from falcon.asgi import Request, Response
+    from prometheus_client import Metric
 
     from snipebend.kernel.process import Process
 
 
+#: Of the metrics that the metrics library adds.
+_LIBRARY_PREFIXES = ('python_', 'process_')
+
+
 class _Healthz:
     """Serves the liveness check."""
 
@@ -46,12 +55,28 @@
         resp.text = 'not ready\n'
 
 
+class _OrderedMetrics:
+    """The metrics of the process, the project's short ones first.
+
+    Monitoring that keeps only the beginning of a page then has the counters.
+    """
+
+    def collect(self) -> list[Metric]:
+        """Return all metrics in the order of the page."""
+        return sorted(REGISTRY.collect(), key=_page_order)
+
+
+def _page_order(metric: Metric) -> tuple[bool, bool]:
+    is_library_metric = metric.name.startswith(_LIBRARY_PREFIXES)
+    return is_library_metric, metric.type == 'histogram'
+
+
 class _Metrics:
     """Serves the OpenTelemetry metrics in the Prometheus text format."""
 
     async def on_get(self, req: Request, resp: Response) -> None:
         resp.content_type = CONTENT_TYPE_LATEST
-        resp.data = generate_latest()
+        resp.data = generate_latest(_OrderedMetrics())
 
 
 class _Dump:
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -51,6 +51,11 @@
                 )
                 for metric in ENTRY_METRICS:
                     self.assertIn(metric, exported)
+                # Monitoring may keep only the beginning of the page.
+                self.assertLess(
+                    exported.rindex('\nsnipebend_'),
+                    exported.index('\npython_gc'),
+                )
                 # The writes so far need only a majority: one daemon may lag.
                 texts = [
                     SCOPE_LABELS.sub(
