--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -76,9 +76,14 @@
         self.assertEqual(ejector.status('a', 16), 'in')
 
 
-def _full_budget(slack: float, entries: int) -> RetryBudget:
+def _new_budget(slack: float, entries: int) -> RetryBudget:
     budget = RetryBudget(0.2)
     budget.update_balance_cap(balance_cap_per_entry(slack, entries))
+    return budget
+
+
+def _full_budget(slack: float, entries: int) -> RetryBudget:
+    budget = _new_budget(slack, entries)
     for _ in range(1000):
         budget.record_request()
     return budget
@@ -116,6 +121,22 @@
             self.assertLessEqual(granted, 0.2 * requests + slack)
             self.assertGreater(granted, 0.2 * requests)
 
+    def test_restarted_entries_stay_within_the_slack(self) -> None:
+        """Restarts of all entries during an outage grant no further retries."""
+        slack, entries, requests = 128, 15, 2560
+        restart_every = requests // 4
+        budgets = [_full_budget(slack, entries) for _ in range(entries)]
+        granted = 0
+        for tick in range(requests):
+            if tick % restart_every == restart_every // 5:
+                budgets = [_new_budget(slack, entries) for _ in budgets]
+            budget = budgets[tick % entries]
+            budget.record_request()
+            now = 10 * tick / requests
+            granted += sum(budget.try_acquire(now) for _ in range(3))
+        self.assertLessEqual(granted, 0.2 * requests + slack)
+        self.assertGreater(granted, 0.2 * requests)
+
 
 class AdaptiveLimitTest(TestCase):
     """The limit falls when latency rises, and recovers."""
