--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -29,7 +29,7 @@
     select_upstream,
 )
 from snipebend.relay.upstreams import UpstreamTable
-from snipebend.routing.retry_budget import RetryBudget, balance_cap_per_entry
+from snipebend.routing.retry_budget import RetryBudget, allowance_per_entry
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -314,15 +314,14 @@
         )
 
     def _budget(self, service: str) -> RetryBudget:
+        allowance = allowance_per_entry(
+            self._cfg.relay.retry_slack, self._count_entries()
+        )
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._cfg.relay.retry_ratio)
+            budget = RetryBudget(self._cfg.relay.retry_ratio, allowance)
             self._budgets[service] = budget
-        budget.update_balance_cap(
-            balance_cap_per_entry(
-                self._cfg.relay.retry_slack, self._count_entries()
-            )
-        )
+        budget.update_allowance(allowance)
         return budget
 
     def _count_entries(self) -> int:
--- a/src/snipebend/routing/retry_budget.py
+++ b/src/snipebend/routing/retry_budget.py
@@ -2,26 +2,48 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 #: Retries that an entry without recent requests can make at once.
 RESERVE = 3.0
 #: Retries per second that an entry earns without requests, up to the reserve.
 IDLE_RETRIES_PER_S = 0.1
+#: Retries that an entry can make before its first request has earned any.
+INITIAL_RETRIES = 1.0
 
-#: Requests whose unused retry share an entry can save, if no cap from the
-#: fleet's slack applies.
+#: Requests whose unused retry share an entry can save, if no allowance from
+#: the fleet's slack applies.
 MAX_SAVED_REQUESTS = 100
 
-#: Share of the fleet's slack that all entries together can save. The rest
-#: covers retries earned without requests, and restarted entries, which begin
-#: with the reserve. With 23 saved retries on each of 14 entries, a service
-#: whose groups had both failed got 509 retries in 10 s for 1,691 requests; 462
-#: are allowed.
-SLACK_SHARE = 0.5
+#: Shares of the fleet's slack that all entries together can spend: what they
+#: saved, what they earn in a second without requests, and what they begin with
+#: after a restart. In 10 s, four restarts of all entries use up the slack.
+SAVED_SHARE = 0.5
+IDLE_SHARE_PER_S = 0.01
+INITIAL_SHARE = 0.1
+
+
+class RetryAllowance(NamedTuple):
+    """The retries of one entry beyond the share of its requests."""
 
+    #: Retries that it can save.
+    balance_cap: float
+    #: Retries that it begins with.
+    initial: float
+    #: Retries that it earns per second without requests, up to the reserve.
+    idle_per_s: float
 
-def balance_cap_per_entry(slack: float, entries: int) -> float:
-    """Return the retries that each of ``entries`` entries can save."""
-    return SLACK_SHARE * slack / max(1, entries)
+
+def allowance_per_entry(slack: float, entries: int) -> RetryAllowance:
+    """Divide the fleet's slack, in retries, among all entries."""
+    share = slack / max(1, entries)
+    return RetryAllowance(
+        # At least one retry can be saved; otherwise an entry with few requests
+        # could never retry.
+        max(1, SAVED_SHARE * share),
+        min(INITIAL_RETRIES, INITIAL_SHARE * share),
+        min(IDLE_RETRIES_PER_S, IDLE_SHARE_PER_S * share),
+    )
 
 
 class RetryBudget:
@@ -32,19 +54,24 @@
     """
 
     __slots__ = (
+        '_allowance',
         '_balance',
-        '_balance_cap',
         '_ratio',
         '_refilled_at',
         'granted',
         'requests',
     )
 
-    def __init__(self, ratio: float) -> None:
-        """Create a budget that holds the reserve."""
+    def __init__(
+        self, ratio: float, allowance: RetryAllowance | None = None
+    ) -> None:
+        """Create a budget with an allowance from the fleet's slack.
+
+        Without an allowance it holds the reserve.
+        """
         self._ratio = ratio
-        self._balance = RESERVE
-        self._balance_cap: float | None = None
+        self._allowance = allowance
+        self._balance = RESERVE if allowance is None else allowance.initial
         self._refilled_at: float | None = None
         self.requests = 0
         self.granted = 0
@@ -63,9 +90,9 @@
         """Set a new ratio."""
         self._ratio = ratio
 
-    def update_balance_cap(self, cap: float) -> None:
-        """Set how many retries can be saved."""
-        self._balance_cap = cap
+    def update_allowance(self, allowance: RetryAllowance) -> None:
+        """Set a new allowance; saved retries beyond it are lost."""
+        self._allowance = allowance
         self._balance = min(self._cap(), self._balance)
 
     def record_request(self) -> None:
@@ -90,12 +117,15 @@
         self._refilled_at = now
         reserve = min(RESERVE, self._cap())
         if self._balance < reserve:
-            earned = (now - since) * IDLE_RETRIES_PER_S
+            earned = (now - since) * self._idle_per_s()
             self._balance = min(reserve, self._balance + earned)
 
     def _cap(self) -> float:
-        if self._balance_cap is None:
+        if self._allowance is None:
             return RESERVE + MAX_SAVED_REQUESTS * self._ratio
-        # At least one retry can be saved; otherwise an entry with few requests
-        # could never retry.
-        return max(1, self._balance_cap)
+        return self._allowance.balance_cap
+
+    def _idle_per_s(self) -> float:
+        if self._allowance is None:
+            return IDLE_RETRIES_PER_S
+        return self._allowance.idle_per_s
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -30,8 +30,8 @@
     silent_after_s: Seconds = 1.5
     #: Retry budget of the whole fleet, as a share of its requests.
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
-    #: Additional retries that the whole fleet has within some seconds; the
-    #: entries save up half of them.
+    #: Additional retries that the whole fleet has within ten seconds; the
+    #: entries divide them among each other.
     retry_slack: Annotated[float, Meta(ge=0)] = 90
 
 
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -186,7 +186,7 @@
                 self.assertLessEqual(refused, RESERVE)
 
     async def test_not_retried_beyond_the_budget(self):
-        """The fourth refusal exceeds the retry budget of a new entry."""
+        """The second refusal exceeds the retry budget of a new entry."""
         avoided_s = 'snipebend.relay.refusals.MAX_AVOIDANCE_S'
         async with running(refuse, respond_ok) as relay:
             relay.service._rng.random = lambda: 0.5
@@ -195,7 +195,7 @@
                     await send_request(relay, request('/unsafe/'))
                     for _ in range(4)
                 ]
-        self.assertEqual([one.status for one in got], [200, 200, 200, 503])
+        self.assertEqual([one.status for one in got], [200, 503, 503, 503])
         self.assertIn(b'not-run', got[-1].body)
 
     async def test_refused_by_all(self):
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -23,7 +23,7 @@
     'snipebend_relay_calls_total{ending="answered",service="s-1"}',
     'snipebend_relay_first_piece_seconds_count',
     'snipebend_relay_hand_on_seconds_count',
-    'snipebend_relay_retries_left{service="s-1"} 3',
+    'snipebend_relay_retries_left{service="s-1"} 1.',
     'snipebend_relay_upstreams{state="open"} 1',
     'snipebend_relay_document_number{} 4',
     'snipebend_relay_news_age_seconds{}',
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -18,7 +18,7 @@
     IDLE_RETRIES_PER_S,
     RESERVE,
     RetryBudget,
-    balance_cap_per_entry,
+    allowance_per_entry,
 )
 
 _NAMES = ('a', 'b', 'c', 'd', 'e')
@@ -77,9 +77,7 @@
 
 
 def _new_budget(slack: float, entries: int) -> RetryBudget:
-    budget = RetryBudget(0.2)
-    budget.update_balance_cap(balance_cap_per_entry(slack, entries))
-    return budget
+    return RetryBudget(0.2, allowance_per_entry(slack, entries))
 
 
 def _full_budget(slack: float, entries: int) -> RetryBudget:
