--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -22,7 +22,7 @@
 from snipebend.hosts.lookup import HostIndex
 from snipebend.hosts.model import HostTable
 from snipebend.kernel.service import Service
-from snipebend.relay.entry_directory import EntryDirectory
+from snipebend.relay.entry_directory import EntryDirectory, FleetMembers
 from snipebend.settings.relay import RelaySettings
 from snipebend.state.host_updates import HostWatchRequest
 from snipebend.transport.methods import WATCH_HOSTS
@@ -86,6 +86,8 @@
         #: The data centre of each entry, as far as known.
         self.data_centers: dict[str, str] = {}
         self._entry_directory = EntryDirectory()
+        #: The other entries, including those that are cut off now.
+        self.fleet = FleetMembers()
         #: Called after each update.
         self.on_update: Callable[[], None] = _ignore_update
         #: Called with the group statuses; with none while no daemon sends any.
@@ -277,6 +279,7 @@
     def _update_entries(self) -> None:
         self.data_centers = self._entry_directory.merge_data_centers()
         self.entries = frozenset(self.data_centers) - {self.gossip_address}
+        self.fleet.record(self.entries, self._clock.now())
 
     def _apply_groups(
         self, address: str, groups: tuple[UpstreamGroupStatus, ...]
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -325,7 +325,7 @@
         return budget
 
     def _count_entries(self) -> int:
-        return len(self._follower.entries) + 1
+        return len(self._follower.fleet) + 1
 
     def _apply_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
         for record in records:
--- a/src/snipebend/relay/entry_directory.py
+++ b/src/snipebend/relay/entry_directory.py
@@ -8,7 +8,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
+
+#: Seconds for which an entry that is no longer listed counts as a member of the
+#: fleet: partitions between regions last for minutes.
+MEMBER_RETENTION_S = 600.0
 
 
 class EntryDirectory:
@@ -41,3 +45,29 @@
             for entry, data_center in data_center_by_entry.items():
                 data_centers[entry] = data_center or data_centers.get(entry, '')
         return data_centers
+
+
+class FleetMembers:
+    """Entries that were listed lately, even if they are cut off now.
+
+    Entries divide the fleet's limits among each other. An entry that counted
+    only those it can reach would take too much during a partition.
+    """
+
+    def __init__(self) -> None:
+        """Create a fleet without members."""
+        self._listed_at: dict[str, float] = {}
+
+    def record(self, entries: Collection[str], now: float) -> None:
+        """Record the entries that are listed now, in monotonic seconds."""
+        expired_at = now - MEMBER_RETENTION_S
+        self._listed_at = {
+            entry: listed_at
+            for entry, listed_at in self._listed_at.items()
+            if listed_at > expired_at
+        }
+        self._listed_at.update(dict.fromkeys(entries, now))
+
+    def __len__(self) -> int:
+        """Return the number of members."""
+        return len(self._listed_at)
--- a/tests/relay/test_entry_directory.py
+++ b/tests/relay/test_entry_directory.py
@@ -9,7 +9,11 @@
 
 import unittest
 
-from snipebend.relay.entry_directory import EntryDirectory
+from snipebend.relay.entry_directory import (
+    MEMBER_RETENTION_S,
+    EntryDirectory,
+    FleetMembers,
+)
 
 
 class TestEntryDirectory(unittest.TestCase):
@@ -48,5 +52,17 @@
         )
 
 
+class TestFleetMembers(unittest.TestCase):
+    """Entries that are cut off share the fleet's limits until they expire."""
+
+    def test_unlisted_entry_counts_until_it_expires(self):
+        fleet = FleetMembers()
+        fleet.record(('e:1', 'e:2', 'e:3'), 0)
+        fleet.record(('e:1',), MEMBER_RETENTION_S - 1)
+        self.assertEqual(len(fleet), 3)
+        fleet.record(('e:1',), MEMBER_RETENTION_S)
+        self.assertEqual(len(fleet), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
