--- a/src/snipebend/standin/step_clock.py
+++ b/src/snipebend/standin/step_clock.py
@@ -8,6 +8,11 @@
     from collections.abc import Callable
 
 
+#: Share of a step by which its boundary may be missed for lack of precision in
+#: the time; far less than the event loop's millisecond.
+_ROUNDING_STEPS = 1e-6
+
+
 class StepClock:
     """Counts steps of a fixed duration since the start.
 
@@ -55,4 +60,5 @@
         self._hold_step = step
 
     def _due_step(self) -> int:
-        return int((self.now() - self._started_at) / self._step_s)
+        elapsed_steps = (self.now() - self._started_at) / self._step_s
+        return int(elapsed_steps + _ROUNDING_STEPS)
