--- a/src/snipebend/edge/final_response.py
+++ b/src/snipebend/edge/final_response.py
@@ -85,6 +85,17 @@
             retry_after_s = self._refusal_writer.busy_retry_s()
             self._refuse(problems.busy(retry_after_s, 'no upstream is free'))
 
+    def refuse_quarantined(
+        self, retry_after_s: float, *, may_have_run: bool
+    ) -> None:
+        """Respond that upstreams have ended under the request."""
+        if may_have_run:
+            self._refuse(
+                problems.upstream_lost('the call broke, as others did before')
+            )
+            return
+        self._refuse(problems.quarantined(retry_after_s))
+
     def time_out(self, *, may_have_run: bool) -> None:
         """Respond that the deadline has expired."""
         if may_have_run:
--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -17,6 +17,7 @@
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.kernel.service import Service
+from snipebend.relay.crash_table import CrashReport
 from snipebend.relay.fan_out import Recipients, choose_recipients
 from snipebend.relay.rate_limit_table import LimitReport
 from snipebend.relay.refusals import RefusalReport
@@ -33,6 +34,10 @@
 #: Seconds between two datagrams while nothing changes.
 REPEAT_INTERVAL_S = 0.4
 
+#: Seconds between two messages with crash reports that have not changed. They
+#: are large, and an entry that has just started waits that long for them.
+CRASHES_INTERVAL_S = 1.0
+
 #: Seconds after which an entry that sends nothing is assumed to have no calls:
 #: three repeats may be lost.
 ENTRY_TIMEOUT_S = 1.3
@@ -51,6 +56,8 @@
     limits: dict[str, LimitReport] = field(default_factory=dict)
     #: Recent refusals by upstreams.
     refusals: dict[str, RefusalReport] = field(default_factory=dict)
+    #: Upstreams that ended under requests, by the requests' fingerprints.
+    crashes: dict[str, CrashReport] = field(default_factory=dict)
 
 
 class GossipState(Protocol):
@@ -65,6 +72,13 @@
     def make_refusal_reports(self) -> dict[str, RefusalReport]:
         """Return the refusal reports for others, by upstream identity."""
 
+    @property
+    def crash_revision(self) -> int:
+        """Return a number that increases when the crash reports change."""
+
+    def make_crash_reports(self) -> dict[str, CrashReport]:
+        """Return the crash reports for others, by fingerprint."""
+
     def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Apply the calls that another entry has in progress."""
 
@@ -78,6 +92,11 @@
     ) -> None:
         """Apply another entry's refusal reports."""
 
+    def apply_crashes(
+        self, entry: str, crashes: dict[str, CrashReport]
+    ) -> None:
+        """Apply another entry's crash reports."""
+
     def record_reachable_share(self, share: float) -> None:
         """Record the share of entries whose messages are received here."""
 
@@ -90,6 +109,7 @@
     limits: dict[str, LimitReport]
     #: Consecutive refusals by upstream.
     refusals: dict[str, int]
+    crash_revision: int
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -157,6 +177,8 @@
             )
         if message.refusals:
             self._state.apply_refusals(message.entry, message.refusals)
+        if message.crashes:
+            self._state.apply_crashes(message.entry, message.crashes)
         if message.forward:
             self._forward(message)
 
@@ -166,19 +188,32 @@
 
     async def _send_forever(self) -> None:
         number = 0
-        sent = _Digest({}, {}, {})
+        sent = _Digest({}, {}, {}, 0)
         repeat_at: float = 0
+        repeat_crashes_at: float = 0
         while True:
             await asyncio.sleep(SEND_INTERVAL_S)
             self._remove_expired()
             calls = self._state.own_calls()
             limits = self._state.make_limit_reports()
             refusals = self._state.make_refusal_reports()
-            digest = _Digest(calls, _without_ages(limits), _counts_of(refusals))
+            digest = _Digest(
+                calls,
+                _without_ages(limits),
+                _counts_of(refusals),
+                self._state.crash_revision,
+            )
             now = self._clock.now()
             if digest == sent and now < repeat_at:
                 continue
             number += 1
+            crashes: dict[str, CrashReport] = {}
+            if (
+                digest.crash_revision != sent.crash_revision
+                or now >= repeat_crashes_at
+            ):
+                crashes = self._state.make_crash_reports()
+                repeat_crashes_at = now + CRASHES_INTERVAL_S
             sent = digest
             repeat_at = now + REPEAT_INTERVAL_S
             self._broadcast(
@@ -189,6 +224,7 @@
                     calls,
                     limits=limits,
                     refusals=refusals,
+                    crashes=crashes,
                 )
             )
 
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -94,6 +94,10 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._crashes = meter.create_counter(
+            'snipebend_relay_crashes',
+            description='ends of upstreams, once for each request under them',
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -130,6 +134,10 @@
         """Count an upstream that requests a backoff or shuts down."""
         self._declined.add(1, {'service': service, 'reason': reason})
 
+    def count_crash(self) -> None:
+        """Count the end of an upstream under a request."""
+        self._crashes.add(1)
+
     def record_pause(self, seconds: float) -> None:
         """Record the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
 from snipebend.edge.rate_limit_tracker import RateLimitTracker
@@ -39,6 +40,7 @@
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
+    from snipebend.relay.crash_table import CrashReport
     from snipebend.relay.facts import Dialect
     from snipebend.relay.rate_limit_table import LimitReport
     from snipebend.relay.refusals import RefusalReport
@@ -88,7 +90,16 @@
             self.dialect, self._follower, self.meters
         )
         self.limits = RateLimitTracker(self.now, self.meters)
-        self.notices = UpstreamNotices(self.now, self.meters, self.limits)
+        self.crashes = CrashTracker(
+            self._cfg.relay,
+            self.now,
+            self.meters,
+            self._tasks,
+            self._refuses_connections,
+        )
+        self.notices = UpstreamNotices(
+            self.now, self.meters, self.limits, self.crashes
+        )
         self._tasks.start('sweep', self._sweep_forever)
 
     async def stop(self) -> None:
@@ -106,6 +117,7 @@
             'idle_to_upstreams': self.pool.count_idle(),
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
+            'suspects': len(self.crashes),
         }
 
     @property
@@ -249,6 +261,21 @@
                 entry,
             )
 
+    @property
+    def crash_revision(self) -> int:
+        """Return a number that increases when the crash reports change."""
+        return self.crashes.revision
+
+    def make_crash_reports(self) -> dict[str, CrashReport]:
+        """Return the crash reports for others, by fingerprint."""
+        return self.crashes.make_report()
+
+    def apply_crashes(
+        self, entry: str, crashes: dict[str, CrashReport]
+    ) -> None:
+        """Apply another entry's crash reports."""
+        self.crashes.apply_report(entry, crashes)
+
     def record_reachable_share(self, share: float) -> None:
         """Record the share of entries whose messages are received here."""
         self.limits.table.share = share
@@ -338,10 +365,23 @@
                 record.address,
                 record.revision,
             )
+            if self._upstreams.find(record.identity) is None:
+                self.crashes.record_end(
+                    record.address, 'another took its place'
+                )
         for ended in self._upstreams.apply_records(records):
+            self.crashes.record_end(
+                ended.record.address, 'control knows of its end'
+            )
             self.pool.close_idle(ended.record.identity)
             self.limits.table.remove(ended.record.identity)
 
+    async def _refuses_connections(self, upstream: Upstream) -> bool:
+        record = upstream.record
+        return await self.pool.refuses_connections(
+            record.identity, record.address
+        )
+
     async def _sweep_forever(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -18,6 +18,7 @@
     ResponseStarted,
 )
 from snipebend.edge.stream_relay import StreamRelay
+from snipebend.edge.upstream_pool import RefusedConnectionError
 from snipebend.errors.hierarchy import UnavailableError
 from snipebend.hosts.model import RequestKind
 from snipebend.relay.call_outcomes import (
@@ -106,7 +107,7 @@
         return self._runs > 0
 
     async def _call_until_done(self) -> None:
-        while True:
+        while not self._refuse_if_quarantined():
             upstream = self._relay.select_upstream(self._admitted, self._tried)
             if upstream is None:
                 self._final.refuse_no_capacity(
@@ -121,6 +122,16 @@
             if not self._should_continue(result):
                 return
 
+    def _refuse_if_quarantined(self) -> bool:
+        crashes = self._relay.crashes
+        if not crashes:
+            return False
+        left_s = crashes.quarantine_left_s(self.fingerprint)
+        if not left_s:
+            return False
+        self._final.refuse_quarantined(left_s, may_have_run=self._may_have_run)
+        return True
+
     def _find_capacity_wait(self) -> NoCapacity | None:
         return self._relay.find_capacity_wait(self._admitted, self._tried)
 
@@ -141,12 +152,20 @@
                 call
             ) or await self._send_and_receive(call)
         except UnavailableError as exc:
+            if isinstance(exc, RefusedConnectionError):
+                self._relay.crashes.record_end(
+                    upstream.record.address, 'it refuses connections'
+                )
             result = CallResult(CallOutcome.UNSENT, str(exc), faulty=True)
         finally:
             upstream.own_calls -= 1
             if call is not None:
                 self._abandon(call)
         self._record_result(upstream, result, call_started_at)
+        if result is not None and result.outcome is CallOutcome.UNKNOWN:
+            await self._relay.crashes.record_broken_call(
+                upstream, self.fingerprint, call_started_at
+            )
         return result
 
     async def _open(self, upstream: Upstream) -> Call:
@@ -229,7 +248,11 @@
         upstream = call.upstream
         if facts.faulty_address in {'', upstream.record.address}:
             upstream.refusals.record_refusal(call.started_at, now)
-        elif upstream.group is not None:
+            return
+        self._relay.crashes.record_end(
+            facts.faulty_address, 'another rank named it as lost'
+        )
+        if upstream.group is not None:
             upstream.group.record_lost_rank(now)
 
     async def _read_failure(
--- a/src/snipebend/edge/upstream_notices.py
+++ b/src/snipebend/edge/upstream_notices.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from snipebend.edge.crash_tracker import CrashTracker
     from snipebend.edge.rate_limit_tracker import RateLimitTracker
     from snipebend.edge.relay_meters import RelayMeters
     from snipebend.relay.facts import BackoffRequest, ResponseFacts
@@ -23,11 +24,13 @@
         now: Callable[[], float],
         meters: RelayMeters,
         limits: RateLimitTracker,
+        crashes: CrashTracker,
     ) -> None:
-        """Keep the tracker of rate limits; other state is kept per upstream."""
+        """Keep the trackers; other state is kept per upstream."""
         self._now = now
         self._meters = meters
         self._limits = limits
+        self._crashes = crashes
 
     def apply(
         self, upstream: Upstream, facts: ResponseFacts, call_started_at: float
@@ -38,6 +41,9 @@
         """
         if facts.identity_mismatch:
             upstream.displaced = True
+            self._crashes.record_end(
+                upstream.record.address, 'another incarnation responds'
+            )
             return
         self._limits.record_response(upstream, facts, call_started_at)
         if facts.backoff is not None:
--- a/src/snipebend/edge/upstream_pool.py
+++ b/src/snipebend/edge/upstream_pool.py
@@ -6,6 +6,8 @@
 import socket
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from snipebend.edge.upstream_connection import UpstreamConnection
 from snipebend.errors.hierarchy import UnavailableError
 
@@ -34,6 +36,10 @@
 KEEPALIVE_PROBES = 2
 
 
+class RefusedConnectionError(UnavailableError):
+    """No process listens at the address of an upstream."""
+
+
 class UpstreamPool:
     """Idle connections by upstream identity."""
 
@@ -59,6 +65,25 @@
             conn = await self._open(address)
         return conn
 
+    async def refuses_connections(self, identity: str, address: str) -> bool:
+        """Return whether an address refuses a new connection.
+
+        A connection that is accepted is kept for the next request.
+        """
+        try:
+            conn = await self._open(address)
+        except RefusedConnectionError:
+            return True
+        except UnavailableError as exc:
+            logger.info(
+                'event=upstream_probe_failed upstream={} error={!r}',
+                identity,
+                str(exc),
+            )
+            return False
+        self.release(identity, conn)
+        return False
+
     def release(self, identity: str, conn: UpstreamConnection) -> None:
         """Keep a connection whose response was read completely, if usable."""
         if conn.usable:
@@ -121,6 +146,10 @@
                 transport, conn = await loop.create_connection(
                     lambda: UpstreamConnection(self._dialect), host, int(port)
                 )
+        except ConnectionRefusedError as exc:
+            raise RefusedConnectionError(
+                str(exc), step='connect', peer=address
+            ) from exc
         except (OSError, TimeoutError, ValueError) as exc:
             reason = str(exc) or 'no connection in time'
             raise UnavailableError(
--- a/src/snipebend/relay/problems.py
+++ b/src/snipebend/relay/problems.py
@@ -59,6 +59,20 @@
     )
 
 
+def quarantined(retry_after_s: float) -> Refusal:
+    """Return the refusal of a request under which upstreams have ended.
+
+    Callers without agents read 503 as a promise that the request did not run;
+    other statuses of refusals promise nothing there.
+    """
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'Quarantined',
+        'upstreams have ended under this request',
+        retry_after_s=retry_after_s,
+    )
+
+
 def upstream_lost(detail: str) -> Refusal:
     """Return the error for a broken call that may have run."""
     return Refusal(
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -33,6 +33,10 @@
     #: Additional retries that the whole fleet has within ten seconds; the
     #: entries divide them among each other.
     retry_slack: Annotated[float, Meta(ge=0)] = 90
+    #: Number of upstreams that may end under one request before it is refused.
+    crash_limit: Annotated[int, Meta(ge=1)] = 3
+    #: Seconds for which such a request is refused after the last end.
+    quarantine_s: Seconds = 600.0
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/src/snipebend/state/roster.py
+++ b/src/snipebend/state/roster.py
@@ -44,6 +44,11 @@
     #: Start time of the incarnation in Unix milliseconds; 0 if not reported.
     born: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Return an identifier that no other incarnation has."""
+        return f'{self.identity}@{self.born}'
+
     def supersedes(self, existing: UpstreamRecord | None) -> bool:
         """Return whether this record replaces the known one of its identity.
 
--- a/tests/edge/gossip_state.py
+++ b/tests/edge/gossip_state.py
@@ -12,9 +12,11 @@
         self.calls = calls
         self.limits = {}
         self.refusals = {}
+        self.crashes = {}
         self.calls_received = asyncio.Queue()
         self.limits_received = asyncio.Queue()
         self.refusals_received = asyncio.Queue()
+        self.crashes_received = asyncio.Queue()
         self.share = None
 
     def own_calls(self):
@@ -26,6 +28,16 @@
     def make_refusal_reports(self):
         return dict(self.refusals)
 
+    @property
+    def crash_revision(self):
+        return len(self.crashes)
+
+    def make_crash_reports(self):
+        return dict(self.crashes)
+
+    def apply_crashes(self, entry, crashes):
+        self.crashes_received.put_nowait((entry, crashes))
+
     def apply_refusals(self, entry, refusals):
         self.refusals_received.put_nowait((entry, refusals))
 
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -16,6 +16,7 @@
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
+from snipebend.relay.crash_table import CrashReport
 from snipebend.relay.rate_limit_table import LimitReport
 from snipebend.relay.refusals import RefusalReport
 from snipebend.settings.model import ProcessSection
@@ -70,6 +71,17 @@
         # This entry receives nothing from the one other entry.
         self.assertEqual(self.states['a'].share, 0.5)
 
+    async def test_crashes_reach_other_entries_and_are_repeated(self):
+        _, sender, _ = await self.start('a', {})
+        _, receiver, _ = await self.start('b', {})
+        report = {'fatal': CrashReport(('i-1@0', 'i-2@0'), 0.5)}
+        sender.entries = frozenset((receiver.gossip_address,))
+        self.states['a'].crashes.update(report)
+        received = self.states['b'].crashes_received
+        for _ in range(2):
+            message = await asyncio.wait_for(received.get(), 10)
+            self.assertEqual(message, ('a', report))
+
     async def test_refusals_reach_other_entries(self):
         _, sender, _ = await self.start('a', {})
         _, receiver, _ = await self.start('b', {})
--- /dev/null
+++ b/tests/relay/test_crash_evidence.py
@@ -0,0 +1,55 @@
+"""Guards against counting an end that has nothing to do with a broken call.
+
+A connection may break while its upstream goes on, an address is used again by
+the next incarnation, and evidence arrives before or after the break.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from snipebend.relay.crash_evidence import (
+    EVIDENCE_WINDOW_S,
+    BrokenCall,
+    CrashEvidence,
+)
+
+ADDRESS = '10.0.0.1:80'
+
+
+def broken_call(fingerprint='f', started_at=1.0, broken_at=2.0):
+    """Return a call that broke at the address."""
+    return BrokenCall(ADDRESS, 'i-1@0', fingerprint, started_at, broken_at)
+
+
+class TestCrashEvidence(unittest.TestCase):
+    """A broken call counts once, with evidence close to it in time."""
+
+    def test_evidence_after_the_break(self):
+        evidence = CrashEvidence()
+        calls = [broken_call('a'), broken_call('b')]
+        for call in calls:
+            self.assertFalse(evidence.record_broken_call(call))
+        self.assertEqual(evidence.record_end('10.0.0.2:80', 3), [])
+        self.assertEqual(evidence.record_end(ADDRESS, 3), calls)
+        self.assertEqual(evidence.record_end(ADDRESS, 4), [])
+
+    def test_evidence_before_the_break(self):
+        evidence = CrashEvidence()
+        evidence.record_end(ADDRESS, 1.5)
+        self.assertTrue(evidence.record_broken_call(broken_call()))
+
+    def test_call_of_the_next_incarnation(self):
+        evidence = CrashEvidence()
+        evidence.record_end(ADDRESS, 0.5)
+        self.assertFalse(evidence.record_broken_call(broken_call()))
+
+    def test_late_evidence_does_not_count(self):
+        evidence = CrashEvidence()
+        evidence.record_broken_call(broken_call())
+        ended = evidence.record_end(ADDRESS, 2 + EVIDENCE_WINDOW_S)
+        self.assertEqual(ended, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
