--- a/src/snipebend/transport/forward.py
+++ b/src/snipebend/transport/forward.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from loguru import logger
 from multidict import CIMultiDict
 
 from snipebend.kernel.service import Service
@@ -94,9 +95,15 @@
         """Initialize without pools."""
         super().__init__(name)
         self._pools: dict[str, _Pool] = {}
+        self._stopping = False
 
     async def stop(self) -> None:
         """Close all pools."""
+        self._stopping = True
+        logger.info(
+            'event=http_client_stopping in_use={}',
+            sum(pool.in_use for pool in self._pools.values()),
+        )
         for pool in self._pools.values():
             await pool.session.close()
         self._pools.clear()
@@ -108,6 +115,8 @@
         new ones.
         """
         pool = self._pools.pop(peer, None)
+        if self._stopping:
+            logger.info('event=http_pool_retired_in_stop peer={}', peer)
         if pool is not None:
             await pool.retire()
 
@@ -144,6 +153,8 @@
     def _pool(self, peer: str) -> _Pool:
         pool = self._pools.get(peer)
         if pool is None:
+            if self._stopping:
+                logger.info('event=http_pool_opened_in_stop peer={}', peer)
             pool = _Pool()
             self._pools[peer] = pool
         return pool
