--- a/src/snipebend/transport/forward.py
+++ b/src/snipebend/transport/forward.py
@@ -7,7 +7,12 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from aiohttp import (
+    ClientConnectionError,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 from loguru import logger
 from multidict import CIMultiDict
 
@@ -98,15 +103,17 @@
         self._stopping = False
 
     async def stop(self) -> None:
-        """Close all pools."""
+        """Close all pools; no further connection is opened."""
         self._stopping = True
         logger.info(
             'event=http_client_stopping in_use={}',
             sum(pool.in_use for pool in self._pools.values()),
         )
-        for pool in self._pools.values():
-            await pool.session.close()
+        # Calls that break now retire their pools.
+        pools = tuple(self._pools.values())
         self._pools.clear()
+        for pool in pools:
+            await pool.session.close()
 
     async def retire(self, peer: str) -> None:
         """Stop reusing the connections to a peer.
@@ -115,8 +122,6 @@
         new ones.
         """
         pool = self._pools.pop(peer, None)
-        if self._stopping:
-            logger.info('event=http_pool_retired_in_stop peer={}', peer)
         if pool is not None:
             await pool.retire()
 
@@ -125,7 +130,11 @@
         return {peer: pool.in_use for peer, pool in self._pools.items()}
 
     def session(self, peer: str) -> ClientSession:
-        """Return the current session with a peer, for short calls."""
+        """Return the current session with a peer, for short calls.
+
+        Raises:
+            aiohttp.ClientError: if the client is stopping.
+        """
         return self._pool(peer).session
 
     @asynccontextmanager
@@ -135,7 +144,8 @@
         """Send a request once and close the response on exit.
 
         Raises:
-            aiohttp.ClientError: if the peer is unreachable or aborts.
+            aiohttp.ClientError: if the peer is unreachable or aborts, or if the
+                client is stopping.
         """
         async with self._pool(outgoing.peer) as session:
             response = await session.request(
@@ -154,7 +164,10 @@
         pool = self._pools.get(peer)
         if pool is None:
             if self._stopping:
-                logger.info('event=http_pool_opened_in_stop peer={}', peer)
+                logger.info('event=call_during_stop peer={}', peer)
+                raise ClientConnectionError(
+                    f'the client is stopping: no connection to {peer}'
+                )
             pool = _Pool()
             self._pools[peer] = pool
         return pool
