--- a/src/snipebend/balancing/engine_http.py
+++ b/src/snipebend/balancing/engine_http.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         """Create the client; connections are opened on demand."""
         self._session: ClientSession | None = None
+        self._closed = False
         self._dispatcher = OrderDispatcher()
         self._backoffs = EngineBackoffs()
 
@@ -84,7 +85,8 @@
         return status
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; no further one is opened."""
+        self._closed = True
         if self._session is not None:
             await self._session.close()
 
@@ -140,9 +142,16 @@
             self._backoffs.record(upstream.identity, backoff.seconds, _now())
 
     def _open(self) -> ClientSession:
-        if self._session is None:
-            from aiohttp import ClientSession, ClientTimeout, TCPConnector
+        from aiohttp import (
+            ClientConnectionError,
+            ClientSession,
+            ClientTimeout,
+            TCPConnector,
+        )
 
+        if self._closed:
+            raise ClientConnectionError('the client is closed')
+        if self._session is None:
             self._session = ClientSession(
                 # No connection limit. With the library's default of 100, 92 of
                 # a group's 192 ranks waited for a connection while their call
--- a/tests/balancing/test_engine_http.py
+++ b/tests/balancing/test_engine_http.py
@@ -100,6 +100,16 @@
         self.assertIsNone(await self.http.read(self.rank('a'), '/', {}))
         self.assertEqual(self.engine.queried, 1)
 
+    async def test_calls_after_the_close_open_no_connection(self):
+        await self.http.read(self.rank('a'), '/', {})
+        for http in (self.http, EngineHttpClient()):
+            await http.close()
+            self.assertIsNone(await http.read(self.rank('b'), '/', {}))
+            self.assertIsNone(
+                await http.send_order(self.rank('b'), '/', {}, b'')
+            )
+        self.assertEqual(self.engine.queried, 1)
+
     async def test_other_engines_are_still_queried(self):
         await self.http.read(self.rank('a'), '/', {})
         await self.http.read(self.rank('b'), '/', {})
