--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -261,7 +261,8 @@
                 self._received_at.pop(entry)
                 self._state.apply_calls(entry, {})
                 logger.info('event=entry_silent peer={}', entry)
-        known = len(self._follower.entries)
+        follower = self._follower
+        known = max(len(follower.entries), len(follower.fleet))
         received = min(known, len(self._received_at))
         self._state.record_reachable_share((received + 1) / (known + 1))
 
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -71,6 +71,15 @@
         # This entry receives nothing from the one other entry.
         self.assertEqual(self.states['a'].share, 0.5)
 
+    async def test_entries_that_are_cut_off_keep_their_share_of_limits(self):
+        _, cut_off, _ = await self.start('a', {})
+        _, receiver, _ = await self.start('b', {})
+        cut_off.entries = frozenset((receiver.gossip_address,))
+        cut_off.fleet.record((receiver.gossip_address, 'elsewhere:1'), 0)
+        self.states['a'].calls['i-1'] = 1
+        await asyncio.wait_for(self.states['b'].calls_received.get(), 10)
+        self.assertEqual(self.states['a'].share, 1 / 3)
+
     async def test_crashes_reach_other_entries_and_are_repeated(self):
         _, sender, _ = await self.start('a', {})
         _, receiver, _ = await self.start('b', {})
