--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -334,8 +334,12 @@
             self._relay.meters.count_call(service, 'answered')
             return
         self._relay.meters.count_call(service, result.outcome.value)
+        now = self._relay.now()
         if result.faulty:
-            upstream.record_failure(self._relay.now())
+            upstream.record_failure(now)
+        if result.outcome is CallOutcome.UNKNOWN:
+            # An upstream that breaks calls seems as idle as one that refuses.
+            upstream.refusals.record_refusal(call_started_at, now)
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
             + 'fingerprint={} failures={} refusals={} {}',
--- a/src/snipebend/relay/refusals.py
+++ b/src/snipebend/relay/refusals.py
@@ -1,14 +1,14 @@
-"""Deprioritizes upstreams that refuse requests.
+"""Deprioritizes upstreams that refuse requests or break calls.
 
 Performs no I/O.
 
-An upstream that refuses responds within milliseconds: it has few calls in
-progress and would attract the next call as the least loaded one. After a
-refusal it is chosen last for a while, which grows with the number of
-consecutive refusals. Excluding it instead would leave callers without an
-upstream where all upstreams refuse a part of their requests. Entries report
-refusals to each other: otherwise each entry would have to be refused by every
-such upstream.
+An upstream that refuses or breaks calls does so within milliseconds: it has few
+calls in progress and would attract the next call as the least loaded one. After
+a refusal or a broken call it is chosen last for a while, which grows with their
+consecutive number. Excluding it instead would leave callers without an upstream
+where all upstreams refuse a part of their requests. Entries report refusals to
+each other: otherwise each entry would have to be refused by every such
+upstream.
 """
 
 from __future__ import annotations
