--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -262,7 +262,8 @@
                 self._state.apply_calls(entry, {})
                 logger.info('event=entry_silent peer={}', entry)
         follower = self._follower
-        known = max(len(follower.entries), len(follower.fleet))
+        fleet = follower.fleet.count(self._clock.now())
+        known = max(len(follower.entries), fleet)
         received = min(known, len(self._received_at))
         self._state.record_reachable_share((received + 1) / (known + 1))
 
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -352,7 +352,7 @@
         return budget
 
     def _count_entries(self) -> int:
-        return len(self._follower.fleet) + 1
+        return self._follower.fleet.count(self.now()) + 1
 
     def _apply_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
         for record in records:
--- a/src/snipebend/relay/entry_directory.py
+++ b/src/snipebend/relay/entry_directory.py
@@ -56,18 +56,25 @@
 
     def __init__(self) -> None:
         """Create a fleet without members."""
-        self._listed_at: dict[str, float] = {}
+        self._listed: frozenset[str] = frozenset()
+        #: When entries that are no longer listed were listed last.
+        self._unlisted_at: dict[str, float] = {}
 
     def record(self, entries: Collection[str], now: float) -> None:
-        """Record the entries that are listed now, in monotonic seconds."""
-        expired_at = now - MEMBER_RETENTION_S
-        self._listed_at = {
-            entry: listed_at
-            for entry, listed_at in self._listed_at.items()
-            if listed_at > expired_at
-        }
-        self._listed_at.update(dict.fromkeys(entries, now))
-
-    def __len__(self) -> int:
+        """Record a new list of entries, in force from this monotonic time."""
+        listed = frozenset(entries)
+        self._unlisted_at.update(dict.fromkeys(self._listed - listed, now))
+        for entry in listed:
+            self._unlisted_at.pop(entry, None)
+        self._listed = listed
+
+    def count(self, now: float) -> int:
         """Return the number of members."""
-        return len(self._listed_at)
+        expired = [
+            entry
+            for entry, unlisted_at in self._unlisted_at.items()
+            if now >= unlisted_at + MEMBER_RETENTION_S
+        ]
+        for entry in expired:
+            self._unlisted_at.pop(entry)
+        return len(self._listed) + len(self._unlisted_at)
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -75,7 +75,9 @@
         _, cut_off, _ = await self.start('a', {})
         _, receiver, _ = await self.start('b', {})
         cut_off.entries = frozenset((receiver.gossip_address,))
-        cut_off.fleet.record((receiver.gossip_address, 'elsewhere:1'), 0)
+        cut_off.fleet.record(
+            (receiver.gossip_address, 'elsewhere:1'), SystemClock().now()
+        )
         self.states['a'].calls['i-1'] = 1
         await asyncio.wait_for(self.states['b'].calls_received.get(), 10)
         self.assertEqual(self.states['a'].share, 1 / 3)
--- a/tests/relay/test_entry_directory.py
+++ b/tests/relay/test_entry_directory.py
@@ -58,10 +58,12 @@
     def test_unlisted_entry_counts_until_it_expires(self):
         fleet = FleetMembers()
         fleet.record(('e:1', 'e:2', 'e:3'), 0)
-        fleet.record(('e:1',), MEMBER_RETENTION_S - 1)
-        self.assertEqual(len(fleet), 3)
-        fleet.record(('e:1',), MEMBER_RETENTION_S)
-        self.assertEqual(len(fleet), 1)
+        # The list didn't change for longer than entries are retained.
+        unlisted_at = 2 * MEMBER_RETENTION_S
+        fleet.record(('e:1',), unlisted_at)
+        expires_at = unlisted_at + MEMBER_RETENTION_S
+        self.assertEqual(fleet.count(expires_at - 1), 3)
+        self.assertEqual(fleet.count(expires_at), 1)
 
 
 if __name__ == '__main__':
