Log how responses are framed and where streams end

The lines of a stream that looks complete can't tell whether its end was a close, a last chunk or a length, nor whether it ended inside an event, nor how the caller's response was framed.

request_ended and call_ended now name the framing of the upstream's response and the bytes after the last complete event, request_ended also the framing of the caller's response. A new counter, snipebend_relay_responses, has responses by framing and ending; the labels of the older counter of calls stay as they are. The parser and the writer name their framing in place of a flag; what they do is unchanged.

--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from opentelemetry.metrics import CallbackOptions, Meter
 
+    from snipebend.edge.body_framing import BodyFraming
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.admission import Admitted
 
@@ -46,6 +47,10 @@
             'snipebend_relay_calls',
             description='calls of upstreams by service and ending',
         )
+        self._responses = meter.create_counter(
+            'snipebend_relay_responses',
+            description='responses of upstreams by framing and ending',
+        )
         self._retries_granted = meter.create_counter(
             'snipebend_relay_retries_granted',
             description='retries taken from the budget, by service',
@@ -146,9 +151,13 @@
         """Record the time from a request's arrival to its first call."""
         self._forwarding_delays.record(seconds)
 
-    def count_call(self, service: str, ending: str) -> None:
-        """Count a call that has ended."""
+    def count_call(
+        self, service: str, ending: str, framing: BodyFraming | None
+    ) -> None:
+        """Count a call that has ended; ``framing`` is None before a head."""
         self._calls.add(1, {'service': service, 'ending': ending})
+        if framing is not None:
+            self._responses.add(1, {'framing': framing.value, 'ending': ending})
 
     def count_retry(self, service: str, *, granted: bool) -> None:
         """Count a retry that the budget allows or denies."""
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from snipebend.edge.body_framing import framing_name
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
@@ -147,11 +148,12 @@
             return
         self._budget(admitted.service).record_request()
         self._in_progress += 1
+        relayed = RelayedRequest(self, req, response, admitted)
         try:
-            await RelayedRequest(self, req, response, admitted).run()
+            await relayed.run()
         finally:
             self._in_progress -= 1
-            self._log_request_ended(admitted, response)
+            self._log_request_ended(admitted, response, relayed)
 
     def now(self) -> float:
         """Return monotonic seconds."""
@@ -324,20 +326,26 @@
         )
 
     def _log_request_ended(
-        self, admitted: Admitted, response: ResponseWriter
+        self,
+        admitted: Admitted,
+        response: ResponseWriter,
+        relayed: RelayedRequest,
     ) -> None:
         now = self.now()
         self.meters.record_request(admitted, response, now)
         first_byte_at = response.first_byte_at
         logger.info(
             'event=request_ended request={} status={} took_ms={:.0f} '
-            + 'first_ms={:.0f}',
+            + 'first_ms={:.0f} framing={} partial_bytes={} caller_framing={}',
             admitted.facts.request_id,
             response.status,
             1000 * (now - admitted.began_at),
             -1
             if first_byte_at is None
             else 1000 * (first_byte_at - admitted.began_at),
+            framing_name(relayed.framing),
+            relayed.partial_bytes,
+            framing_name(response.framing),
         )
 
     def _budget(self, service: str) -> RetryBudget:
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from snipebend.edge.body_framing import framing_name
 from snipebend.edge.call import Call, CompleteResponse
 from snipebend.edge.final_response import FinalResponse
 from snipebend.edge.response_channel import (
@@ -32,6 +33,7 @@
 from snipebend.routing.quarantine import fingerprint_of
 
 if TYPE_CHECKING:
+    from snipebend.edge.body_framing import BodyFraming
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.relay_service import RelayService
     from snipebend.edge.response_writer import ResponseWriter
@@ -79,6 +81,8 @@
         self._runs = 0
         #: The upstream called last.
         self._upstream: Upstream | None = None
+        #: Framing of the response of the last call; None if there was none.
+        self.framing: BodyFraming | None = None
         self._stream = StreamRelay(response, relay.now, self._record_pause)
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
@@ -98,6 +102,11 @@
         target = self._req.head.target.decode('latin-1')
         return fingerprint_of(self._admitted.workspace, target, self._req.body)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the bytes of a stream after its last complete event."""
+        return self._stream.partial_bytes
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline - self._relay.now()
 
@@ -139,6 +148,7 @@
         """Call one upstream; return None when the caller has a response."""
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
+        self.framing = None
         call_started_at = self._relay.now()
         self._log_call_begun(upstream)
         upstream.own_calls += 1
@@ -196,7 +206,8 @@
         self._send(call)
         event = await call.receive()
         match event:
-            case ResponseStarted():
+            case ResponseStarted(framing=framing):
+                self.framing = framing
                 return await self._read_response(call, event)
             case ResponseAborted(reason):
                 return self._unknown_outcome(reason)
@@ -223,7 +234,7 @@
     async def _read_response(
         self, call: Call, started: ResponseStarted
     ) -> CallResult | None:
-        head, facts = started
+        head, facts, _ = started
         if facts.not_run or facts.identity_mismatch:
             self._runs -= 1
             self._record_refusal(call, facts)
@@ -331,9 +342,11 @@
         service = self._admitted.service
         if result is None:
             upstream.record_response(call_started_at)
-            self._relay.meters.count_call(service, 'answered')
+            self._relay.meters.count_call(service, 'answered', self.framing)
             return
-        self._relay.meters.count_call(service, result.outcome.value)
+        self._relay.meters.count_call(
+            service, result.outcome.value, self.framing
+        )
         now = self._relay.now()
         if result.faulty:
             upstream.record_failure(now)
@@ -342,11 +355,14 @@
             upstream.refusals.record_refusal(call_started_at, now)
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'fingerprint={} failures={} refusals={} {}',
+            + 'framing={} partial_bytes={} fingerprint={} failures={} '
+            + 'refusals={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
             result.outcome.value,
             result.reason,
+            framing_name(self.framing),
+            self.partial_bytes,
             self.fingerprint,
             upstream.failures,
             upstream.refusals.consecutive,
--- a/src/snipebend/edge/response_channel.py
+++ b/src/snipebend/edge/response_channel.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
+from snipebend.edge.body_framing import BodyFraming
 from snipebend.relay.facts import ResponseFacts, ResponseHead
 
 
@@ -13,6 +14,7 @@
 
     head: ResponseHead
     facts: ResponseFacts
+    framing: BodyFraming
 
 
 class BodyChunk(NamedTuple):
--- a/src/snipebend/edge/response_parser.py
+++ b/src/snipebend/edge/response_parser.py
@@ -11,12 +11,8 @@
 
 import httptools
 
-from snipebend.edge.http_headers import (
-    CONTENT_LENGTH,
-    TRANSFER_ENCODING,
-    connection_options,
-    find_all,
-)
+from snipebend.edge.body_framing import BodyFraming, find_framing
+from snipebend.edge.http_headers import connection_options, find_all
 from snipebend.edge.response_channel import (
     BodyChunk,
     ResponseCompleted,
@@ -29,7 +25,6 @@
     from snipebend.relay.facts import Dialect
 
 _FIRST_FINAL_STATUS = 200
-_BODILESS = frozenset((204, 304))
 
 
 class ResponseParser:
@@ -47,7 +42,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._reason = b''
-        self._until_close = False
+        self._framing = BodyFraming.LENGTH
         self._ignoring = False
         self._started = False
 
@@ -70,14 +65,14 @@
     def feed_eof(self) -> None:
         """Complete a response that ends with its connection."""
         self.not_reusable = True
-        if self._until_close and self._started:
+        if self._framing is BodyFraming.CLOSE and self._started:
             self._end()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self._headers = []
         self._reason = b''
-        self._until_close = False
+        self._framing = BodyFraming.LENGTH
         if self.channel is None:
             # Bytes after a complete response belong to no request.
             self.not_reusable = True
@@ -105,7 +100,7 @@
         self._ignoring = facts.request_id not in expected_ids
         if not self._ignoring:
             self._started = True
-            self.channel.send(ResponseStarted(head, facts))
+            self.channel.send(ResponseStarted(head, facts, self._framing))
 
     def on_body(self, body: bytes) -> None:
         """Send a piece of the body to the channel."""
@@ -118,15 +113,13 @@
             return
         if self._ignoring:
             self._ignoring = False
-        elif self._started and not self._until_close:
+        elif self._started and self._framing is not BodyFraming.CLOSE:
             self._end()
 
     def _record_framing(self, head: ResponseHead) -> None:
-        framed = find_all(head.headers, CONTENT_LENGTH) or find_all(
-            head.headers, TRANSFER_ENCODING
-        )
-        self._until_close = not framed and head.status not in _BODILESS
-        if self._until_close or b'close' in connection_options(head.headers):
+        self._framing = find_framing(head)
+        ends_with_connection = self._framing is BodyFraming.CLOSE
+        if ends_with_connection or b'close' in connection_options(head.headers):
             self.not_reusable = True
         self.keep_alive_s = _keep_alive_s(head)
 
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from snipebend.edge.body_framing import BodyFraming
 from snipebend.edge.http_headers import encode_head
 from snipebend.transport.problems import MEDIA_PROBLEM, Problem, encode_problem
 
@@ -34,6 +35,8 @@
         self.ended = False
         #: The status sent to the caller; 0: none, or an incomplete response.
         self.status = 0
+        #: The framing of the body; None before the head.
+        self.framing: BodyFraming | None = None
         #: When the first piece of the body was written; seconds of ``now``.
         self.first_byte_at: float | None = None
         self._transport = transport
@@ -42,7 +45,6 @@
         self._supports_chunks = supports_chunks
         self._can_keep_alive = can_keep_alive
         self._on_end = on_end
-        self._chunked = False
         self._keep_alive = False
 
     def begin(
@@ -55,14 +57,14 @@
         """Write the head; a body without a length is sent in chunks."""
         self.started = True
         self.status = status
-        self._chunked = length is None and self._supports_chunks
-        self._keep_alive = self._can_keep_alive() and (
-            self._chunked or length is not None
+        self.framing = self._choose_framing(length)
+        self._keep_alive = (
+            self._can_keep_alive() and self.framing is not BodyFraming.CLOSE
         )
         lines = list(headers)
         if length is not None:
             lines.append((b'Content-Length', b'%d' % length))
-        elif self._chunked:
+        elif self.framing is BodyFraming.CHUNKED:
             lines.append((b'Transfer-Encoding', b'chunked'))
         if not self._keep_alive:
             lines.append((b'Connection', b'close'))
@@ -76,7 +78,7 @@
             return
         if self.first_byte_at is None:
             self.first_byte_at = self._now()
-        if self._chunked:
+        if self.framing is BodyFraming.CHUNKED:
             data = b'%x\r\n%b\r\n' % (len(data), data)
         self._transport.write(data)
 
@@ -86,7 +88,7 @@
 
     def end(self) -> None:
         """Finish a complete response."""
-        if self._chunked:
+        if self.framing is BodyFraming.CHUNKED:
             self._transport.write(_LAST_CHUNK)
         self._finish(keep=self._keep_alive)
 
@@ -106,6 +108,13 @@
         self.write(body)
         self.end()
 
+    def _choose_framing(self, length: int | None) -> BodyFraming:
+        if length is not None:
+            return BodyFraming.LENGTH
+        if self._supports_chunks:
+            return BodyFraming.CHUNKED
+        return BodyFraming.CLOSE
+
     def _finish(self, *, keep: bool) -> None:
         if self.ended:
             return
--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -47,6 +47,11 @@
         self._head: ResponseHead | None = None
         self._buffer = EventBuffer()
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the bytes received after the last complete event."""
+        return len(self._buffer.rest())
+
     def begin(self, head: ResponseHead) -> None:
         """Start a call; an incomplete event of an earlier one is dropped."""
         self._buffer = EventBuffer()
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -22,6 +22,7 @@
     'snipebend_relay_refusals_total{reason="No route",status="404"} 1',
     'snipebend_relay_calls_total{ending="answered",service="s-1"}',
     'snipebend_relay_first_piece_seconds_count',
+    'snipebend_relay_responses_total{ending="answered",framing="length",} 1',
     'snipebend_relay_hand_on_seconds_count',
     'snipebend_relay_retries_left{service="s-1"} 1.',
     'snipebend_relay_upstreams{state="open"} 1',
