--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -161,6 +161,17 @@
 respond_ok = respond_with()
 
 
+def once(first, then):
+    """Follow one script for the first request, another one afterwards."""
+    calls = []
+
+    async def script(req, writer):
+        calls.append(req)
+        return await (first if len(calls) == 1 else then)(req, writer)
+
+    return script
+
+
 def make_event(number):
     """Return one event of a stream."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- /dev/null
+++ b/tests/edge/test_broken_streams.py
@@ -0,0 +1,106 @@
+"""Guards against a broken stream that reaches its caller as complete.
+
+An upstream that ends in the middle of a stream may still end the response as
+its framing allows: by closing the connection, by a last chunk, or because the
+stated length was wrong. A caller must be able to tell that the stream is
+incomplete, or receive the rest from another upstream.
+"""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from tests.edge.relay_fixture import (
+    encode_chunk,
+    make_event,
+    once,
+    request,
+    running,
+    send_request,
+)
+
+FRAMINGS = ('close', 'chunked', 'length')
+#: What a stream may contain after its last complete event.
+PARTIAL_EVENTS = (
+    b'id: 3',
+    b'id: 3\n',
+    b'id: 3\ndata: pie',
+    b'id: 3\ndata: x\n',
+)
+
+
+def encode_stream(req, body, framing):
+    """Return a complete response of this framing with a body of events."""
+    match framing:
+        case 'close':
+            header, content = b'Connection: close', body
+        case 'chunked':
+            chunks = encode_chunk(body) if body else b''
+            header = b'Transfer-Encoding: chunked'
+            content = b'%b0\r\n\r\n' % chunks
+        case _:
+            header, content = b'Content-Length: %d' % len(body), body
+    head = (
+        f'HTTP/1.1 200 OK\r\nX-Id: {req.headers["x-id"]}\r\nX-Proof: p\r\n'
+        'Content-Type: text/event-stream\r\n'
+    )
+    return b'%b%b\r\n\r\n%b' % (head.encode(), header, content)
+
+
+def stream_with(framing, *numbers, end=b''):
+    """Return a script that sends events not received before, then ``end``."""
+
+    async def script(req, writer):
+        after = int(req.headers.get('x-after', 0))
+        sent = [make_event(number) for number in numbers if number > after]
+        writer.write(encode_stream(req, b''.join(sent) + end, framing))
+        # The end of the connection, without a reset, may be part of framing.
+        return False
+
+    return script
+
+
+async def call(path, *scripts):
+    """Return the response of a relay with one upstream for each script."""
+    async with running(*scripts) as relay:
+        return await send_request(relay, request(path))
+
+
+class TestBrokenStreams(unittest.IsolatedAsyncioTestCase):
+    """The events of a stream tell its end as well as its framing does."""
+
+    async def test_end_inside_an_event_never_looks_complete(self):
+        cases = itertools.product(
+            FRAMINGS, ('/stream/', '/once/'), PARTIAL_EVENTS
+        )
+        complete = []
+        for framing, path, end in cases:
+            got = await call(path, stream_with(framing, 1, 2, end=end))
+            if got.complete:
+                complete.append((framing, path, end))
+            else:
+                self.assertEqual(got.body, make_event(1) + make_event(2))
+        self.assertEqual(complete, [])
+
+    async def test_stream_that_ends_inside_an_event_is_resumed(self):
+        bodies = []
+        for framing in FRAMINGS:
+            script = once(
+                stream_with(framing, 1, 2, end=b'id: 3\ndata: pie'),
+                stream_with(framing, 1, 2, 3),
+            )
+            got = await call('/stream/', script, script)
+            bodies.append((got.complete, got.body))
+        whole = make_event(1) + make_event(2) + make_event(3)
+        self.assertEqual(bodies, [(True, whole) for _ in FRAMINGS])
+
+    async def test_end_between_events_is_complete(self):
+        for framing, end in itertools.product(FRAMINGS, (b'', b'\n\r\n')):
+            got = await call('/stream/', stream_with(framing, 1, 2, end=end))
+            self.assertTrue(got.complete, (framing, end))
+            self.assertEqual(got.body, make_event(1) + make_event(2) + end)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -20,6 +20,7 @@
     encode_chunk,
     encode_response,
     make_event,
+    once,
     read_response,
     request,
     running,
@@ -85,17 +86,6 @@
     await asyncio.Event().wait()
 
 
-def once(first, then):
-    """Follow one script for the first request, another one afterwards."""
-    calls = []
-
-    async def script(req, writer):
-        calls.append(req)
-        return await (first if len(calls) == 1 else then)(req, writer)
-
-    return script
-
-
 def events(*numbers, then_disconnect=False):
     """Send these events, each in a chunk."""
 
