Take a stream that closes before its first event for a broken one

Callers could get an empty answer as a complete one: an engine that sends the head of a stream without a length or chunks and ends before its first event closes the connection, and the entry ended the caller's response properly. A resumed call that ended so completed a response whose rest never came.

A call that ends with its connection before its first event counts as broken now. An end that the framing states, a last chunk or a length of 0, still holds.

Ruled out: counting the events of all calls. A resumed call that breaks at once would then end a response in the middle. The price: a resumed call after the last event is not believed if it ends with its connection; the caller's response is cut off, as one without its end.

--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -248,7 +248,7 @@
             and head.status == HTTPStatus.OK
             and _has_events(head)
         ):
-            return await self._forward_stream(call, head)
+            return await self._forward_stream(call, started)
         return await self._forward_complete(call, started)
 
     def _record_refusal(self, call: Call, facts: ResponseFacts) -> None:
@@ -290,25 +290,24 @@
         return None
 
     async def _forward_stream(
-        self, call: Call, head: ResponseHead
+        self, call: Call, started: ResponseStarted
     ) -> CallResult | None:
-        self._stream.begin(head)
+        self._stream.begin(started.head)
         event = await call.receive()
         while isinstance(event, BodyChunk):
             if self._stream.feed(event.data):
                 await self._response.drain()
             event = await call.receive()
         if isinstance(event, ResponseCompleted):
-            return self._end_stream()
+            return self._end_stream(started.framing)
         if isinstance(event, ResponseAborted):
             return self._unknown_outcome(event.reason)
         return self._unknown_outcome('a second head')
 
-    def _end_stream(self) -> CallResult | None:
-        if self._stream.inside_event:
-            return self._unknown_outcome(
-                f'the stream ends after {self.partial_bytes} bytes of an event'
-            )
+    def _end_stream(self, framing: BodyFraming) -> CallResult | None:
+        reason = self._stream.find_break(framing)
+        if reason:
+            return self._unknown_outcome(reason)
         self._stream.end()
         return None
 
--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING
 
+from snipebend.edge.body_framing import BodyFraming
 from snipebend.edge.http_headers import end_to_end
 from snipebend.transport.events import EventBuffer
 
@@ -47,11 +48,6 @@
         self._head: ResponseHead | None = None
         self._buffer = EventBuffer()
 
-    @property
-    def inside_event(self) -> bool:
-        """Return whether the current call has sent a part of an event."""
-        return self._buffer.partial
-
     @property
     def partial_bytes(self) -> int:
         """Return the bytes received after the last complete event."""
@@ -76,6 +72,17 @@
         self._response.write(b''.join(events))
         return True
 
+    def find_break(self, framing: BodyFraming) -> str:
+        """Return why the current call can't end here; empty if it can."""
+        if self._buffer.partial:
+            return (
+                f'the stream ends after {self.partial_bytes} bytes of an event'
+            )
+        if self._is_first and framing is BodyFraming.CLOSE:
+            # A close without an event is no evidence that there are none.
+            return 'the stream ends before its first event'
+        return ''
+
     def end(self) -> None:
         """End the response, including blank lines after the last event."""
         self._begin_response()
--- a/tests/edge/test_broken_streams.py
+++ b/tests/edge/test_broken_streams.py
@@ -106,6 +106,28 @@
             self.assertTrue(got.complete, (framing, end))
             self.assertEqual(got.body, make_event(1) + make_event(2) + end)
 
+    async def test_close_before_the_first_event_never_looks_complete(self):
+        silent = stream_with('close')
+        got = await call('/once/', silent)
+        self.assertEqual(got.status, 502)
+        script = once(silent, stream_with('close', 1, 2))
+        got = await call('/stream/', script, script)
+        self.assertEqual(got.body, make_event(1) + make_event(2))
+
+    async def test_close_before_the_first_resumed_event_is_incomplete(self):
+        script = once(
+            stream_with('close', 1, end=b'id: 2'), stream_with('close', 1)
+        )
+        got = await call('/stream/', script, script)
+        self.assertFalse(got.complete)
+        self.assertEqual(got.body, make_event(1))
+
+    async def test_framed_stream_without_events_is_complete(self):
+        for framing in ('chunked', 'length'):
+            got = await call('/stream/', stream_with(framing))
+            self.assertTrue(got.complete, framing)
+            self.assertEqual(got.body, b'')
+
     async def test_document_in_place_of_a_stream_is_forwarded_whole(self):
         script = respond_with(b'{}', extra=JSON_HEADERS)
         got = await call('/stream/', script)
