Append no other response to a stream that has begun

Callers got a second status line and its headers in the middle of a stream: when a stream breaks and its continuation is answered with a 404, or with a document in place of events, the entry wrote that response after the events sent so far. A caller with chunks can't parse it, one without takes it for events.

A response that isn't a stream counts as a broken call once the caller's response has begun; another upstream is tried where the route allows it.

Evidence: the test can't even parse the response on the code before.

--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -249,6 +249,10 @@
             and _has_events(head)
         ):
             return await self._forward_stream(call, started)
+        if self._response.started:
+            return self._unknown_outcome(
+                f'{head.status} in place of the rest of a stream'
+            )
         return await self._forward_complete(call, started)
 
     def _record_refusal(self, call: Call, facts: ResponseFacts) -> None:
--- a/tests/edge/test_broken_streams.py
+++ b/tests/edge/test_broken_streams.py
@@ -122,6 +122,17 @@
         self.assertFalse(got.complete)
         self.assertEqual(got.body, make_event(1))
 
+    async def test_document_in_place_of_the_rest_is_not_appended(self):
+        bodies = []
+        for status in ('404 Not Found', '200 OK'):
+            script = once(
+                stream_with('chunked', 1, end=b'id: 2'),
+                respond_with(b'{}', status, JSON_HEADERS),
+            )
+            got = await call('/stream/', script, script)
+            bodies.append((got.complete, got.body))
+        self.assertEqual(bodies, [(False, make_event(1)) for _ in range(2)])
+
     async def test_framed_stream_without_events_is_complete(self):
         for framing in ('chunked', 'length'):
             got = await call('/stream/', stream_with(framing))
