Take a reset for a broken response behind agents, too

Callers behind agents could get half a body as the whole one: an engine that answers without a length or chunks and whose connection is reset midway.

Streams of completions were safe by their end marker, others and plain bodies were not.

The agent's responses now watch their connection from before the head, and the end of a body without framing is checked: an error, or a connection that was lost before it could be watched, breaks the call. The entry's own parser had this right: a reset never completes a response there.

--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from snipebend.edge.body_framing import framing_name
+from snipebend.transport.body_framing import framing_name
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from snipebend.edge.body_framing import framing_name
+from snipebend.transport.body_framing import framing_name
 from snipebend.edge.call import Call, CompleteResponse
 from snipebend.edge.final_response import FinalResponse
 from snipebend.edge.response_channel import (
@@ -34,7 +34,7 @@
 from snipebend.transport.events import MEDIA_EVENTS
 
 if TYPE_CHECKING:
-    from snipebend.edge.body_framing import BodyFraming
+    from snipebend.transport.body_framing import BodyFraming
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.relay_service import RelayService
     from snipebend.edge.response_writer import ResponseWriter
--- a/src/snipebend/edge/response_channel.py
+++ b/src/snipebend/edge/response_channel.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
-from snipebend.edge.body_framing import BodyFraming
+from snipebend.transport.body_framing import BodyFraming
 from snipebend.relay.facts import ResponseFacts, ResponseHead
 
 
--- a/src/snipebend/edge/response_parser.py
+++ b/src/snipebend/edge/response_parser.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from snipebend.edge.body_framing import BodyFraming, find_framing
+from snipebend.transport.body_framing import BodyFraming, find_framing
 from snipebend.edge.http_headers import connection_options, find_all
 from snipebend.edge.response_channel import (
     BodyChunk,
@@ -117,7 +117,8 @@
             self._end()
 
     def _record_framing(self, head: ResponseHead) -> None:
-        self._framing = find_framing(head)
+        names = {name.lower().decode('latin-1') for name, _ in head.headers}
+        self._framing = find_framing(head.status, names)
         ends_with_connection = self._framing is BodyFraming.CLOSE
         if ends_with_connection or b'close' in connection_options(head.headers):
             self.not_reusable = True
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from snipebend.edge.body_framing import BodyFraming
+from snipebend.transport.body_framing import BodyFraming
 from snipebend.edge.http_headers import encode_head
 from snipebend.transport.problems import MEDIA_PROBLEM, Problem, encode_problem
 
--- a/src/snipebend/edge/body_framing.py
+++ b/src/snipebend/transport/body_framing.py
@@ -5,14 +5,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from snipebend.edge.http_headers import (
-    CONTENT_LENGTH,
-    TRANSFER_ENCODING,
-    find_all,
-)
-
 if TYPE_CHECKING:
-    from snipebend.relay.facts import ResponseHead
+    from collections.abc import Collection
 
 _BODILESS = frozenset((204, 304))
 
@@ -33,10 +27,10 @@
     return framing.value if framing else 'none'
 
 
-def find_framing(head: ResponseHead) -> BodyFraming:
-    """Return the framing of a response's body."""
-    if find_all(head.headers, TRANSFER_ENCODING):
+def find_framing(status: int, header_names: Collection[str]) -> BodyFraming:
+    """Return the framing of a response; the names are in lower case."""
+    if 'transfer-encoding' in header_names:
         return BodyFraming.CHUNKED
-    if find_all(head.headers, CONTENT_LENGTH) or head.status in _BODILESS:
+    if 'content-length' in header_names or status in _BODILESS:
         return BodyFraming.LENGTH
     return BodyFraming.CLOSE
--- a/src/snipebend/transport/forward.py
+++ b/src/snipebend/transport/forward.py
@@ -18,6 +18,7 @@
 
 from snipebend.kernel.service import Service
 from snipebend.transport.problems import INTERNAL_HEADERS
+from snipebend.transport.watched_response import WatchedResponse
 
 if TYPE_CHECKING:
     from aiohttp import ClientResponse
@@ -72,6 +73,7 @@
             ),
             timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             auto_decompress=False,
+            response_class=WatchedResponse,
         )
         # ``aiohttp`` must not resend: the delivery decides which requests may
         # be sent twice.
@@ -187,6 +189,10 @@
 
     Raises:
         TimeoutError: after ``timeout_s`` seconds; the read can be repeated.
+        aiohttp.ClientError: if the body is incomplete.
     """
     async with asyncio.timeout(timeout_s):
-        return await response.content.readany()
+        received = await response.content.readany()
+    if not received and isinstance(response, WatchedResponse):
+        response.check_end()
+    return received
--- a/tests/transport/test_engine_call.py
+++ b/tests/transport/test_engine_call.py
@@ -10,14 +10,18 @@
 import asyncio
 import unittest
 from contextlib import suppress
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.delivery.messages import AttemptTicket
+from snipebend.transport.abortive_close import reset_on_close
 from snipebend.transport.asgi import Connection
 from snipebend.transport.engine_call import EngineCall
 from snipebend.transport.forward import HttpClient, OutgoingRequest
 from snipebend.transport.frames import Beat, Broken, Chunk, End, Frame, Head
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _HOST = '127.0.0.1'
 _OK = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED = b'%btransfer-encoding: chunked\r\n\r\n' % _OK
@@ -75,6 +79,14 @@
                     self.assertIsInstance(frames[0], Head)
                     self.assertEqual(frames[-1].next_seq, 7 + case.chunks)
 
+    async def test_reset_never_ends_a_body_without_framing(self) -> None:
+        ends = []
+        for head in (_OK, b'%bcontent-type: text/event-stream\r\n' % _OK):
+            case = Case(b'%b\r\n%b' % (head, _A), 1, Broken, '/feed')
+            frames = _without_beats(await _call_engine(case, reset=True))
+            ends.append(type(frames[-1]))
+        self.assertEqual(ends, [Broken, Broken])
+
     async def test_connection_refused(self) -> None:
         frames = await _collect_frames('127.0.0.1:1', '/', Connection())
         self.assertEqual([type(one) for one in frames], [Broken])
@@ -100,7 +112,13 @@
         self.assertIsInstance(frames[-1], Broken)
 
 
-async def _call_engine(case: Case) -> list[Frame]:
+async def _call_engine(case: Case, *, reset: bool = False) -> list[Frame]:
+    """Return the frames of a call whose engine sends ``case.sent``.
+
+    With ``reset`` it resets the connection once the agent has read the bytes.
+    """
+    received = asyncio.Event()
+
     async def serve(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -109,21 +127,34 @@
         with suppress(asyncio.IncompleteReadError):
             await reader.readuntil(b'\r\n\r\n')
             writer.write(case.sent)
+            if reset:
+                await received.wait()
+                reset_on_close(writer.transport)
         writer.close()
 
     async with await asyncio.start_server(serve, _HOST, 0) as server:
-        return await _collect_frames(_address(server), case.path, Connection())
+        return await _collect_frames(
+            _address(server), case.path, Connection(), received.set
+        )
 
 
 async def _collect_frames(
-    peer: str, path: str, requester: Connection
+    peer: str,
+    path: str,
+    requester: Connection,
+    on_chunk: Callable[[], object] = bool,
 ) -> list[Frame]:
     client = HttpClient('client')
     ticket = AttemptTicket('r', 1, 1, 0, resume_from=7)
     outgoing = OutgoingRequest('POST', peer, path, {}, b'')
     call = EngineCall(client, outgoing, ticket, 0.02, requester, bool)
     try:
-        return [one async for frames in call.frames() for one in frames]
+        collected: list[Frame] = []
+        async for frames in call.frames():
+            collected.extend(frames)
+            if any(isinstance(one, Chunk) for one in frames):
+                on_chunk()
+        return collected
     finally:
         await client.stop()
 
