Reset connections of callers without chunks unless the response is complete

Callers of HTTP/1.0 took a cut response for a complete one: theirs ends with its connection, and the entry ended a broken stream by closing it, just as a whole one. The same held for streams cut at the stop or by the end of the entry's process, and for a response that its caller had not read five seconds after it was written.

The connection is now set to reset on close before the head is written, and back only once the response is complete, so that whatever ends it, a killed process as well, is seen as a break. Responses with a length or chunks are as before: their own framing tells, and a reset could drop bytes that were sent.

A reset by an upstream never completed a response at an entry, with either loop: that test passes on both.

--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -12,6 +12,7 @@
 from snipebend.edge.caller_timer import AwaitedInput, CallerTimer
 from snipebend.edge.framing import FramingFault
 from snipebend.edge.response_writer import ResponseWriter
+from snipebend.transport.abortive_close import reset_on_close
 from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
@@ -25,7 +26,7 @@
 MAX_PIPELINED = 4
 
 #: Seconds for a caller to read the last response before the connection is
-#: aborted.
+#: reset.
 CLOSE_TIMEOUT_S = 5.0
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -70,6 +71,7 @@
         self._writable.set()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        self._reset_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
@@ -100,6 +102,8 @@
         """Cancel the request in progress."""
         self._closing = True
         self._timer.stop()
+        if self._reset_timer is not None:
+            self._reset_timer.cancel()
         if self._task is not None:
             self._task.cancel()
         self._server.connection_closed(self)
@@ -191,7 +195,12 @@
         self._closing = True
         self._timer.stop()
         self._transport.close()
-        self._loop.call_later(CLOSE_TIMEOUT_S, self._transport.abort)
+        self._reset_timer = self._loop.call_later(CLOSE_TIMEOUT_S, self._reset)
+
+    def _reset(self) -> None:
+        """Drop the rest of a response that its caller has not read."""
+        reset_on_close(self._transport)
+        self._transport.abort()
 
     def _awaited_input(self) -> AwaitedInput:
         if self._task is not None:
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from snipebend.transport.abortive_close import end_on_close, reset_on_close
 from snipebend.transport.body_framing import BodyFraming
 from snipebend.edge.http_headers import encode_head
 from snipebend.transport.problems import MEDIA_PROBLEM, Problem, encode_problem
@@ -54,7 +55,11 @@
         headers: list[tuple[bytes, bytes]],
         length: int | None = None,
     ) -> None:
-        """Write the head; a body without a length is sent in chunks."""
+        """Write the head; a body without a length is sent in chunks.
+
+        A caller without chunks takes the end of its connection for the end of
+        the body, so the connection is reset unless ``end`` is called.
+        """
         self.started = True
         self.status = status
         self.framing = self._choose_framing(length)
@@ -68,6 +73,8 @@
             lines.append((b'Transfer-Encoding', b'chunked'))
         if not self._keep_alive:
             lines.append((b'Connection', b'close'))
+        if self.framing is BodyFraming.CLOSE:
+            reset_on_close(self._transport)
         self._transport.write(
             encode_head(_STATUS_LINE % (status, reason), lines)
         )
@@ -90,6 +97,8 @@
         """Finish a complete response."""
         if self.framing is BodyFraming.CHUNKED:
             self._transport.write(_LAST_CHUNK)
+        elif self.framing is BodyFraming.CLOSE:
+            end_on_close(self._transport)
         self._finish(keep=self._keep_alive)
 
     def abort(self) -> None:
--- a/src/snipebend/transport/abortive_close.py
+++ b/src/snipebend/transport/abortive_close.py
@@ -6,6 +6,8 @@
 import struct
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -27,4 +29,7 @@
 
 def _set_linger(transport: asyncio.BaseTransport, linger: bytes) -> None:
     sock = transport.get_extra_info('socket')
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    except OSError as exc:
+        logger.warning('event=linger_not_set error={!r}', exc)
--- a/tests/edge/test_broken_streams.py
+++ b/tests/edge/test_broken_streams.py
@@ -11,6 +11,7 @@
 import itertools
 import unittest
 
+from snipebend.transport.abortive_close import reset_on_close
 from tests.edge.relay_fixture import (
     encode_chunk,
     make_event,
@@ -66,6 +67,13 @@
     return script
 
 
+async def reset_without_framing(req, writer):
+    """Reset the connection after a complete event."""
+    writer.write(encode_stream(req, make_event(1), 'close'))
+    reset_on_close(writer.transport)
+    return False
+
+
 async def call(path, *scripts):
     """Return the response of a relay with one upstream for each script."""
     async with running(*scripts) as relay:
@@ -122,6 +130,12 @@
         self.assertFalse(got.complete)
         self.assertEqual(got.body, make_event(1))
 
+    async def test_reset_never_ends_a_body_without_framing(self):
+        got = await call('/unsafe/', reset_without_framing)
+        self.assertEqual(got.status, 502)
+        got = await call('/once/', reset_without_framing)
+        self.assertFalse(got.complete)
+
     async def test_document_in_place_of_the_rest_is_not_appended(self):
         bodies = []
         for status in ('404 Not Found', '200 OK'):
