State the length to callers without chunks before agents, too

Callers of HTTP/1.0 whose entry calls agents got the sizes of chunks inside the body, and a cut response as a complete one: theirs ends with the connection.

Cause: uvicorn 0.55 sends chunks to every caller unless the length is stated, whatever version the request has.

Streams come in one piece then. Ruled out: ending these with a reset as entries without agents do, since uvicorn can't be told to send a body without framing.

--- a/src/snipebend/transport/asgi.py
+++ b/src/snipebend/transport/asgi.py
@@ -15,7 +15,12 @@
 from falcon.asgi import App
 from loguru import logger
 
-from snipebend.transport.problems import handle_failure, serialize_http_error
+from snipebend.transport.buffered_response import BufferedResponse
+from snipebend.transport.problems import (
+    IncompleteResponseError,
+    handle_failure,
+    serialize_http_error,
+)
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Any]]
@@ -35,10 +40,6 @@
     return MAX_BODY_BYTES
 
 
-class IncompleteResponseError(Exception):
-    """The response cannot be completed; its connection must be aborted."""
-
-
 class Connection:
     """The client side of one request; notifies listeners of a disconnect."""
 
@@ -108,10 +109,7 @@
         scope[CONNECTION_KEY] = connection
         watcher = asyncio.create_task(_watch_disconnect(receive, connection))
         try:
-            await self._app(scope, _build_receive(connection), send)
-        except IncompleteResponseError:
-            # The server aborts the connection of an incomplete response.
-            logger.debug('event=answer_aborted')
+            await self._respond(scope, _build_receive(connection), send)
         except Exception as exc:
             logger.error('event=answer_failed reason={!r}', exc)
             raise
@@ -119,6 +117,22 @@
             watcher.cancel()
             connection.on_response_end()
 
+    async def _respond(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        buffered = BufferedResponse(send) if _lacks_chunks(scope) else None
+        try:
+            await self._app(scope, receive, buffered.send if buffered else send)
+        except IncompleteResponseError as exc:
+            # The server aborts the connection of an incomplete response.
+            logger.debug('event=answer_aborted reason={!r}', str(exc))
+            if buffered is not None:
+                await buffered.fail(exc.problem)
+
+
+def _lacks_chunks(scope: Scope) -> bool:
+    return bool(scope['http_version'] == '1.0' and scope['method'] != 'HEAD')
+
 
 async def _read_body(receive: Receive, limit: int) -> bytes:
     parts: list[bytes] = []
--- a/src/snipebend/transport/caller_api.py
+++ b/src/snipebend/transport/caller_api.py
@@ -22,7 +22,6 @@
 from snipebend.transport.asgi import (
     CONNECTION_KEY,
     MAX_BODY_BYTES,
-    IncompleteResponseError,
     build_sink_app,
 )
 from snipebend.transport.caller_checks import (
@@ -37,6 +36,7 @@
 from snipebend.transport.problems import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
+    IncompleteResponseError,
     Problem,
     encode_problem,
     write_problem,
@@ -216,8 +216,9 @@
             async for output in delivery.body():
                 if isinstance(output, AbortResponse):
                     record.record_outcome(output.outcome)
-                    yield _error_event(output) if streams else b''
-                    raise IncompleteResponseError
+                    problem = _abort_problem(output)
+                    yield _error_event(problem) if streams else b''
+                    raise IncompleteResponseError(problem)
                 record.record_chunk()
                 yield output
             record.record_outcome(Outcome.RAN)
@@ -269,11 +270,14 @@
     )
 
 
-def _error_event(abort: AbortResponse) -> bytes:
-    problem = Problem(
+def _abort_problem(abort: AbortResponse) -> Problem:
+    return Problem(
         HTTPStatus.BAD_GATEWAY,
         'Answer broken off',
         abort.reason,
         abort.outcome,
     )
+
+
+def _error_event(problem: Problem) -> bytes:
     return b'event: error\ndata: %b\n\n' % encode_problem(problem)
--- a/src/snipebend/transport/problems.py
+++ b/src/snipebend/transport/problems.py
@@ -45,6 +45,15 @@
     retry_after: int = 0
 
 
+class IncompleteResponseError(Exception):
+    """The response cannot be completed; its connection must be aborted."""
+
+    def __init__(self, problem: Problem) -> None:
+        """Keep the error for a caller that has received nothing yet."""
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
 def encode_problem(problem: Problem) -> bytes:
     """Return the problem as JSON."""
     body: dict[str, object] = {
