Split event streams whose lines end with a carriage return

Callers got such a stream in one piece at its end; since a stream that ends inside an event counts as broken, it would have failed as a whole.

Cause: the boundary between events knew LF and CRLF, and the format has CR, too (WHATWG HTML, 9.2.5). The patterns of ids, error events and end markers follow.

Evidence: the test finds no event on the code before; all splits of the other line ends give the same events as before.

--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -15,7 +15,7 @@
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.facts import ResponseHead
 
-_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?(\d+)(?=[\r\n])')
 
 
 class StreamRelay:
--- a/src/snipebend/transport/events.py
+++ b/src/snipebend/transport/events.py
@@ -9,10 +9,11 @@
 #: A larger event, in bytes, means that the stream is corrupt.
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
-_DONE = re.compile(rb'^data: ?\[DONE\]\r?$', re.MULTILINE)
-_ERROR = re.compile(rb'^event: ?error\r?$', re.MULTILINE)
+_DONE = re.compile(rb'(?:^|[\r\n])data: ?\[DONE\](?=[\r\n])')
+_ERROR = re.compile(rb'(?:^|[\r\n])event: ?error(?=[\r\n])')
 _NO_EVENT = re.compile(rb'(?::[^\r\n]*[\r\n]|[\r\n])*')
-_BOUNDARY = re.compile(rb'\r?\n\r?\n')
+#: Lines end with CRLF, LF or CR.
+_BOUNDARY = re.compile(rb'\r?\n\r?\n|\r\r')
 
 
 class EventBuffer:
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -64,6 +64,17 @@
             b'data: c\r\n\r\n',
             b'data: [DONE]\n\n',
         ]
+        self.check_splits(events)
+        self.assertEqual([one for one in events if is_done(one)], events[3:])
+        self.assertEqual([one for one in events if is_error(one)], events[1:2])
+
+    def test_lines_that_end_with_a_carriage_return(self) -> None:
+        events = [b'event: error\rdata: b\r\r', b'data: [DONE]\r\r']
+        self.check_splits(events)
+        self.assertEqual([one for one in events if is_done(one)], events[1:])
+        self.assertEqual([one for one in events if is_error(one)], events[:1])
+
+    def check_splits(self, events: list[bytes]) -> None:
         wire = b''.join(events)
         for size in (1, 2, 5, len(wire)):
             buffer = EventBuffer()
@@ -72,8 +83,6 @@
                 found.extend(buffer.feed(wire[start : start + size]))
             self.assertEqual(found, events)
             self.assertFalse(buffer.partial)
-        self.assertEqual([one for one in events if is_done(one)], events[3:])
-        self.assertEqual([one for one in events if is_error(one)], events[1:2])
 
     def test_done_inside_a_text_does_not_end_the_stream(self) -> None:
         self.assertFalse(is_done(b'data: {"text": "data: [DONE]"}\n\n'))
