Serve no request whose body its sender broke off

Engines behind agents could run half a request as a whole one: when a caller, or an entry on its way to an agent, disconnects in the middle of the body, the part that had arrived was served. A request that may run only once is then spent on half of its content.

Entries without agents never had this, their parser passes on complete requests only.

The middleware now serves nothing in that case, and logs it.

--- a/src/snipebend/transport/asgi.py
+++ b/src/snipebend/transport/asgi.py
@@ -104,8 +104,12 @@
         if scope['type'] != 'http':
             await self._app(scope, receive, send)
             return
+        body = await _read_body(receive, self._body_limit())
+        if body is None:
+            logger.info('event=request_broken_off path={!r}', scope['path'])
+            return
         connection = Connection()
-        scope[BODY_KEY] = await _read_body(receive, self._body_limit())
+        scope[BODY_KEY] = body
         scope[CONNECTION_KEY] = connection
         watcher = asyncio.create_task(_watch_disconnect(receive, connection))
         try:
@@ -134,11 +138,14 @@
     return bool(scope['http_version'] == '1.0' and scope['method'] != 'HEAD')
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes:
+async def _read_body(receive: Receive, limit: int) -> bytes | None:
+    """Return the body up to the limit; None if its sender disconnects."""
     parts: list[bytes] = []
     size = 0
     while size <= limit:
         event = await receive()
+        if event['type'] == 'http.disconnect':
+            return None
         part = event.get('body', b'')
         parts.append(part)
         size += len(part)
