Move the log lines of relayed requests to a module of their own

The lines, their order and their values are the same; only request_ended is written by the request itself, a moment before the service counts it. CallResult has its own module, so that the log needs nothing of the loop that calls.

--- /dev/null
+++ b/src/snipebend/edge/call_result.py
@@ -0,0 +1,31 @@
+"""The result of one call of an upstream that completed no response."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from snipebend.edge.call import CompleteResponse
+    from snipebend.relay.call_outcomes import CallOutcome
+    from snipebend.transport.body_framing import BodyFraming
+
+
+class CallResult(NamedTuple):
+    """The result of a call, with the complete response if it failed."""
+
+    outcome: CallOutcome
+    reason: str
+    response: CompleteResponse | None = None
+    #: Whether the upstream failed, rather than being full.
+    faulty: bool = False
+    #: Whether nothing was sent because the upstream wants no work.
+    declined: bool = False
+
+
+class BodyEnd(NamedTuple):
+    """Where the body of the last call's response ended."""
+
+    #: None if there was no response.
+    framing: BodyFraming | None
+    #: Bytes of a stream after its last complete event.
+    partial_bytes: int
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,7 +8,6 @@
 
 from loguru import logger
 
-from snipebend.transport.body_framing import framing_name
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
@@ -148,12 +147,11 @@
             return
         self._budget(admitted.service).record_request()
         self._in_progress += 1
-        relayed = RelayedRequest(self, req, response, admitted)
         try:
-            await relayed.run()
+            await RelayedRequest(self, req, response, admitted).run()
         finally:
             self._in_progress -= 1
-            self._log_request_ended(admitted, response, relayed)
+            self.meters.record_request(admitted, response, self.now())
 
     def now(self) -> float:
         """Return monotonic seconds."""
@@ -325,29 +323,6 @@
             self.outage_wait.waiting,
         )
 
-    def _log_request_ended(
-        self,
-        admitted: Admitted,
-        response: ResponseWriter,
-        relayed: RelayedRequest,
-    ) -> None:
-        now = self.now()
-        self.meters.record_request(admitted, response, now)
-        first_byte_at = response.first_byte_at
-        logger.info(
-            'event=request_ended request={} status={} took_ms={:.0f} '
-            + 'first_ms={:.0f} framing={} partial_bytes={} caller_framing={}',
-            admitted.facts.request_id,
-            response.status,
-            1000 * (now - admitted.began_at),
-            -1
-            if first_byte_at is None
-            else 1000 * (first_byte_at - admitted.began_at),
-            framing_name(relayed.framing),
-            relayed.partial_bytes,
-            framing_name(response.framing),
-        )
-
     def _budget(self, service: str) -> RetryBudget:
         allowance = allowance_per_entry(
             self._cfg.relay.retry_slack, self._count_entries()
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -5,12 +5,11 @@
 import asyncio
 from functools import cached_property
 from http import HTTPStatus
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
-from loguru import logger
-
-from snipebend.transport.body_framing import framing_name
-from snipebend.edge.call import Call, CompleteResponse
+from snipebend.edge.call import Call
+from snipebend.edge.call_log import CallLog
+from snipebend.edge.call_result import BodyEnd, CallResult
 from snipebend.edge.final_response import FinalResponse
 from snipebend.edge.response_channel import (
     BodyChunk,
@@ -50,18 +49,6 @@
 _STATUS_FAILED = 500
 
 
-class CallResult(NamedTuple):
-    """The result of a call, with the complete response if it failed."""
-
-    outcome: CallOutcome
-    reason: str
-    response: CompleteResponse | None = None
-    #: Whether the upstream failed, rather than being full.
-    faulty: bool = False
-    #: Whether nothing was sent because the upstream wants no work.
-    declined: bool = False
-
-
 class RelayedRequest:
     """Calls upstreams until the caller has a response."""
 
@@ -82,8 +69,11 @@
         self._runs = 0
         #: The upstream called last.
         self._upstream: Upstream | None = None
-        #: Framing of the response of the last call; None if there was none.
-        self.framing: BodyFraming | None = None
+        #: Of the response of the last call.
+        self._framing: BodyFraming | None = None
+        self._log = CallLog(
+            admitted, relay.now, relay.refusal_writer.describe_host_state
+        )
         self._stream = StreamRelay(response, relay.now, self._record_pause)
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
@@ -96,6 +86,8 @@
                 await self._call_until_done()
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
+        finally:
+            self._log.end_request(self._response, self.body_end)
 
     @cached_property
     def fingerprint(self) -> str:
@@ -104,9 +96,9 @@
         return fingerprint_of(self._admitted.workspace, target, self._req.body)
 
     @property
-    def partial_bytes(self) -> int:
-        """Return the bytes of a stream after its last complete event."""
-        return self._stream.partial_bytes
+    def body_end(self) -> BodyEnd:
+        """Return where the response of the last call has ended."""
+        return BodyEnd(self._framing, self._stream.partial_bytes)
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline - self._relay.now()
@@ -149,9 +141,11 @@
         """Call one upstream; return None when the caller has a response."""
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
-        self.framing = None
+        self._framing = None
         call_started_at = self._relay.now()
-        self._log_call_begun(upstream)
+        self._log.begin_call(
+            upstream, len(self._tried), self._stream.resume_after
+        )
         upstream.own_calls += 1
         self._relay.limits.record_call(upstream)
         if upstream.group is not None:
@@ -208,7 +202,7 @@
         event = await call.receive()
         match event:
             case ResponseStarted(framing=framing):
-                self.framing = framing
+                self._framing = framing
                 return await self._read_response(call, event)
             case ResponseAborted(reason):
                 return self._unknown_outcome(reason)
@@ -322,29 +316,6 @@
     def _unknown_outcome(self, reason: str) -> CallResult:
         return CallResult(CallOutcome.UNKNOWN, reason, faulty=True)
 
-    def _log_call_begun(self, upstream: Upstream) -> None:
-        admitted = self._admitted
-        logger.info(
-            'event=call_begun request={} call={} route={} service={} '
-            + 'workspace={} priority={} left_ms={:.0f} upstream={} '
-            + 'own_calls={} all_calls={} slots={} rest_ms={:.0f} '
-            + 'after_event={} {}',
-            admitted.facts.request_id,
-            len(self._tried),
-            admitted.route.name,
-            admitted.service,
-            admitted.workspace,
-            admitted.priority,
-            1000 * self._time_left_s(),
-            upstream.record.identity,
-            upstream.own_calls,
-            upstream.calls,
-            upstream.record.slots,
-            1000 * upstream.backoff_left_s(self._relay.now()),
-            self._stream.resume_after,
-            self._relay.refusal_writer.describe_host_state(),
-        )
-
     def _record_result(
         self,
         upstream: Upstream,
@@ -354,10 +325,10 @@
         service = self._admitted.service
         if result is None:
             upstream.record_response(call_started_at)
-            self._relay.meters.count_call(service, 'answered', self.framing)
+            self._relay.meters.count_call(service, 'answered', self._framing)
             return
         self._relay.meters.count_call(
-            service, result.outcome.value, self.framing
+            service, result.outcome.value, self._framing
         )
         now = self._relay.now()
         if result.faulty:
@@ -365,21 +336,7 @@
         if result.outcome is CallOutcome.UNKNOWN:
             # An upstream that breaks calls seems as idle as one that refuses.
             upstream.refusals.record_refusal(call_started_at, now)
-        logger.info(
-            'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'framing={} partial_bytes={} fingerprint={} failures={} '
-            + 'refusals={} {}',
-            self._admitted.facts.request_id,
-            upstream.record.identity,
-            result.outcome.value,
-            result.reason,
-            framing_name(self.framing),
-            self.partial_bytes,
-            self.fingerprint,
-            upstream.failures,
-            upstream.refusals.consecutive,
-            self._relay.refusal_writer.describe_host_state(),
-        )
+        self._log.end_call(upstream, result, self.body_end, self.fingerprint)
 
     def _should_continue(self, result: CallResult) -> bool:
         """Return whether to call another upstream; if not, respond."""
