--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -26,14 +26,14 @@
 CONFIG_SERVICE = 's-1'
 
 
-def config(version, *prefixes):
+def config(version, *prefixes, kind='unsafe'):
     """Return a configuration with a route for each path prefix."""
     routes = [
         {
             'name': prefix.strip('/'),
             'host': HOST,
             'path_prefix': prefix,
-            'kind': 'unsafe',
+            'kind': kind,
             'timeout_ms': 3000,
             'service': CONFIG_SERVICE,
             'max_attempts': 2,
