--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -23,9 +23,9 @@
 
 
 class BodyEnd(NamedTuple):
-    """Where the body of the last call's response ended."""
+    """How the responses of a request's calls ended."""
 
-    #: None if there was no response.
+    #: Of the last call; None if it got no response.
     framing: BodyFraming | None
-    #: Bytes of a stream after its last complete event.
+    #: Bytes of the last stream after its last complete event.
     partial_bytes: int
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from opentelemetry.metrics import CallbackOptions, Meter
 
-    from snipebend.transport.body_framing import BodyFraming
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.admission import Admitted
+    from snipebend.transport.body_framing import BodyFraming
 
 
 class GaugeSources(NamedTuple):
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -33,7 +33,6 @@
 from snipebend.transport.events import MEDIA_EVENTS
 
 if TYPE_CHECKING:
-    from snipebend.transport.body_framing import BodyFraming
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.relay_service import RelayService
     from snipebend.edge.response_writer import ResponseWriter
@@ -41,6 +40,7 @@
     from snipebend.relay.facts import ResponseFacts, ResponseHead
     from snipebend.relay.upstream_selection import NoCapacity
     from snipebend.relay.upstreams import Upstream
+    from snipebend.transport.body_framing import BodyFraming
 
 #: Upstreams that one request is sent to at most while each proves that it did
 #: not run it: bounds the time spent, unlike the limit of the route.
@@ -69,7 +69,7 @@
         self._runs = 0
         #: The upstream called last.
         self._upstream: Upstream | None = None
-        #: Of the response of the last call.
+        #: Of the response to the last call; None if there was none.
         self._framing: BodyFraming | None = None
         self._log = CallLog(
             admitted, relay.now, relay.refusal_writer.describe_host_state
@@ -97,7 +97,7 @@
 
     @property
     def body_end(self) -> BodyEnd:
-        """Return where the response of the last call has ended."""
+        """Return how the responses of the calls have ended."""
         return BodyEnd(self._framing, self._stream.partial_bytes)
 
     def _time_left_s(self) -> float:
--- a/src/snipebend/edge/response_channel.py
+++ b/src/snipebend/edge/response_channel.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import NamedTuple
 
-from snipebend.transport.body_framing import BodyFraming
 from snipebend.relay.facts import ResponseFacts, ResponseHead
+from snipebend.transport.body_framing import BodyFraming
 
 
 class ResponseStarted(NamedTuple):
--- a/src/snipebend/edge/response_parser.py
+++ b/src/snipebend/edge/response_parser.py
@@ -11,7 +11,6 @@
 
 import httptools
 
-from snipebend.transport.body_framing import BodyFraming, find_framing
 from snipebend.edge.http_headers import connection_options, find_all
 from snipebend.edge.response_channel import (
     BodyChunk,
@@ -19,6 +18,7 @@
     ResponseStarted,
 )
 from snipebend.relay.facts import ResponseHead
+from snipebend.transport.body_framing import BodyFraming, find_framing
 
 if TYPE_CHECKING:
     from snipebend.edge.response_channel import ResponseChannel
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -6,9 +6,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from snipebend.edge.http_headers import encode_head
 from snipebend.transport.abortive_close import end_on_close, reset_on_close
 from snipebend.transport.body_framing import BodyFraming
-from snipebend.edge.http_headers import encode_head
 from snipebend.transport.problems import MEDIA_PROBLEM, Problem, encode_problem
 
 if TYPE_CHECKING:
--- a/src/snipebend/edge/stream_relay.py
+++ b/src/snipebend/edge/stream_relay.py
@@ -5,8 +5,8 @@
 import re
 from typing import TYPE_CHECKING
 
-from snipebend.transport.body_framing import BodyFraming
 from snipebend.edge.http_headers import end_to_end
+from snipebend.transport.body_framing import BodyFraming
 from snipebend.transport.events import EventBuffer
 
 if TYPE_CHECKING:
