Observe a group's ranks once where others came to their addresses

Callers got a third of their streams in time for as long as half a minute after ranks of a group had crashed: the group ran on its first map, whatever demand was.

Cause: a rank that crashes announces no end and comes back under another identity at its address. Control kept both, asked both for their report, and the engine answers whoever asks at its address. Two reports of one rank number make a group's state ambiguous, so that the leader took the whole and open group for down until the lease of the crashed identity ended. The class: an identity that is gone is believed until it says so itself.

The leader now takes an address as held by the incarnation that came last: by its start time, or else by what was recorded later, where a late "leaving" of the earlier one does not count. An address that another service took over is lost as well.

Ruled out: a leader that hangs (it publishes the group as down at each new rank), and refused orders (none was sent).

Two fixtures gave all engines one address; each has its own now.

This is a part of what a group that lost ranks needs: between the crash and the opening, and on the first map, callers still wait in vain.

--- a/src/snipebend/balancing/group_balancer.py
+++ b/src/snipebend/balancing/group_balancer.py
@@ -9,7 +9,6 @@
 from loguru import logger
 
 from snipebend.kernel.service import Service
-from snipebend.state.roster import RosterPhase
 from snipebend.balancing.meters import BalancerMeters
 from snipebend.balancing.engine_sizes import expert_services
 from snipebend.balancing.group_observer import GroupObserver, GroupKey
@@ -174,13 +173,7 @@
 
     def _members(self, service: str) -> dict[str, UpstreamRecord]:
         """Return a service's upstreams that have not ended, by identity."""
-        roster = self._store.machine.state.roster
-        return {
-            record.identity: record
-            for record in roster.upstreams.values()
-            if record.service == service
-            and record.phase is not RosterPhase.ENDED
-        }
+        return self._store.machine.state.roster.list_occupants(service)
 
     def _sizes(self, service: str) -> ExpertSizes | None:
         return dict(expert_services(self._table())).get(service)
--- a/src/snipebend/state/roster.py
+++ b/src/snipebend/state/roster.py
@@ -67,6 +67,18 @@
             return False
         return self.phase > existing.phase
 
+    def is_newer_occupant(self, other: UpstreamRecord) -> bool:
+        """Return whether this incarnation came later to the same address.
+
+        Without start times the later record counts, except for a late
+        announcement that the earlier incarnation is leaving.
+        """
+        if self.born and other.born:
+            return self.born > other.born
+        if self.phase is not other.phase:
+            return self.phase < other.phase
+        return self.revision > other.revision
+
 
 class RecordRequest(Struct, frozen=True):
     """Records an upstream, or a later phase of one."""
@@ -115,6 +127,25 @@
         self._drop_oldest_ended()
         return RecordReply(update.phase, self.revision)
 
+    def list_occupants(self, service: str) -> dict[str, UpstreamRecord]:
+        """Return the upstreams of a service that hold an address.
+
+        An incarnation that crashed announces no end. It has none from the time
+        at which another one is announced at its address, of whatever service.
+        """
+        occupants: dict[str, UpstreamRecord] = {}
+        for record in self.upstreams.values():
+            if record.phase is RosterPhase.ENDED:
+                continue
+            other = occupants.get(record.address)
+            if other is None or record.is_newer_occupant(other):
+                occupants[record.address] = record
+        return {
+            occupant.identity: occupant
+            for occupant in occupants.values()
+            if occupant.service == service
+        }
+
     def records_since(
         self, revision: int, max_records: int
     ) -> tuple[UpstreamRecord, ...]:
--- a/tests/balancing/group_model.py
+++ b/tests/balancing/group_model.py
@@ -318,7 +318,8 @@
         table = group.shape.table()
         self._balancer = GroupBalancer('b', group, lambda: table, pass_times)
         for rank in range(group.shape.ranks):
-            record = UpstreamRecord(str(rank), 's', '10.0.0.1:80', 'dc', 3)
+            address = f'10.0.0.{rank}:80'
+            record = UpstreamRecord(str(rank), 's', address, 'dc', 3)
             self.store.local_machine.state.roster.record(RecordRequest(record))
 
     async def start(self):
--- a/tests/balancing/test_group_balancer.py
+++ b/tests/balancing/test_group_balancer.py
@@ -37,9 +37,11 @@
 from snipebend.state.group_plans import GroupPlan
 from snipebend.state.roster import RecordRequest, UpstreamRecord
 from snipebend.balancing.group_balancer import GroupBalancer
+from snipebend.balancing.group_observer import SNAPSHOT_TTL_S
 from tests.balancing.fakes import RecordingKeeper, LeadingStore
 
 RANKS = 2
+ADDRESSES = ('10.0.0.1:80', '10.0.0.2:80')
 LAG_S = 0.2
 SETTLE_S = LAG_S + ORDER_ROUND_TRIP_S
 ENGINE = EngineProfile(
@@ -104,7 +106,8 @@
         self.share = 1.0
 
     async def read_report(self, upstream):
-        rank = int(upstream.identity)
+        # An engine reports to whoever asks at its address.
+        rank = ADDRESSES.index(upstream.address)
         self.queried.append('report')
         return RankReport(
             upstream.identity,
@@ -170,7 +173,7 @@
         )
         state = self.store.machine.state
         for rank in range(RANKS):
-            record = UpstreamRecord(str(rank), 's', '10.0.0.1:80', 'dc', 4)
+            record = UpstreamRecord(str(rank), 's', ADDRESSES[rank], 'dc', 4)
             state.roster.record(RecordRequest(record))
         state.plans.plans['g'] = PLAN
         await self.balancer.start(registry)
@@ -271,6 +274,15 @@
         await self.check()
         self.assertEqual(self.host_service.groups['g'].slow, ('0', '1'))
 
+    async def test_group_opens_with_a_rank_replaced_at_its_address(self):
+        await self.check()
+        replacement = UpstreamRecord('new', 's', ADDRESSES[1], 'dc', 4)
+        self.store.machine.state.roster.record(RecordRequest(replacement))
+        self.clock.at += SETTLE_S + SNAPSHOT_TTL_S
+        await self.check()
+        self.assertEqual(self.host_service.groups['g'].members, ('0', 'new'))
+        self.assertEqual(self.engines.version, PLAN.version)
+
 
 class TestDemand(BalancerCase):
     """Counts are read and maps are changed when passes have become long."""
--- a/tests/state/test_roster.py
+++ b/tests/state/test_roster.py
@@ -52,6 +52,23 @@
         self.assertIs(self.record(READY).phase, RosterPhase.ENDED)
         self.assertIs(self.record(leaving).phase, RosterPhase.ENDED)
 
+    def test_address_is_held_by_its_last_incarnation(self):
+        successor = replace(READY, identity='i-2')
+        moved = replace(READY, identity='i-3', address='10.0.0.2:80')
+        for announced in (READY, successor, moved):
+            self.record(announced)
+        self.record(replace(READY, phase=RosterPhase.LEAVING))
+        self.assertEqual(list(self.roster.list_occupants('s')), ['i-2', 'i-3'])
+        self.record(replace(successor, identity='i-4', service='t'))
+        self.assertEqual(list(self.roster.list_occupants('s')), ['i-3'])
+        self.record(replace(moved, phase=RosterPhase.ENDED))
+        self.assertEqual(self.roster.list_occupants('s'), {})
+
+    def test_start_times_tell_who_holds_an_address(self):
+        self.record(replace(READY, identity='i-2', born=2))
+        self.record(replace(READY, born=1))
+        self.assertEqual(list(self.roster.list_occupants('s')), ['i-2'])
+
     def test_ended_upstream_keeps_its_address(self):
         self.record(READY)
         self.record(ended('i-1'))
