--- a/src/snipebend/transport/body_framing.py
+++ b/src/snipebend/transport/body_framing.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from enum import Enum
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-_BODILESS = frozenset((204, 304))
+#: Statuses of responses without a body (RFC 9110, section 6.4.1).
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class BodyFraming(Enum):
@@ -31,6 +33,6 @@
     """Return the framing of a response; the names are in lower case."""
     if 'transfer-encoding' in header_names:
         return BodyFraming.CHUNKED
-    if 'content-length' in header_names or status in _BODILESS:
+    if 'content-length' in header_names or status in BODILESS_STATUSES:
         return BodyFraming.LENGTH
     return BodyFraming.CLOSE
--- a/src/snipebend/transport/buffered_response.py
+++ b/src/snipebend/transport/buffered_response.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from snipebend.delivery.outcomes import Outcome
+from snipebend.transport.body_framing import BODILESS_STATUSES
 from snipebend.transport.problems import (
     MEDIA_PROBLEM,
     OUTCOME_HEADER,
@@ -31,7 +32,6 @@
     Outcome.RAN,
 )
 _LENGTH = b'content-length'
-_BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class BufferedResponse:
@@ -76,7 +76,7 @@
         headers = [
             header for header in self._start['headers'] if header[0] != _LENGTH
         ]
-        if self._start['status'] not in _BODILESS:
+        if self._start['status'] not in BODILESS_STATUSES:
             headers.append((_LENGTH, b'%d' % len(self._body)))
         await self._send({**self._start, 'headers': headers})
         await self._send(
