Name prompt parts, events and ends of upstreams in the lines of broken calls

call_ended and upstream_ended_under now name the parts that other requests may have and the events that the caller had received; a new line, upstream_ended, is written for each end that becomes known. The counter of ends comes first among the metrics of an entry, since collected metrics were cut before it. What of a request may end an upstream has a type of its own, and RequestCrashes keeps it off the module of relayed requests. What is decided is unchanged.

--- a/src/snipebend/edge/call_log.py
+++ b/src/snipebend/edge/call_log.py
@@ -14,6 +14,7 @@
     from snipebend.edge.call_result import BodyEnd, CallResult
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.admission import Admitted
+    from snipebend.relay.causes import RequestCauses
     from snipebend.relay.upstreams import Upstream
 
 _MS = 1000
@@ -64,20 +65,22 @@
         upstream: Upstream,
         result: CallResult,
         body_end: BodyEnd,
-        fingerprint: str,
+        causes: RequestCauses,
     ) -> None:
         """Log that a call completed no response."""
         logger.info(
             'event=call_ended request={} upstream={} ending={} reason={!r} '
-            + 'framing={} partial_bytes={} fingerprint={} failures={} '
-            + 'refusals={} {}',
+            + 'framing={} events={} partial_bytes={} fingerprint={} parts={} '
+            + 'failures={} refusals={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
             result.outcome.value,
             result.reason,
             framing_name(body_end.framing),
+            body_end.events,
             body_end.partial_bytes,
-            fingerprint,
+            causes.fingerprint,
+            ','.join(causes.parts),
             upstream.failures,
             upstream.refusals.consecutive,
             self._describe_host_state(),
--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -27,5 +27,7 @@
 
     #: Of the last call; None if it got no response.
     framing: BodyFraming | None
+    #: Complete events that the caller has received.
+    events: int
     #: Bytes of the last stream after its last complete event.
     partial_bytes: int
--- a/src/snipebend/edge/crash_tracker.py
+++ b/src/snipebend/edge/crash_tracker.py
@@ -15,6 +15,7 @@
 
     from snipebend.edge.relay_meters import RelayMeters
     from snipebend.kernel.tasks import TaskSupervisor
+    from snipebend.relay.causes import RequestCauses
     from snipebend.relay.crash_table import CrashReport
     from snipebend.relay.upstreams import Upstream
     from snipebend.settings.relay import RelaySection
@@ -58,7 +59,11 @@
         return self._table.quarantine_left_s(fingerprint, self._now())
 
     async def record_broken_call(
-        self, upstream: Upstream, fingerprint: str, call_started_at: float
+        self,
+        upstream: Upstream,
+        causes: RequestCauses,
+        call_started_at: float,
+        events: int,
     ) -> None:
         """Record a call that was sent and broke; find out whether it counts.
 
@@ -68,7 +73,8 @@
         call = BrokenCall(
             upstream.record.address,
             upstream.record.incarnation,
-            fingerprint,
+            causes,
+            events,
             call_started_at,
             self._now(),
         )
@@ -76,13 +82,23 @@
             self._count(call, 'its end was known')
             return
         self._start_probe(upstream)
-        pending = self._evidence.pending_addresses(fingerprint)
-        if self._table.may_reach_limit(fingerprint, len(pending)):
+        pending = self._evidence.pending_addresses(call.causes.fingerprint)
+        if self._table.may_reach_limit(call.causes.fingerprint, len(pending)):
             await self._finish_probes(pending)
 
     def record_end(self, address: str, reason: str) -> None:
         """Record evidence that the upstream at an address has ended."""
-        for call in self._evidence.record_end(address, self._now()):
+        now = self._now()
+        is_new = not self._evidence.knows_end(address, now)
+        calls = self._evidence.record_end(address, now)
+        if is_new or calls:
+            logger.info(
+                'event=upstream_ended address={} calls={} reason={!r}',
+                address,
+                len(calls),
+                reason,
+            )
+        for call in calls:
             self._count(call, reason)
 
     def make_report(self) -> dict[str, CrashReport]:
@@ -122,20 +138,22 @@
     def _count(self, call: BrokenCall, reason: str) -> None:
         now = self._now()
         quarantined = self._table.record(
-            call.fingerprint, call.incarnation, now
+            call.causes.fingerprint, call.incarnation, now
         )
         self._meters.count_crash()
         logger.info(
-            'event=upstream_ended_under fingerprint={} upstream={} crashes={} '
-            + 'broken_ms_ago={:.0f} reason={!r}',
-            call.fingerprint,
+            'event=upstream_ended_under fingerprint={} parts={} upstream={} '
+            + 'events={} crashes={} broken_ms_ago={:.0f} reason={!r}',
+            call.causes.fingerprint,
+            ','.join(call.causes.parts),
             call.incarnation,
-            self._table.crashes(call.fingerprint),
+            call.events,
+            self._table.crashes(call.causes.fingerprint),
             1000 * (now - call.broken_at),
             reason,
         )
         if quarantined:
-            self._report_quarantine(call.fingerprint, 'here')
+            self._report_quarantine(call.causes.fingerprint, 'here')
 
     def _report_quarantine(self, fingerprint: str, source: str) -> None:
         logger.warning(
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -39,6 +39,10 @@
         """Create the instruments."""
         meter = get_meter()
         self._sources = sources
+        self._crashes = meter.create_counter(
+            'snipebend_relay_crashes',
+            description='ends of upstreams, once for each request under them',
+        )
         self._requests = meter.create_counter(
             'snipebend_relay_requests',
             description="callers' requests by kind and status",
@@ -99,10 +103,6 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
-        self._crashes = meter.create_counter(
-            'snipebend_relay_crashes',
-            description='ends of upstreams, once for each request under them',
-        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from functools import cached_property
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from snipebend.edge.call_log import CallLog
 from snipebend.edge.call_result import BodyEnd, CallResult
 from snipebend.edge.final_response import FinalResponse
+from snipebend.edge.request_crashes import RequestCrashes
 from snipebend.edge.response_channel import (
     BodyChunk,
     ResponseAborted,
@@ -29,7 +29,6 @@
     final_action,
 )
 from snipebend.relay.facts import CallContext, header_values
-from snipebend.routing.quarantine import fingerprint_of
 from snipebend.transport.events import MEDIA_EVENTS
 
 if TYPE_CHECKING:
@@ -71,6 +70,7 @@
         self._upstream: Upstream | None = None
         #: Of the response to the last call; None if there was none.
         self._framing: BodyFraming | None = None
+        self._crashes = RequestCrashes(relay.crashes, req, admitted)
         self._log = CallLog(
             admitted, relay.now, relay.refusal_writer.describe_host_state
         )
@@ -89,16 +89,12 @@
         finally:
             self._log.end_request(self._response, self.body_end)
 
-    @cached_property
-    def fingerprint(self) -> str:
-        """Return what all attempts to send the same request have in common."""
-        target = self._req.head.target.decode('latin-1')
-        return fingerprint_of(self._admitted.workspace, target, self._req.body)
-
     @property
     def body_end(self) -> BodyEnd:
         """Return how the responses of the calls have ended."""
-        return BodyEnd(self._framing, self._stream.partial_bytes)
+        return BodyEnd(
+            self._framing, self._stream.events, self._stream.partial_bytes
+        )
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline - self._relay.now()
@@ -125,10 +121,7 @@
                 return
 
     def _refuse_if_quarantined(self) -> bool:
-        crashes = self._relay.crashes
-        if not crashes:
-            return False
-        left_s = crashes.quarantine_left_s(self.fingerprint)
+        left_s = self._crashes.quarantine_left_s()
         if not left_s:
             return False
         self._final.refuse_quarantined(left_s, may_have_run=self._may_have_run)
@@ -168,8 +161,8 @@
                 self._abandon(call)
         self._record_result(upstream, result, call_started_at)
         if result is not None and result.outcome is CallOutcome.UNKNOWN:
-            await self._relay.crashes.record_broken_call(
-                upstream, self.fingerprint, call_started_at
+            await self._crashes.record_broken_call(
+                upstream, call_started_at, self._stream.events
             )
         return result
 
@@ -336,7 +329,9 @@
         if result.outcome is CallOutcome.UNKNOWN:
             # An upstream that breaks calls seems as idle as one that refuses.
             upstream.refusals.record_refusal(call_started_at, now)
-        self._log.end_call(upstream, result, self.body_end, self.fingerprint)
+        self._log.end_call(
+            upstream, result, self.body_end, self._crashes.causes
+        )
 
     def _should_continue(self, result: CallResult) -> bool:
         """Return whether to call another upstream; if not, respond."""
--- a/src/snipebend/relay/crash_evidence.py
+++ b/src/snipebend/relay/crash_evidence.py
@@ -12,7 +12,10 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from snipebend.relay.causes import RequestCauses
 
 #: Seconds between a broken call and the evidence within which both belong
 #: together: an upstream restarts and announces itself within some seconds.
@@ -28,7 +31,9 @@
     address: str
     #: The incarnation of the upstream at this address.
     incarnation: str
-    fingerprint: str
+    causes: RequestCauses
+    #: Events that the caller had received.
+    events: int
     #: Monotonic seconds.
     started_at: float
     broken_at: float
@@ -51,6 +56,11 @@
         self._calls.append(call)
         return False
 
+    def knows_end(self, address: str, now: float) -> bool:
+        """Return whether an upstream has ended at an address lately."""
+        self._remove_expired(now)
+        return address in self._ended_at
+
     def record_end(self, address: str, now: float) -> list[BrokenCall]:
         """Record that an upstream has ended; return the calls it broke."""
         self._remove_expired(now)
@@ -67,7 +77,7 @@
         return {
             call.address
             for call in self._calls
-            if call.fingerprint == fingerprint
+            if call.causes.fingerprint == fingerprint
         }
 
     def _remove_expired(self, now: float) -> None:
--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -26,6 +26,7 @@
     AnnouncedLimit,
     BackoffRequest,
     CallerFacts,
+    PrefixPart,
     ResponseFacts,
 )
 from snipebend.settings.model import ProcessSection
@@ -55,6 +56,10 @@
             host=sent[b'host'],
             key=sent.get(b'x-key', ''),
             timeout_s=float(timeout) if timeout else None,
+            prefix=tuple(
+                PrefixPart(part, 100)
+                for part in filter(None, sent.get(b'x-parts', '').split(','))
+            ),
         )
 
     def upstream_headers(self, headers, call):
--- a/tests/relay/test_crash_evidence.py
+++ b/tests/relay/test_crash_evidence.py
@@ -8,6 +8,7 @@
 
 import unittest
 
+from snipebend.relay.causes import RequestCauses
 from snipebend.relay.crash_evidence import (
     EVIDENCE_WINDOW_S,
     BrokenCall,
@@ -19,7 +20,9 @@
 
 def broken_call(fingerprint='f', started_at=1.0, broken_at=2.0):
     """Return a call that broke at the address."""
-    return BrokenCall(ADDRESS, 'i-1@0', fingerprint, started_at, broken_at)
+    return BrokenCall(
+        ADDRESS, 'i-1@0', RequestCauses(fingerprint), 0, started_at, broken_at
+    )
 
 
 class TestCrashEvidence(unittest.TestCase):
