--- a/src/snipebend/edge/crash_tracker.py
+++ b/src/snipebend/edge/crash_tracker.py
@@ -92,12 +92,16 @@
         is_new = not self._evidence.knows_end(address, now)
         calls = self._evidence.record_end(address, now)
         if is_new or calls:
-            logger.info(
-                'event=upstream_ended address={} calls={} reason={!r}',
-                address,
-                len(calls),
-                reason,
-            )
+            self._log_end(address, reason, len(calls))
+        for call in calls:
+            self._count(call, reason)
+
+    def record_successor(self, address: str) -> None:
+        """Record that another upstream has announced itself at an address."""
+        reason = 'another took its place'
+        calls = self._evidence.record_end(address, self._now())
+        if calls:
+            self._log_end(address, reason, len(calls))
         for call in calls:
             self._count(call, reason)
 
@@ -112,6 +116,14 @@
         for fingerprint in self._table.apply_report(reports, self._now()):
             self._report_quarantine(fingerprint, entry)
 
+    def _log_end(self, address: str, reason: str, calls: int) -> None:
+        logger.info(
+            'event=upstream_ended address={} calls={} reason={!r}',
+            address,
+            calls,
+            reason,
+        )
+
     def _start_probe(self, upstream: Upstream) -> None:
         address = upstream.record.address
         if address in self._probes:
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -349,9 +349,7 @@
                 record.revision,
             )
             if self._upstreams.find(record.identity) is None:
-                self.crashes.record_end(
-                    record.address, 'another took its place'
-                )
+                self.crashes.record_successor(record.address)
         for ended in self._upstreams.apply_records(records):
             self.crashes.record_end(
                 ended.record.address, 'control knows of its end'
--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -97,6 +97,18 @@
         return lines
 
 
+class SteppedClock(SystemClock):
+    """The system's clocks, which tests can advance."""
+
+    advanced_s = 0.0
+
+    def now(self):
+        return super().now() + self.advanced_s
+
+    def wall(self):
+        return super().wall() + self.advanced_s
+
+
 class FakeUpstream:
     """Handles each request with the script that the test sets."""
 
@@ -277,7 +289,12 @@
 
 @asynccontextmanager
 async def running(
-    *scripts, table=TABLE, stop_within_s=2.0, slots=4, listener=None
+    *scripts,
+    table=TABLE,
+    stop_within_s=2.0,
+    slots=4,
+    listener=None,
+    clock=None,
 ):
     """Run a relay with upstreams that follow these scripts.
 
@@ -289,7 +306,7 @@
         relay=RelaySection(),
         stop_within_s=stop_within_s,
     )
-    registry = Registry(SystemClock(), TaskSupervisor())
+    registry = Registry(clock or SystemClock(), TaskSupervisor())
     follower = HostFollower('hosts', cfg, RpcClients(), read_table=None)
     relay_service = RelayService('relay', cfg, Dialect())
     relay_service._rng.seed(SEED)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -170,7 +170,9 @@
         path = f'/-/replicas/{identity}/heartbeat'
         return await self.call(path, body, **options)
 
-    async def send_request(self, path='/a/', key='key', request_id='r1'):
+    async def send_request(
+        self, path='/a/', key='key', request_id='r1', headers=''
+    ):
         """Send one request to the entry and return the response."""
         reader, writer = await asyncio.open_connection(
             ENTRY_HOST, self.callers_port
@@ -179,7 +181,8 @@
             (
                 f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
                 f'Snipebend-Attempt-Id: {request_id}\r\n'
-                f'Snipebend-Credential: {key}\r\nContent-Length: 0\r\n\r\n'
+                f'Snipebend-Credential: {key}\r\n{headers}'
+                'Content-Length: 0\r\n\r\n'
             ).encode()
         )
         async with asyncio.timeout(WAIT_TIMEOUT_S):
