Quarantine the parts of prompts that end upstreams

Callers saw the whole service go down again and again: requests that are unlike each other but share one part of their prompts end the upstream that begins to answer them, in a lock-step group all ranks with it, and each of them is sent on to the next one.

Nothing was kept for what it shares with others.

Each end now counts against the request and against each part of its prompt but the last. A part is quarantined at every entry after three ends under unlike requests. What merely ran beside it is told from it by four things: upstreams that complete, or go on with, other responses with it; ends that a known cause explains; upstreams that fail together, which count once unless what ended them was never served; and a part that was served before needs two ends more, and is tried again up to three times, 5, 10 and 20 s after the last end.

--- a/src/snipebend/edge/crash_tracker.py
+++ b/src/snipebend/edge/crash_tracker.py
@@ -1,4 +1,4 @@
-"""Quarantines requests under which upstreams have ended."""
+"""Quarantines requests and prompt parts under which upstreams have ended."""
 
 from __future__ import annotations
 
@@ -7,25 +7,31 @@
 
 from loguru import logger
 
+from snipebend.edge.upstream_pool import ProbeOutcome
+from snipebend.relay.causes import is_part_key, make_part_keys
 from snipebend.relay.crash_evidence import BrokenCall, CrashEvidence
+from snipebend.relay.crash_report import UpstreamEnd
 from snipebend.relay.crash_table import CrashTable
+from snipebend.relay.crash_trials import MAX_TRIAL_DELAY_S
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Collection, Mapping
+    from random import Random
 
     from snipebend.edge.relay_meters import RelayMeters
     from snipebend.kernel.tasks import TaskSupervisor
     from snipebend.relay.causes import RequestCauses
-    from snipebend.relay.crash_table import CrashReport
+    from snipebend.relay.crash_report import CrashReport
+    from snipebend.relay.crash_table import Quarantine
     from snipebend.relay.upstreams import Upstream
     from snipebend.settings.relay import RelaySection
 
-    #: Returns whether the address of an upstream refuses connections.
-    Probe = Callable[[Upstream], Awaitable[bool]]
+    #: Tries to connect to an upstream.
+    Probe = Callable[[Upstream], Awaitable[ProbeOutcome]]
 
 
 class CrashTracker:
-    """Collects the evidence of one entry, and shares the counts."""
+    """Collects the evidence of one entry, and shares the suspects."""
 
     def __init__(
         self,
@@ -34,6 +40,7 @@
         meters: RelayMeters,
         tasks: TaskSupervisor,
         probe: Probe,
+        rng: Random,
     ) -> None:
         """Keep the limits and the probe; nothing is counted yet."""
         self._now = now
@@ -41,22 +48,33 @@
         self._tasks = tasks
         self._probe = probe
         self._evidence = CrashEvidence()
-        self._table = CrashTable(cfg.crash_limit, cfg.quarantine_s)
+        self._table = CrashTable(
+            cfg.crash_limit,
+            cfg.quarantine_s,
+            rng.uniform(0, MAX_TRIAL_DELAY_S),
+        )
         #: Probes under way, by address.
         self._probes: dict[str, asyncio.Task[None]] = {}
 
     def __len__(self) -> int:
-        """Return the number of requests under which upstreams have ended."""
+        """Return the number of suspects."""
         return len(self._table)
 
     @property
-    def revision(self) -> int:
-        """Return a number that increases with each end that is counted."""
-        return self._table.revision
+    def has_news(self) -> bool:
+        """Return whether suspects have changed that were not reported."""
+        return self._table.has_news
+
+    def dump(self) -> dict[str, object]:
+        """Return the number of suspects, and those that are quarantined."""
+        return {
+            'suspects': len(self._table),
+            'quarantined': sorted(self._table.quarantined),
+        }
 
-    def quarantine_left_s(self, fingerprint: str) -> float:
-        """Return seconds until the end of a request's quarantine, or 0."""
-        return self._table.quarantine_left_s(fingerprint, self._now())
+    def find_quarantine(self, causes: RequestCauses) -> Quarantine | None:
+        """Return the quarantine of a request, or None if it may run."""
+        return self._table.find_quarantine(causes, self._now())
 
     async def record_broken_call(
         self,
@@ -82,12 +100,12 @@
             self._count(call, 'its end was known')
             return
         self._start_probe(upstream)
-        pending = self._evidence.pending_addresses(call.causes.fingerprint)
-        if self._table.may_reach_limit(call.causes.fingerprint, len(pending)):
+        pending = self._evidence.pending_addresses(causes)
+        if self._table.may_reach_limit(causes, len(pending)):
             await self._finish_probes(pending)
 
     def record_end(self, address: str, reason: str) -> None:
-        """Record evidence that the upstream at an address has ended."""
+        """Record evidence that the upstream at an address is down."""
         now = self._now()
         is_new = not self._evidence.knows_end(address, now)
         calls = self._evidence.record_end(address, now)
@@ -96,25 +114,46 @@
         for call in calls:
             self._count(call, reason)
 
-    def record_successor(self, address: str) -> None:
-        """Record that another upstream has announced itself at an address."""
-        reason = 'another took its place'
-        calls = self._evidence.record_end(address, self._now())
+    def record_successor(self, address: str, reason: str) -> None:
+        """Record evidence that the upstream at an address has ended before."""
+        calls = self._evidence.record_successor(address, self._now())
         if calls:
             self._log_end(address, reason, len(calls))
         for call in calls:
             self._count(call, reason)
 
+    def record_complete_response(self, causes: RequestCauses) -> None:
+        """Record that an upstream has completed the response to a request."""
+        self._record_survival(causes, self._now())
+
+    def record_served(self, parts: Collection[str]) -> None:
+        """Record that a request with these parts is served."""
+        self._table.record_served(make_part_keys(parts), self._now())
+
+    def record_activity(self, causes: RequestCauses) -> None:
+        """Record that an upstream goes on with the response to a request."""
+        self._report_quarantines(
+            self._table.record_activity(causes, self._now()), 'here'
+        )
+
     def make_report(self) -> dict[str, CrashReport]:
-        """Return the counts for other entries, by fingerprint."""
+        """Return suspects for other entries, by key."""
         return self._table.make_report(self._now())
 
     def apply_report(
         self, entry: str, reports: Mapping[str, CrashReport]
     ) -> None:
-        """Apply the counts of another entry."""
-        for fingerprint in self._table.apply_report(reports, self._now()):
-            self._report_quarantine(fingerprint, entry)
+        """Apply the suspects of another entry."""
+        self._report_quarantines(
+            self._table.apply_report(reports, self._now()), entry
+        )
+
+    def _record_survival(
+        self, causes: RequestCauses, survived_at: float
+    ) -> None:
+        self._report_quarantines(
+            self._table.record_survival(causes, survived_at), 'here'
+        )
 
     def _log_end(self, address: str, reason: str, calls: int) -> None:
         logger.info(
@@ -144,13 +183,15 @@
             await asyncio.wait(probes)
 
     async def _probe_upstream(self, upstream: Upstream) -> None:
-        if await self._probe(upstream):
-            self.record_end(upstream.record.address, 'it refuses connections')
+        address = upstream.record.address
+        if await self._probe(upstream) is ProbeOutcome.REFUSED:
+            self.record_end(address, 'it refuses connections')
 
     def _count(self, call: BrokenCall, reason: str) -> None:
-        now = self._now()
-        quarantined = self._table.record(
-            call.causes.fingerprint, call.incarnation, now
+        quarantined = self._table.record_end(
+            call.causes,
+            call.incarnation,
+            UpstreamEnd(call.started_at, call.broken_at, bool(call.events)),
         )
         self._meters.count_crash()
         logger.info(
@@ -160,19 +201,20 @@
             ','.join(call.causes.parts),
             call.incarnation,
             call.events,
-            self._table.crashes(call.causes.fingerprint),
-            1000 * (now - call.broken_at),
+            ','.join(str(self._table.crashes(key)) for key in call.causes.keys),
+            1000 * (self._now() - call.broken_at),
             reason,
         )
-        if quarantined:
-            self._report_quarantine(call.causes.fingerprint, 'here')
-
-    def _report_quarantine(self, fingerprint: str, source: str) -> None:
-        logger.warning(
-            'event=request_quarantined fingerprint={} crashes={} left_s={:.0f} '
-            + 'heard_by={}',
-            fingerprint,
-            self._table.crashes(fingerprint),
-            self.quarantine_left_s(fingerprint),
-            source,
-        )
+        self._report_quarantines(quarantined, 'here')
+
+    def _report_quarantines(self, keys: Collection[str], source: str) -> None:
+        for key in keys:
+            logger.warning(
+                'event={} key={} crashes={} heard_by={}',
+                'part_quarantined'
+                if is_part_key(key)
+                else 'request_quarantined',
+                key,
+                self._table.crashes(key),
+                source,
+            )
--- a/src/snipebend/edge/final_response.py
+++ b/src/snipebend/edge/final_response.py
@@ -15,6 +15,7 @@
     from snipebend.edge.call import CompleteResponse
     from snipebend.edge.refusal_writer import RefusalWriter
     from snipebend.edge.response_writer import ResponseWriter
+    from snipebend.relay.crash_table import Quarantine
     from snipebend.relay.facts import CallerFacts
     from snipebend.relay.problems import Refusal
     from snipebend.relay.upstream_selection import NoCapacity
@@ -86,15 +87,15 @@
             self._refuse(problems.busy(retry_after_s, 'no upstream is free'))
 
     def refuse_quarantined(
-        self, retry_after_s: float, *, may_have_run: bool
+        self, quarantine: Quarantine, *, may_have_run: bool
     ) -> None:
-        """Respond that upstreams have ended under the request."""
+        """Respond that the request, or a part of its prompt, ends upstreams."""
         if may_have_run:
             self._refuse(
                 problems.upstream_lost('the call broke, as others did before')
             )
             return
-        self._refuse(problems.quarantined(retry_after_s))
+        self._refuse(problems.quarantined(quarantine))
 
     def time_out(self, *, may_have_run: bool) -> None:
         """Respond that the deadline has expired."""
--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -17,7 +17,7 @@
 
 from snipebend.edge.host_follower import HostFollower
 from snipebend.kernel.service import Service
-from snipebend.relay.crash_table import CrashReport
+from snipebend.relay.crash_report import CrashReport
 from snipebend.relay.fan_out import Recipients, choose_recipients
 from snipebend.relay.rate_limit_table import LimitReport
 from snipebend.relay.refusals import RefusalReport
@@ -56,7 +56,7 @@
     limits: dict[str, LimitReport] = field(default_factory=dict)
     #: Recent refusals by upstreams.
     refusals: dict[str, RefusalReport] = field(default_factory=dict)
-    #: Upstreams that ended under requests, by the requests' fingerprints.
+    #: Requests and prompt parts under which upstreams ended, by their keys.
     crashes: dict[str, CrashReport] = field(default_factory=dict)
 
 
@@ -73,11 +73,11 @@
         """Return the refusal reports for others, by upstream identity."""
 
     @property
-    def crash_revision(self) -> int:
-        """Return a number that increases when the crash reports change."""
+    def has_crash_news(self) -> bool:
+        """Return whether crash reports have changed that were not sent."""
 
     def make_crash_reports(self) -> dict[str, CrashReport]:
-        """Return the crash reports for others, by fingerprint."""
+        """Return the crash reports for others, by suspect."""
 
     def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Apply the calls that another entry has in progress."""
@@ -109,7 +109,7 @@
     limits: dict[str, LimitReport]
     #: Consecutive refusals by upstream.
     refusals: dict[str, int]
-    crash_revision: int
+    has_crash_news: bool
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -188,7 +188,7 @@
 
     async def _send_forever(self) -> None:
         number = 0
-        sent = _Digest({}, {}, {}, 0)
+        sent = _Digest({}, {}, {}, has_crash_news=False)
         repeat_at: float = 0
         repeat_crashes_at: float = 0
         while True:
@@ -201,20 +201,17 @@
                 calls,
                 _without_ages(limits),
                 _counts_of(refusals),
-                self._state.crash_revision,
+                self._state.has_crash_news,
             )
             now = self._clock.now()
             if digest == sent and now < repeat_at:
                 continue
             number += 1
             crashes: dict[str, CrashReport] = {}
-            if (
-                digest.crash_revision != sent.crash_revision
-                or now >= repeat_crashes_at
-            ):
+            if digest.has_crash_news or now >= repeat_crashes_at:
                 crashes = self._state.make_crash_reports()
                 repeat_crashes_at = now + CRASHES_INTERVAL_S
-            sent = digest
+            sent = digest._replace(has_crash_news=False)
             repeat_at = now + REPEAT_INTERVAL_S
             self._broadcast(
                 GossipMessage(
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -36,11 +36,12 @@
     from collections.abc import Mapping, Sequence
 
     from snipebend.edge.call import Call
+    from snipebend.edge.upstream_pool import ProbeOutcome
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
-    from snipebend.relay.crash_table import CrashReport
+    from snipebend.relay.crash_report import CrashReport
     from snipebend.relay.facts import Dialect
     from snipebend.relay.rate_limit_table import LimitReport
     from snipebend.relay.refusals import RefusalReport
@@ -95,7 +96,8 @@
             self.now,
             self.meters,
             self._tasks,
-            self._refuses_connections,
+            self._probe,
+            self._rng,
         )
         self.notices = UpstreamNotices(
             self.now, self.meters, self.limits, self.crashes
@@ -117,7 +119,7 @@
             'idle_to_upstreams': self.pool.count_idle(),
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
-            'suspects': len(self.crashes),
+            'crashes': self.crashes.dump(),
         }
 
     @property
@@ -262,12 +264,12 @@
             )
 
     @property
-    def crash_revision(self) -> int:
-        """Return a number that increases when the crash reports change."""
-        return self.crashes.revision
+    def has_crash_news(self) -> bool:
+        """Return whether crash reports have changed that were not sent."""
+        return self.crashes.has_news
 
     def make_crash_reports(self) -> dict[str, CrashReport]:
-        """Return the crash reports for others, by fingerprint."""
+        """Return the crash reports for others, by suspect."""
         return self.crashes.make_report()
 
     def apply_crashes(
@@ -349,19 +351,19 @@
                 record.revision,
             )
             if self._upstreams.find(record.identity) is None:
-                self.crashes.record_successor(record.address)
+                self.crashes.record_successor(
+                    record.address, 'another took its place'
+                )
         for ended in self._upstreams.apply_records(records):
-            self.crashes.record_end(
+            self.crashes.record_successor(
                 ended.record.address, 'control knows of its end'
             )
             self.pool.close_idle(ended.record.identity)
             self.limits.table.remove(ended.record.identity)
 
-    async def _refuses_connections(self, upstream: Upstream) -> bool:
+    async def _probe(self, upstream: Upstream) -> ProbeOutcome:
         record = upstream.record
-        return await self.pool.refuses_connections(
-            record.identity, record.address
-        )
+        return await self.pool.probe(record.identity, record.address)
 
     async def _sweep_forever(self) -> None:
         while True:
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -121,10 +121,12 @@
                 return
 
     def _refuse_if_quarantined(self) -> bool:
-        left_s = self._crashes.quarantine_left_s()
-        if not left_s:
+        quarantine = self._crashes.find_quarantine()
+        if quarantine is None:
             return False
-        self._final.refuse_quarantined(left_s, may_have_run=self._may_have_run)
+        self._final.refuse_quarantined(
+            quarantine, may_have_run=self._may_have_run
+        )
         return True
 
     def _find_capacity_wait(self) -> NoCapacity | None:
@@ -253,7 +255,7 @@
         if facts.faulty_address in {'', upstream.record.address}:
             upstream.refusals.record_refusal(call.started_at, now)
             return
-        self._relay.crashes.record_end(
+        self._relay.crashes.record_successor(
             facts.faulty_address, 'another rank named it as lost'
         )
         if upstream.group is not None:
@@ -278,6 +280,8 @@
         if isinstance(response, ResponseAborted):
             return self._unknown_outcome(response.reason)
         self._final.forward(response)
+        if started.head.status < HTTPStatus.MULTIPLE_CHOICES:
+            self._crashes.record_complete_response()
         return None
 
     async def _forward_stream(
@@ -287,6 +291,7 @@
         event = await call.receive()
         while isinstance(event, BodyChunk):
             if self._stream.feed(event.data):
+                self._crashes.record_activity()
                 await self._response.drain()
             event = await call.receive()
         if isinstance(event, ResponseCompleted):
@@ -300,6 +305,7 @@
         if reason:
             return self._unknown_outcome(reason)
         self._stream.end()
+        self._crashes.record_complete_response()
         return None
 
     def _record_pause(self, events: int, seconds: float) -> None:
--- a/src/snipebend/edge/request_crashes.py
+++ b/src/snipebend/edge/request_crashes.py
@@ -5,12 +5,13 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from snipebend.relay.causes import RequestCauses, find_causes
+from snipebend.relay.causes import RequestCauses, find_causes, find_shared_parts
 
 if TYPE_CHECKING:
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.crash_tracker import CrashTracker
     from snipebend.relay.admission import Admitted
+    from snipebend.relay.crash_table import Quarantine
     from snipebend.relay.upstreams import Upstream
 
 
@@ -35,11 +36,25 @@
             self._req.body,
         )
 
-    def quarantine_left_s(self) -> float:
-        """Return seconds until the end of the request's quarantine, or 0."""
-        if not self._tracker:
-            return 0
-        return self._tracker.quarantine_left_s(self.causes.fingerprint)
+    def find_quarantine(self) -> Quarantine | None:
+        """Return the request's quarantine, or None if it may run."""
+        return (
+            self._tracker.find_quarantine(self.causes)
+            if self._tracker
+            else None
+        )
+
+    def record_activity(self) -> None:
+        """Record that an upstream goes on with its response."""
+        if self._tracker:
+            self._tracker.record_activity(self.causes)
+
+    def record_complete_response(self) -> None:
+        """Record that an upstream has completed its response."""
+        if self._tracker:
+            self._tracker.record_complete_response(self.causes)
+        else:
+            self._tracker.record_served(find_shared_parts(self._admitted.facts))
 
     async def record_broken_call(
         self, upstream: Upstream, call_started_at: float, events: int
--- a/src/snipebend/edge/upstream_notices.py
+++ b/src/snipebend/edge/upstream_notices.py
@@ -41,7 +41,7 @@
         """
         if facts.identity_mismatch:
             upstream.displaced = True
-            self._crashes.record_end(
+            self._crashes.record_successor(
                 upstream.record.address, 'another incarnation responds'
             )
             return
--- a/src/snipebend/edge/upstream_pool.py
+++ b/src/snipebend/edge/upstream_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -40,6 +41,15 @@
     """No process listens at the address of an upstream."""
 
 
+class ProbeOutcome(Enum):
+    """What became of a new connection to an address."""
+
+    REFUSED = 'refused'
+    ACCEPTED = 'accepted'
+    #: It could not be opened in time.
+    UNKNOWN = 'unknown'
+
+
 class UpstreamPool:
     """Idle connections by upstream identity."""
 
@@ -65,24 +75,24 @@
             conn = await self._open(address)
         return conn
 
-    async def refuses_connections(self, identity: str, address: str) -> bool:
-        """Return whether an address refuses a new connection.
+    async def probe(self, identity: str, address: str) -> ProbeOutcome:
+        """Return what becomes of a new connection to an address.
 
         A connection that is accepted is kept for the next request.
         """
         try:
             conn = await self._open(address)
         except RefusedConnectionError:
-            return True
+            return ProbeOutcome.REFUSED
         except UnavailableError as exc:
             logger.info(
                 'event=upstream_probe_failed upstream={} error={!r}',
                 identity,
                 str(exc),
             )
-            return False
+            return ProbeOutcome.UNKNOWN
         self.release(identity, conn)
-        return False
+        return ProbeOutcome.ACCEPTED
 
     def release(self, identity: str, conn: UpstreamConnection) -> None:
         """Keep a connection whose response was read completely, if usable."""
--- a/src/snipebend/relay/causes.py
+++ b/src/snipebend/relay/causes.py
@@ -10,8 +10,13 @@
 from snipebend.routing.quarantine import fingerprint_of
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from snipebend.relay.facts import CallerFacts
 
+#: Begins the keys of prompt parts; those of requests are hexadecimal.
+_PART_PREFIX = 'part:'
+
 
 class RequestCauses(NamedTuple):
     """The possible causes of the end of an upstream that ran a request."""
@@ -21,6 +26,26 @@
     #: The parts of its prompt that other requests may have.
     parts: tuple[str, ...] = ()
 
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """Return a key for each cause, the request's first."""
+        return (self.fingerprint, *self.part_keys)
+
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return a key for each part."""
+        return make_part_keys(self.parts)
+
+
+def make_part_keys(parts: Iterable[str]) -> tuple[str, ...]:
+    """Return the keys of prompt parts."""
+    return tuple(f'{_PART_PREFIX}{part}' for part in parts)
+
+
+def is_part_key(key: str) -> bool:
+    """Return whether a key is that of a prompt part."""
+    return key.startswith(_PART_PREFIX)
+
 
 def find_causes(
     facts: CallerFacts, workspace: str, target: str, body: bytes
@@ -32,5 +57,10 @@
     """
     return RequestCauses(
         fingerprint_of(workspace, target, body),
-        tuple(part.identity for part in facts.prefix[:-1]),
+        find_shared_parts(facts),
     )
+
+
+def find_shared_parts(facts: CallerFacts) -> tuple[str, ...]:
+    """Return the parts of a prompt that other requests may have."""
+    return tuple(part.identity for part in facts.prefix[:-1])
--- a/src/snipebend/relay/crash_evidence.py
+++ b/src/snipebend/relay/crash_evidence.py
@@ -2,16 +2,16 @@
 
 Performs no I/O.
 
-A call can break although its upstream goes on: a connection is reset, or a
-response is lost. It counts only with evidence that the upstream itself ended,
-which may arrive before or after the call breaks: its address refuses
-connections, another rank of its group names it as lost, or another incarnation
-has taken its place.
+A call can break although its upstream goes on: a connection is reset, a
+response is lost, or a group of upstreams in lock-step cuts off all its calls
+when it loses one of them. A broken call counts only with evidence that the
+upstream itself ended, which may arrive before or after the call breaks: its
+address refuses connections, another rank of its group names it as lost, or
+another incarnation has taken its place.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -21,8 +21,8 @@
 #: together: an upstream restarts and announces itself within some seconds.
 EVIDENCE_WINDOW_S = 10.0
 
-#: Most broken calls that are kept; the oldest is dropped first.
-MAX_BROKEN_CALLS = 4096
+#: Most broken calls that are kept at one address; the oldest is dropped first.
+MAX_BROKEN_CALLS = 256
 
 
 class BrokenCall(NamedTuple):
@@ -32,7 +32,7 @@
     #: The incarnation of the upstream at this address.
     incarnation: str
     causes: RequestCauses
-    #: Events that the caller had received.
+    #: Complete events of its response.
     events: int
     #: Monotonic seconds.
     started_at: float
@@ -44,7 +44,8 @@
 
     def __init__(self) -> None:
         """Create without broken calls."""
-        self._calls: deque[BrokenCall] = deque(maxlen=MAX_BROKEN_CALLS)
+        #: By address, in the order in which they broke.
+        self._calls: dict[str, list[BrokenCall]] = {}
         self._ended_at: dict[str, float] = {}
 
     def record_broken_call(self, call: BrokenCall) -> bool:
@@ -53,7 +54,8 @@
         ended_at = self._ended_at.get(call.address)
         if ended_at is not None and call.started_at <= ended_at:
             return True
-        self._calls.append(call)
+        calls = [*self._calls.get(call.address, ()), call]
+        self._calls[call.address] = calls[-MAX_BROKEN_CALLS:]
         return False
 
     def knows_end(self, address: str, now: float) -> bool:
@@ -62,28 +64,34 @@
         return address in self._ended_at
 
     def record_end(self, address: str, now: float) -> list[BrokenCall]:
-        """Record that an upstream has ended; return the calls it broke."""
+        """Record that an upstream is down; return the calls it broke."""
+        return self.record_successor(address, now)
+
+    def record_successor(self, address: str, now: float) -> list[BrokenCall]:
+        """Record that an upstream has ended at some time; return its calls."""
         self._remove_expired(now)
         # Keeps the addresses in the order of their ends.
         self._ended_at.pop(address, None)
         self._ended_at[address] = now
-        ended = [call for call in self._calls if call.address == address]
-        for call in ended:
-            self._calls.remove(call)
-        return ended
+        return self._calls.pop(address, [])
 
-    def pending_addresses(self, fingerprint: str) -> set[str]:
-        """Return where calls of a request broke without evidence of an end."""
+    def pending_addresses(self, causes: RequestCauses) -> set[str]:
+        """Return where calls with a common cause broke without evidence."""
+        keys = set(causes.keys)
         return {
-            call.address
-            for call in self._calls
-            if call.causes.fingerprint == fingerprint
+            address
+            for address, calls in self._calls.items()
+            if any(not keys.isdisjoint(call.causes.keys) for call in calls)
         }
 
     def _remove_expired(self, now: float) -> None:
         expired_at = now - EVIDENCE_WINDOW_S
-        while self._calls and self._calls[0].broken_at <= expired_at:
-            self._calls.popleft()
+        for address, calls in tuple(self._calls.items()):
+            kept = [call for call in calls if call.broken_at > expired_at]
+            if kept:
+                self._calls[address] = kept
+            else:
+                self._calls.pop(address)
         while self._ended_at:
             oldest = next(iter(self._ended_at))
             if self._ended_at[oldest] > expired_at:
--- a/src/snipebend/relay/crash_table.py
+++ b/src/snipebend/relay/crash_table.py
@@ -1,155 +1,191 @@
-"""Counts the upstreams that ended under each request, across all entries.
+"""Finds the requests and prompt parts that end upstreams, across all entries.
 
 Performs no I/O.
 
 A request that ends the upstreams that run it is sent again by its caller, to
-any entry. Requests that merely ran beside it are counted once or twice and then
-served. Entries report their counts to each other; a report lists the
-incarnations that ended, so that two entries never count the same end twice.
+any entry. A part of prompts that does so comes in requests that are otherwise
+unlike each other. Whatever ran on an upstream that ended is a suspect: its
+request, and each part of its prompt that other requests may have. Sound
+suspects are told from the cause by three things: upstreams outlive the
+responses to other requests that have them, the cause explains the ends under
+which they happened to run, and upstreams that fail together count once.
+
+Entries report their suspects to each other; a report lists the incarnations
+that ended, so that two entries never count the same end twice.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from msgspec import Struct
+from snipebend.relay.crash_causes import find_causes
+from snipebend.relay.crash_store import CrashStore
+from snipebend.relay.crash_trials import may_try
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
-#: Seconds for which a request that is not quarantined is counted after the last
-#: end: several attempts of its caller.
-SUSPECT_RETENTION_S = 60.0
+    from snipebend.relay.causes import RequestCauses
+    from snipebend.relay.crash_report import CrashReport, UpstreamEnd
 
-#: Most requests that are counted. Beyond that, the one counted longest ago is
-#: dropped, and one that is quarantined only if all are.
-MAX_SUSPECTS = 1024
 
-#: Most requests in a report, which has to fit into a few datagrams.
-MAX_REPORTED = 16
+class Quarantine(NamedTuple):
+    """Why a request is refused."""
 
-
-class CrashReport(Struct, frozen=True, array_like=True):
-    """The upstreams that ended under one request."""
-
-    incarnations: tuple[str, ...]
-    #: Seconds since the last one ended.
-    age_s: float
-
-
-class _Suspect(NamedTuple):
-    incarnations: frozenset[str]
-    #: When the last one ended; monotonic seconds.
-    ended_at: float
+    #: Of the suspect that is quarantined.
+    key: str
+    #: Seconds until its end.
+    left_s: float
 
 
 class CrashTable:
-    """The suspects by fingerprint, and which of them are quarantined."""
+    """The suspects, and which of them are quarantined."""
 
-    def __init__(self, crash_limit: int, quarantine_s: float) -> None:
+    def __init__(
+        self, crash_limit: int, quarantine_s: float, trial_delay_s: float = 0
+    ) -> None:
         """Create an empty table.
 
-        A request is quarantined for ``quarantine_s`` seconds once
-        ``crash_limit`` upstreams have ended under it.
+        A suspect is quarantined for ``quarantine_s`` seconds once
+        ``crash_limit`` upstreams have ended under it. ``trial_delay_s`` should
+        differ between entries, so that they don't try a part together.
         """
         self._crash_limit = crash_limit
-        self._quarantine_s = quarantine_s
-        self._suspects: dict[str, _Suspect] = {}
-        #: Increases with each end that is counted.
-        self.revision = 0
+        self._trial_delay_s = trial_delay_s
+        self._store = CrashStore(crash_limit, quarantine_s)
+        #: The keys of the quarantined suspects.
+        self.quarantined: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         """Return the number of suspects."""
-        return len(self._suspects)
+        return len(self._store.suspects)
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether suspects have changed that were not reported."""
+        return self._store.has_news
+
+    def record_end(
+        self, causes: RequestCauses, incarnation: str, end: UpstreamEnd
+    ) -> frozenset[str]:
+        """Record an end; return the newly quarantined suspects."""
+        self._store.remove_expired(end.ended_at)
+        changed = [
+            key
+            for key in causes.keys
+            if self._store.find_or_add(key).record_end(
+                incarnation, end, (causes.fingerprint,)
+            )
+        ]
+        self._store.mark_changed(changed)
+        return self._decide()
+
+    def record_survival(
+        self, causes: RequestCauses, survived_at: float
+    ) -> frozenset[str]:
+        """Record that an upstream outlived a response that it had begun.
 
-    def record(self, fingerprint: str, incarnation: str, now: float) -> bool:
-        """Count an end; return whether the request is quarantined by it."""
-        self._remove_expired(now)
-        return self._merge(fingerprint, {incarnation}, now)
+        Return the newly quarantined suspects: what a suspect explained until it
+        was cleared counts against the others again.
+        """
+        self.record_served(causes.part_keys, survived_at)
+        suspects = self._store.find(causes.keys)
+        cleared = [
+            key
+            for key, suspect in suspects.items()
+            if suspect.record_survival(survived_at)
+        ]
+        self._store.mark_changed(cleared)
+        return self._decide() if cleared else frozenset()
+
+    def record_served(self, part_keys: Iterable[str], served_at: float) -> None:
+        """Record that a request with these parts was served."""
+        self._store.record_served(part_keys, served_at)
+
+    def record_activity(
+        self, causes: RequestCauses, now: float
+    ) -> frozenset[str]:
+        """Record a response in progress; return newly quarantined suspects."""
+        suspects = self._store.find(causes.keys)
+        active = [
+            key
+            for key, suspect in suspects.items()
+            if suspect.record_activity(now)
+        ]
+        self._store.mark_changed(active)
+        return self._decide() if active else frozenset()
 
     def apply_report(
         self, reports: Mapping[str, CrashReport], now: float
-    ) -> list[str]:
-        """Apply another entry's report; return newly quarantined requests."""
-        self._remove_expired(now)
-        return [
-            fingerprint
-            for fingerprint, report in reports.items()
-            if self._merge(fingerprint, report.incarnations, now - report.age_s)
-        ]
+    ) -> frozenset[str]:
+        """Apply another entry's report; return newly quarantined suspects."""
+        is_new = False
+        for key, report in reports.items():
+            if report.incarnations:
+                suspect = self._store.find_or_add(key)
+                is_new |= suspect.apply_report(report, now)
+        self._store.remove_expired(now)
+        return self._decide() if is_new else frozenset()
 
     def make_report(self, now: float) -> dict[str, CrashReport]:
-        """Return the report for other entries: the most dangerous requests."""
-        self._remove_expired(now)
-        ranked = sorted(
-            self._suspects.items(),
-            key=lambda pair: (len(pair[1].incarnations), pair[1].ended_at),
-            reverse=True,
-        )
-        return {
-            fingerprint: CrashReport(
-                tuple(sorted(suspect.incarnations)), now - suspect.ended_at
-            )
-            for fingerprint, suspect in ranked[:MAX_REPORTED]
-        }
+        """Return a report for other entries."""
+        self._store.remove_expired(now)
+        return self._store.make_report(self.quarantined, now)
 
-    def crashes(self, fingerprint: str) -> int:
-        """Return the number of upstreams that ended under a request."""
-        suspect = self._suspects.get(fingerprint)
-        return len(suspect.incarnations) if suspect else 0
+    def crashes(self, key: str) -> int:
+        """Return the number of upstreams that ended under a suspect."""
+        suspect = self._store.suspects.get(key)
+        return len(suspect.ends) if suspect else 0
 
-    def quarantine_left_s(self, fingerprint: str, now: float) -> float:
-        """Return seconds until the end of a request's quarantine, or 0."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or not self._is_over_limit(suspect):
-            return 0
-        return max(0, suspect.ended_at + self._quarantine_s - now)
+    def find_quarantine(
+        self, causes: RequestCauses, now: float
+    ) -> Quarantine | None:
+        """Return the quarantine of a request, or None if it may run.
 
-    def may_reach_limit(self, fingerprint: str, further: int) -> bool:
+        A request that may run as a trial is recorded as one.
+        """
+        suspects = self._store.find(causes.keys)
+        left_s = {
+            key: self._store.expires_at(suspects[key]) - now
+            for key in self.quarantined.intersection(suspects)
+        }
+        if not left_s:
+            return None
+        longest = max(left_s, key=lambda key: left_s[key])
+        if left_s[longest] <= 0 or self._try(causes, left_s, now):
+            return None
+        return Quarantine(longest, left_s[longest])
+
+    def may_reach_limit(self, causes: RequestCauses, further: int) -> bool:
         """Return whether further ends would quarantine the request."""
-        return self.crashes(fingerprint) + further >= self._crash_limit
+        most = max(map(self.crashes, causes.keys))
+        return most + further >= self._crash_limit
 
-    def _merge(
-        self,
-        fingerprint: str,
-        incarnations: Iterable[str],
-        ended_at: float,
+    def _try(
+        self, causes: RequestCauses, quarantined: Collection[str], now: float
     ) -> bool:
-        known = self._suspects.get(fingerprint, _Suspect(frozenset(), ended_at))
-        merged = known.incarnations.union(incarnations)
-        if merged == known.incarnations:
-            # An age that returns with the delay of messages extends nothing.
+        """Return whether a request may run as a trial, and record it."""
+        if causes.fingerprint in quarantined:
             return False
-        suspect = _Suspect(merged, max(known.ended_at, ended_at))
-        self._suspects.pop(fingerprint, None)
-        self._suspects[fingerprint] = suspect
-        self.revision += 1
-        if len(self._suspects) > MAX_SUSPECTS:
-            self._drop_one()
-        return not self._is_over_limit(known) and self._is_over_limit(suspect)
-
-    def _drop_one(self) -> None:
-        oldest = next(iter(self._suspects))
-        harmless = (
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if not self._is_over_limit(suspect)
-        )
-        self._suspects.pop(next(harmless, oldest))
-
-    def _is_over_limit(self, suspect: _Suspect) -> bool:
-        return len(suspect.incarnations) >= self._crash_limit
-
-    def _remove_expired(self, now: float) -> None:
-        expired = [
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if now >= suspect.ended_at + self._retention_s(suspect)
-        ]
-        for fingerprint in expired:
-            self._suspects.pop(fingerprint)
+        suspects = self._store.find(causes.part_keys)
+        held = [suspects[key] for key in quarantined]
+        if not may_try(held, suspects.values(), now, self._trial_delay_s):
+            return False
+        for suspect in held:
+            suspect.record_trial(now)
+        self._store.mark_changed(quarantined)
+        return True
+
+    def _decide(self) -> frozenset[str]:
+        """Quarantine the causes of ends; return the new ones.
 
-    def _retention_s(self, suspect: _Suspect) -> float:
-        if self._is_over_limit(suspect):
-            return self._quarantine_s
-        return SUSPECT_RETENTION_S
+        A suspect stays quarantined until it is cleared or expires.
+        """
+        self._store.drop_surplus(self.quarantined)
+        suspects = self._store.find(self.quarantined)
+        kept = {
+            key for key, suspect in suspects.items() if not suspect.is_cleared
+        }
+        found = find_causes(self._store.suspects, kept, self._crash_limit)
+        self.quarantined = frozenset(kept.union(found))
+        return frozenset(found)
--- a/src/snipebend/relay/problems.py
+++ b/src/snipebend/relay/problems.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.delivery.outcomes import Outcome
+from snipebend.relay.causes import is_part_key
+
+if TYPE_CHECKING:
+    from snipebend.relay.crash_table import Quarantine
 
 
 class Refusal(NamedTuple):
@@ -59,8 +63,8 @@
     )
 
 
-def quarantined(retry_after_s: float) -> Refusal:
-    """Return the refusal of a request under which upstreams have ended.
+def quarantined(quarantine: Quarantine) -> Refusal:
+    """Return the refusal of a request, or of a part of its prompt.
 
     Callers without agents read 503 as a promise that the request did not run;
     other statuses of refusals promise nothing there.
@@ -68,8 +72,12 @@
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
         'Quarantined',
-        'upstreams have ended under this request',
-        retry_after_s=retry_after_s,
+        (
+            'upstreams have ended under requests with a part of this prompt'
+            if is_part_key(quarantine.key)
+            else 'upstreams have ended under this request'
+        ),
+        retry_after_s=quarantine.left_s,
     )
 
 
--- a/tests/edge/gossip_state.py
+++ b/tests/edge/gossip_state.py
@@ -13,6 +13,7 @@
         self.limits = {}
         self.refusals = {}
         self.crashes = {}
+        self.sent_crashes = {}
         self.calls_received = asyncio.Queue()
         self.limits_received = asyncio.Queue()
         self.refusals_received = asyncio.Queue()
@@ -29,11 +30,12 @@
         return dict(self.refusals)
 
     @property
-    def crash_revision(self):
-        return len(self.crashes)
+    def has_crash_news(self):
+        return self.crashes != self.sent_crashes
 
     def make_crash_reports(self):
-        return dict(self.crashes)
+        self.sent_crashes = dict(self.crashes)
+        return self.sent_crashes
 
     def apply_crashes(self, entry, crashes):
         self.crashes_received.put_nowait((entry, crashes))
--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -98,15 +98,15 @@
 
 
 class SteppedClock(SystemClock):
-    """The system's clocks, which tests can advance."""
+    """Clocks that stand still unless the test advances them."""
 
     advanced_s = 0.0
 
     def now(self):
-        return super().now() + self.advanced_s
+        return 1000 + self.advanced_s
 
     def wall(self):
-        return super().wall() + self.advanced_s
+        return 1_000_000 + self.advanced_s
 
 
 class FakeUpstream:
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -16,7 +16,7 @@
 from snipebend.kernel.clock import SystemClock
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
-from snipebend.relay.crash_table import CrashReport
+from snipebend.relay.crash_report import CrashReport
 from snipebend.relay.rate_limit_table import LimitReport
 from snipebend.relay.refusals import RefusalReport
 from snipebend.settings.model import ProcessSection
--- a/tests/edge/test_quarantine.py
+++ b/tests/edge/test_quarantine.py
@@ -13,6 +13,7 @@
 from snipebend.state.roster import RosterPhase
 from tests.edge.relay_fixture import (
     FakeUpstream,
+    SteppedClock,
     request,
     respond_ok,
     respond_with,
@@ -66,7 +67,8 @@
 
     async def test_request_that_ends_upstreams_is_refused(self):
         scripts = [EndingUpstream() for _ in range(ATTEMPTS)]
-        async with running(*scripts) as relay:
+        # Pauses of ended upstreams last until the test is over.
+        async with running(*scripts, clock=SteppedClock()) as relay:
             bind_upstreams(relay, scripts)
             for attempt in range(ATTEMPTS):
                 got = await send_fatal(relay, attempt)
--- a/tests/relay/test_crash_evidence.py
+++ b/tests/relay/test_crash_evidence.py
@@ -18,11 +18,13 @@
 ADDRESS = '10.0.0.1:80'
 
 
+INCARNATION = 'i-1@0'
+
+
 def broken_call(fingerprint='f', started_at=1.0, broken_at=2.0):
     """Return a call that broke at the address."""
-    return BrokenCall(
-        ADDRESS, 'i-1@0', RequestCauses(fingerprint), 0, started_at, broken_at
-    )
+    causes = RequestCauses(fingerprint)
+    return BrokenCall(ADDRESS, INCARNATION, causes, 0, started_at, broken_at)
 
 
 class TestCrashEvidence(unittest.TestCase):
