Report each suspect to the other entries, not only those with most ends

The class: a bounded message that is filled by rank, so that what doesn't fit never gets its turn.

The test of the most dangerous requests is replaced by one that demands all of them, in reports of the same size.

--- a/src/snipebend/relay/crash_store.py
+++ b/src/snipebend/relay/crash_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from itertools import chain, islice
 from typing import TYPE_CHECKING
 
 from snipebend.relay.crash_suspect import CrashSuspect
@@ -26,6 +27,9 @@
 #: Most suspects in a report, which has to fit into a few datagrams.
 MAX_REPORTED = 16
 
+#: Of these, quarantined ones that are repeated before the others.
+MAX_REPEATED_QUARANTINES = 12
+
 #: Prompt parts of which it is kept when they were served; the one served
 #: longest ago is dropped first.
 MAX_SERVED = 4096
@@ -91,20 +95,25 @@
     ) -> dict[str, CrashReport]:
         """Return a report for other entries.
 
-        It holds the suspects under which most upstreams have ended.
+        It holds the suspects that have changed, then the quarantined ones and
+        the others, those that have not been reported for longest first: each
+        of them is repeated, and an entry that has started soon knows all.
         """
-        ranked = sorted(
-            self.suspects,
-            key=lambda key: (
-                len(self.suspects[key].ends),
-                self.suspects[key].last_ended_at,
-            ),
-            reverse=True,
+        unchanged = [key for key in self.suspects if key not in self._changed]
+        first = [key for key in unchanged if key in quarantined]
+        ranked = chain(
+            self._changed,
+            first[:MAX_REPEATED_QUARANTINES],
+            (key for key in unchanged if key not in quarantined),
+            first[MAX_REPEATED_QUARANTINES:],
         )
-        self._changed.clear()
         report: dict[str, CrashReport] = {}
-        for key in ranked[:MAX_REPORTED]:
-            report[key] = self.suspects[key].make_report(now)
+        for key in list(islice(ranked, MAX_REPORTED)):
+            self._changed.pop(key, None)
+            # Moves it behind those that wait for longer.
+            suspect = self.suspects.pop(key)
+            self.suspects[key] = suspect
+            report[key] = suspect.make_report(now)
         return report
 
     def expires_at(self, suspect: CrashSuspect) -> float:
--- a/tests/relay/test_crash_search.py
+++ b/tests/relay/test_crash_search.py
@@ -28,6 +28,7 @@
         'group, rare': Scenario(
             upstreams=16, group=True, bad_rate=0.5, until_s=120
         ),
+        'many parts': Scenario(bad_parts=12, bad_rate=6, until_s=40),
         'restarts': Scenario(restarts=tuple(range(8, 30, 2))),
         'cut off': Scenario(cut=(5, 15)),
         'lossy': Scenario(loss=0.5),
--- a/tests/relay/test_crash_table.py
+++ b/tests/relay/test_crash_table.py
@@ -104,15 +104,32 @@
             one.apply_report(other.make_report(now), now + 0.5)
         self.assertEqual(left_s(one, 'f', QUARANTINE_S), 0)
 
-    def test_report_names_the_most_dangerous_requests(self):
-        table = make_table()
+    def test_reports_leave_out_no_suspect(self):
+        sender, receiver = make_table(), make_table()
         for number in range(LIMIT):
-            record(table, 'f', f'i-{number}@1', 0)
-        for number in range(2 * MAX_REPORTED):
-            record(table, f'harmless-{number}', 'i-9@1', 1)
-        report = table.make_report(1)
+            record(sender, 'f', f'i-{number}@1', 0)
+        for number in range(3 * MAX_REPORTED):
+            record(sender, f'harmless-{number}', 'i-9@1', 1)
+        report = sender.make_report(1)
         self.assertEqual(len(report), MAX_REPORTED)
         self.assertIn('f', report)
+        while sender.has_news:
+            receiver.apply_report(sender.make_report(1), 1)
+        self.assertEqual(len(sender.make_report(1)), MAX_REPORTED)
+        receiver.apply_report(report, 1)
+        self.assertEqual(len(receiver), len(sender))
+
+    def test_entry_that_starts_soon_knows_many_quarantined_parts(self):
+        sender, started = make_table(), make_table()
+        parts = [f'bad-{number}' for number in range(2 * MAX_REPORTED)]
+        for part in parts:
+            end_under_parts(sender, (part,), range(LIMIT))
+        while sender.has_news:
+            sender.make_report(LIMIT)
+        for number in range(len(parts) // LIMIT):
+            started.apply_report(sender.make_report(LIMIT + number), LIMIT)
+        quarantined = [left_s(started, 'f', LIMIT, (one,)) for one in parts]
+        self.assertGreater(min(quarantined), 0)
 
     def test_quarantined_request_is_kept_when_the_table_is_full(self):
         table = make_table()
