Don't count the end of an upstream against calls that it outlived

In a lock-step group each end breaks the calls of all ranks, and all of them wait.

A response of the same incarnation to a call that began after the break now proves that the upstream outlived it: the call is dropped, and if its caller had received events, it speaks for its request and its parts.

--- a/src/snipebend/edge/crash_tracker.py
+++ b/src/snipebend/edge/crash_tracker.py
@@ -122,6 +122,21 @@
         for call in calls:
             self._count(call, reason)
 
+    def record_response(
+        self, upstream: Upstream, call_started_at: float
+    ) -> None:
+        """Record that an upstream responded to a call.
+
+        It has outlived the calls that broke before, of which those that had
+        begun to respond speak for their requests.
+        """
+        record = upstream.record
+        for call in self._evidence.record_response(
+            record.address, record.incarnation, call_started_at
+        ):
+            if call.events:
+                self._record_survival(call.causes, call.broken_at)
+
     def record_complete_response(self, causes: RequestCauses) -> None:
         """Record that an upstream has completed the response to a request."""
         self._record_survival(causes, self._now())
@@ -184,8 +199,13 @@
 
     async def _probe_upstream(self, upstream: Upstream) -> None:
         address = upstream.record.address
-        if await self._probe(upstream) is ProbeOutcome.REFUSED:
-            self.record_end(address, 'it refuses connections')
+        match await self._probe(upstream):
+            case ProbeOutcome.REFUSED:
+                self.record_end(address, 'it refuses connections')
+            case ProbeOutcome.ACCEPTED:
+                self._evidence.record_accepted_connection(address, self._now())
+            case ProbeOutcome.UNKNOWN:
+                pass
 
     def _count(self, call: BrokenCall, reason: str) -> None:
         quarantined = self._table.record_end(
--- a/src/snipebend/edge/upstream_notices.py
+++ b/src/snipebend/edge/upstream_notices.py
@@ -45,6 +45,7 @@
                 upstream.record.address, 'another incarnation responds'
             )
             return
+        self._crashes.record_response(upstream, call_started_at)
         self._limits.record_response(upstream, facts, call_started_at)
         if facts.backoff is not None:
             self._apply_backoff(upstream, facts.backoff)
--- a/tests/relay/crash_simulation.py
+++ b/tests/relay/crash_simulation.py
@@ -226,10 +226,20 @@
         if call not in calls or self._is_stalled():
             return
         call.events += 1
-        table, _ = self._entries[call.entry]
+        table, evidence = self._entries[call.entry]
+        if call.events == 1:
+            self._respond(evidence, table, call)
         table.record_activity(call.causes, self.now)
         self._after(0.1, self._send_event, call)
 
+    def _respond(self, evidence, table, call):
+        outlived = evidence.record_response(
+            str(call.upstream), f'{call.upstream}@{call.life}', call.started_at
+        )
+        for one in outlived:
+            if one.events:
+                table.record_survival(one.causes, one.broken_at)
+
     def _complete(self, call):
         calls = self._upstreams[call.upstream].calls
         if call in calls and not self._is_stalled():
@@ -286,8 +296,14 @@
                 self.now,
             )
         )
+        self._after(0.005, self._probe, call)
         return call
 
+    def _probe(self, call):
+        if self._upstreams[call.upstream].life == call.life:
+            _, evidence = self._entries[call.entry]
+            evidence.record_accepted_connection(str(call.upstream), self.now)
+
     def _record_end(self, number, broken):
         entries = {call.entry for call in broken}
         for entry in sorted(entries):
--- a/tests/relay/test_crash_evidence.py
+++ b/tests/relay/test_crash_evidence.py
@@ -55,6 +55,46 @@
         ended = evidence.record_end(ADDRESS, 2 + EVIDENCE_WINDOW_S)
         self.assertEqual(ended, [])
 
+    def test_call_that_its_upstream_outlived_does_not_count(self):
+        evidence = CrashEvidence()
+        cut_off, later = broken_call('a'), broken_call('b', 4, 5)
+        evidence.record_broken_call(cut_off)
+        evidence.record_broken_call(later)
+        outlived = evidence.record_response(ADDRESS, INCARNATION, 3)
+        self.assertEqual(outlived, [cut_off])
+        self.assertEqual(evidence.record_end(ADDRESS, 6), [later])
+
+    def test_response_of_another_incarnation_proves_nothing(self):
+        evidence = CrashEvidence()
+        call = broken_call()
+        evidence.record_broken_call(call)
+        self.assertEqual(evidence.record_response(ADDRESS, 'i-2@0', 3), [])
+        self.assertEqual(evidence.record_end(ADDRESS, 4), [call])
+
+    def test_response_to_an_earlier_call_proves_nothing(self):
+        evidence = CrashEvidence()
+        call = broken_call()
+        evidence.record_broken_call(call)
+        self.assertEqual(
+            evidence.record_response(ADDRESS, INCARNATION, 1.5), []
+        )
+        self.assertEqual(evidence.record_end(ADDRESS, 4), [call])
+
+    def test_call_before_an_accepted_connection_does_not_count(self):
+        evidence = CrashEvidence()
+        evidence.record_broken_call(broken_call())
+        evidence.record_accepted_connection(ADDRESS, 2.1)
+        later = broken_call('later', 3, 4)
+        evidence.record_broken_call(later)
+        self.assertEqual(evidence.record_end(ADDRESS, 5), [later])
+
+    def test_successor_may_have_accepted_the_connection(self):
+        evidence = CrashEvidence()
+        call = broken_call()
+        evidence.record_broken_call(call)
+        evidence.record_accepted_connection(ADDRESS, 2.1)
+        self.assertEqual(evidence.record_successor(ADDRESS, 5), [call])
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/relay/test_crash_search.py
+++ b/tests/relay/test_crash_search.py
@@ -8,6 +8,7 @@
 import unittest
 from types import MappingProxyType
 
+from snipebend.relay.causes import is_part_key
 from tests.relay.crash_simulation import (
     MAX_LATER,
     CrashSimulation,
@@ -38,6 +39,18 @@
     }
 )
 
+#: Scenarios without a crashing part: upstreams end for other reasons.
+SOUND = MappingProxyType(
+    {
+        'all end once': Scenario(bad_rate=1e-9, mass_ends=(8.0,)),
+        'all end twice': Scenario(bad_rate=1e-9, mass_ends=(8.0, 14.0)),
+        'group ends': Scenario(
+            upstreams=16, group=True, bad_rate=1e-9, mass_ends=(8.0, 16.0)
+        ),
+    }
+)
+
+
 #: So many bad requests that no upstream lives for long; they stop after a time.
 FLOODS = MappingProxyType(
     {
@@ -79,6 +92,15 @@
         self.assertEqual(sent_on, {})
         self.assertEqual(refused, {})
 
+    def test_failures_of_many_upstreams_quarantine_nothing(self):
+        quarantined = {
+            name: sorted(table.quarantined)
+            for name, outcome in run_all(SOUND).items()
+            for table, _ in outcome.entries
+            if any(map(is_part_key, table.quarantined))
+        }
+        self.assertEqual(quarantined, {})
+
     def test_sound_requests_are_served_again_after_a_flood(self):
         refused = {
             name: dict(outcome.sound)
