Check crashing parts at a second entry, and ends that calls are not blamed for

An entry that has only another one's report refuses the part and serves all else. Calls that break while their upstream goes on are dropped when a connection or a response shows that it did; the end that follows is counted against the request that it broke.

--- a/tests/edge/crashing_upstreams.py
+++ b/tests/edge/crashing_upstreams.py
@@ -26,6 +26,8 @@
         self._crashes = crashes
         self._writers = set()
         self.ended = False
+        #: Whether it breaks its calls and goes on.
+        self.broken = False
 
     async def end(self):
         """End with all calls in progress."""
@@ -36,6 +38,8 @@
 
     async def _respond(self, req, writer):
         self._writers.add(writer)
+        if self.broken:
+            return False
         if self._crashes(req):
             await self.end()
             return False
--- a/tests/edge/test_crashing_parts.py
+++ b/tests/edge/test_crashing_parts.py
@@ -9,6 +9,7 @@
 import unittest
 from itertools import product
 
+from snipebend.hashing.part_keys import is_part_key, make_part_keys
 from tests.edge.crashing_upstreams import crashing_fleet, has_part
 
 #: Upstreams that may end before requests with the part are refused.
@@ -41,6 +42,39 @@
         self.assertGreater(float(bad.headers['retry-after']), 60)
         self.assertEqual(sound.status, 200)
 
+    async def test_other_entry_refuses_the_part(self):
+        bad = has_part('bad')
+        async with (
+            crashing_fleet(UPSTREAMS, bad) as fleet,
+            crashing_fleet(1, bad) as other,
+        ):
+            for _ in range(LIMIT):
+                await fleet.send('bad')
+            reports = fleet.relay.service.make_crash_reports()
+            other.relay.service.apply_crashes('entry-1', reports)
+            refused = await other.send('bad')
+            sound = await other.send('system')
+            ended = other.ended
+        self.assertEqual(ended, 0)
+        self.assertEqual((refused.status, sound.status), (503, 200))
+
+    async def test_end_does_not_count_for_calls_that_the_upstream_outlived(
+        self,
+    ):
+        async with crashing_fleet(1, has_part('bad')) as fleet:
+            upstream = fleet.upstreams[0]
+            for part in ('a', 'b'):
+                upstream.broken = True
+                await fleet.send(part, path='/unsafe/')
+                upstream.broken = False
+                await fleet.send('other', path='/unsafe/')
+            await fleet.send('bad', path='/unsafe/')
+            # Finds that connections are refused.
+            await fleet.send('other', path='/unsafe/')
+            suspects = fleet.relay.service.make_crash_reports()
+        parts = {key for key in suspects if is_part_key(key)}
+        self.assertEqual(parts, set(make_part_keys(['bad'])))
+
     async def _count_ends(self, place, path):
         async with crashing_fleet(UPSTREAMS, has_part('bad')) as fleet:
             for _ in range(UPSTREAMS):
