Let cleared parts delay no retry, and drop them after a minute

A retry waits for the probe of the upstream that broke its call if one more end could quarantine the request. With parts counted, nearly every request has one that some upstreams have ended under and that was cleared since, so that each retry waited, up to the connect timeout of 0.4 s where an upstream is silent; and such parts were kept for as long as a quarantine. Only ends that still count do so now, and cleared suspects are kept for a minute. Found on reading; the new test fails before.

--- a/src/snipebend/relay/crash_store.py
+++ b/src/snipebend/relay/crash_store.py
@@ -44,8 +44,8 @@
     def __init__(self, crash_limit: int, quarantine_s: float) -> None:
         """Create an empty store.
 
-        Suspects with ``crash_limit`` ends are kept for ``quarantine_s`` seconds
-        after the last one.
+        Suspects with ``crash_limit`` ends that are not cleared are kept for
+        ``quarantine_s`` seconds after the last one.
         """
         self.suspects: dict[str, CrashSuspect] = {}
         self._crash_limit = crash_limit
@@ -118,7 +118,7 @@
 
     def expires_at(self, suspect: CrashSuspect) -> float:
         """Return until when a suspect is kept."""
-        if len(suspect.ends) >= self._crash_limit:
+        if len(suspect.ends) >= self._crash_limit and not suspect.is_cleared:
             return suspect.last_ended_at + self._quarantine_s
         return suspect.last_ended_at + SUSPECT_RETENTION_S
 
--- a/src/snipebend/relay/crash_table.py
+++ b/src/snipebend/relay/crash_table.py
@@ -158,8 +158,9 @@
 
     def may_reach_limit(self, causes: RequestCauses, further: int) -> bool:
         """Return whether further ends would quarantine the request."""
-        most = max(map(self.crashes, causes.keys))
-        return most + further >= self._crash_limit
+        suspects = self._store.find(causes.keys).values()
+        counts = (len(suspect.list_ends(())) for suspect in suspects)
+        return max(counts, default=0) + further >= self._crash_limit
 
     def _try(
         self, causes: RequestCauses, quarantined: Collection[str], now: float
--- a/tests/relay/test_crash_table.py
+++ b/tests/relay/test_crash_table.py
@@ -186,6 +186,18 @@
         other.apply_report(table.make_report(2.5), 2.6)
         self.assertEqual(other.quarantined, {'part:bad'})
 
+    def test_cleared_part_delays_no_retry_and_is_soon_dropped(self):
+        table = make_table()
+        causes = RequestCauses('sound', ('a',))
+        end_under_parts(table, ('a',), (1, 2))
+        self.assertTrue(table.may_reach_limit(causes, 1))
+        table.record_survival(causes, 3)
+        end_under_parts(table, ('a',), (4,))
+        table.record_survival(causes, 5)
+        self.assertFalse(table.may_reach_limit(causes, 1))
+        table.make_report(4 + SUSPECT_RETENTION_S)
+        self.assertEqual(table.crashes('part:a'), 0)
+
     def test_upstreams_that_fail_together_count_once(self):
         table = make_table()
         for number in range(14):
