--- a/bench/entry_load.py
+++ b/bench/entry_load.py
@@ -26,9 +26,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 from unittest import mock
 
-from snipebend.relay import upstream_selection
+from snipebend.relay import upstream_views
 from snipebend.relay.retry_after import busy_retry_after_s
-from snipebend.relay.upstream_selection import CallRequirements, select_upstream
+from snipebend.relay.upstream_selection import select_upstream
+from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.state.roster import UpstreamRecord
 
@@ -81,15 +82,15 @@
 
 
 POLICIES = (
-    Policy('default', upstream_selection.QUEUE_SHARE),
+    Policy('default', upstream_views.QUEUE_SHARE),
     Policy('no waiting calls', 0),
-    Policy('calls known at once', upstream_selection.QUEUE_SHARE, 0),
-    Policy('calls known 0.2 s late', upstream_selection.QUEUE_SHARE, 0.2),
-    Policy('sample of 64', upstream_selection.QUEUE_SHARE, sample_size=64),
-    Policy('sample of 16', upstream_selection.QUEUE_SHARE, sample_size=16),
-    Policy('sample of 8', upstream_selection.QUEUE_SHARE, sample_size=8),
-    Policy('sample of 4', upstream_selection.QUEUE_SHARE, sample_size=4),
-    Policy('sample of 2', upstream_selection.QUEUE_SHARE, sample_size=2),
+    Policy('calls known at once', upstream_views.QUEUE_SHARE, 0),
+    Policy('calls known 0.2 s late', upstream_views.QUEUE_SHARE, 0.2),
+    Policy('sample of 64', upstream_views.QUEUE_SHARE, sample_size=64),
+    Policy('sample of 16', upstream_views.QUEUE_SHARE, sample_size=16),
+    Policy('sample of 8', upstream_views.QUEUE_SHARE, sample_size=8),
+    Policy('sample of 4', upstream_views.QUEUE_SHARE, sample_size=4),
+    Policy('sample of 2', upstream_views.QUEUE_SHARE, sample_size=2),
 )
 
 
@@ -284,9 +285,7 @@
 def run_policy(policy: Policy, load: float) -> dict[str, float]:
     """Return the shares of requests by outcome over all seeds."""
     ended: Counter[str] = Counter()
-    with mock.patch.object(
-        upstream_selection, 'QUEUE_SHARE', policy.waiting_share
-    ):
+    with mock.patch.object(upstream_views, 'QUEUE_SHARE', policy.waiting_share):
         for seed in SEEDS:
             ended.update(Simulation(policy, load, seed).run())
     total = sum(ended.values())
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -1,4 +1,4 @@
-"""Admits requests, selects their upstreams, and counts the calls."""
+"""Admits requests, and connects the parts of an entry that serve them."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from snipebend.edge.refusal_writer import RefusalWriter
 from snipebend.edge.relay_meters import GaugeSources, RelayMeters
 from snipebend.edge.relayed_request import RelayedRequest
+from snipebend.edge.upstream_chooser import UpstreamChooser
 from snipebend.edge.upstream_notices import UpstreamNotices
 from snipebend.edge.upstream_pool import UpstreamPool
 from snipebend.kernel.service import Service
@@ -23,17 +24,11 @@
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.retry_after import document_wait_deadline
 from snipebend.relay.pass_times import PassTimeMeter
-from snipebend.relay.upstream_selection import (
-    CallRequirements,
-    NoCapacity,
-    earliest_backoff_end,
-    select_upstream,
-)
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.routing.retry_budget import RetryBudget, allowance_per_entry
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
     from snipebend.edge.call import Call
     from snipebend.edge.upstream_pool import ProbeOutcome
@@ -91,6 +86,13 @@
             self.dialect, self._follower, self.meters
         )
         self.limits = RateLimitTracker(self.now, self.meters)
+        self.chooser = UpstreamChooser(
+            self._upstreams,
+            self.limits,
+            self._cfg.process.data_center,
+            self.now,
+            self._rng,
+        )
         self.crashes = CrashTracker(
             self._cfg.relay,
             self.now,
@@ -159,43 +161,6 @@
         """Return monotonic seconds."""
         return self._clock.now()
 
-    def select_upstream(
-        self, admitted: Admitted, tried: Sequence[str]
-    ) -> Upstream | None:
-        """Return an upstream for a call, or None if none has capacity."""
-        if not self.limits.table:
-            return self._select_upstream(admitted, tried)
-        selected = self._select_upstream(admitted, tried)
-        if selected is None or not self.limits.seconds_until_room(selected):
-            return selected
-        self.limits.log_diverted_call(
-            admitted.facts.request_id, admitted.service, selected
-        )
-        return self._select_upstream(admitted, tried, within_limits=True)
-
-    def has_alternative(self, admitted: Admitted, tried: Sequence[str]) -> bool:
-        """Return whether another upstream can accept a call now."""
-        found = self._select_upstream(admitted, tried, within_limits=True)
-        return found is not None
-
-    def find_capacity_wait(
-        self, admitted: Admitted, tried: Sequence[str]
-    ) -> NoCapacity | None:
-        """Return why and until when upstreams accept no calls, if known."""
-        now = self.now()
-        candidates = self._upstreams.list_service(admitted.service)
-        backoff_ends_at = earliest_backoff_end(candidates, now)
-        if backoff_ends_at is not None:
-            return NoCapacity(
-                'all upstreams asked for a rest', backoff_ends_at - now
-            )
-        wait_s = self.limits.seconds_until_room(
-            self._select_upstream(admitted, tried)
-        )
-        if wait_s:
-            return NoCapacity('limits leave no room', wait_s)
-        return None
-
     def record_pause(
         self, upstream: Upstream, events: int, seconds: float
     ) -> None:
@@ -288,23 +253,6 @@
             timeout_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: call.drain(timeout_s))
 
-    def _select_upstream(
-        self,
-        admitted: Admitted,
-        tried: Sequence[str],
-        *,
-        within_limits: bool = False,
-    ) -> Upstream | None:
-        requirements = CallRequirements(
-            self._cfg.process.data_center, admitted.route.gap_s, tried
-        )
-        candidates: Sequence[Upstream] = self._upstreams.list_service(
-            admitted.service
-        )
-        if within_limits:
-            candidates = self.limits.filter_with_room(candidates)
-        return select_upstream(candidates, requirements, self.now(), self._rng)
-
     def _retries_left(self) -> dict[str, float]:
         return {name: one.left for name, one in self._budgets.items()}
 
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -106,7 +106,7 @@
 
     async def _call_until_done(self) -> None:
         while not self._refuse_if_quarantined():
-            upstream = self._relay.select_upstream(self._admitted, self._tried)
+            upstream = self._relay.chooser.select(self._admitted, self._tried)
             if upstream is None:
                 self._final.refuse_no_capacity(
                     may_have_run=self._may_have_run,
@@ -130,7 +130,9 @@
         return True
 
     def _find_capacity_wait(self) -> NoCapacity | None:
-        return self._relay.find_capacity_wait(self._admitted, self._tried)
+        return self._relay.chooser.find_capacity_wait(
+            self._admitted, self._tried
+        )
 
     async def _call(self, upstream: Upstream) -> CallResult | None:
         """Call one upstream; return None when the caller has a response."""
@@ -365,7 +367,9 @@
             runs_left=self._route.max_attempts - self._runs,
             attempts_left=MAX_CALLS - len(self._tried),
             time_left_s=self._time_left_s(),
-            other_available=self._relay.has_alternative(admitted, self._tried),
+            other_available=self._relay.chooser.has_alternative(
+                admitted, self._tried
+            ),
             may_have_run=self._may_have_run,
         )
 
--- /dev/null
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -0,0 +1,89 @@
+"""Chooses upstreams for the calls of one entry, within their limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.relay.upstream_selection import (
+    NoCapacity,
+    earliest_backoff_end,
+    select_upstream,
+)
+from snipebend.relay.upstream_views import CallRequirements
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from snipebend.edge.rate_limit_tracker import RateLimitTracker
+    from snipebend.relay.admission import Admitted
+    from snipebend.relay.upstreams import Upstream, UpstreamTable
+
+
+class UpstreamChooser:
+    """Chooses from the upstreams that the entry knows."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamTable,
+        limits: RateLimitTracker,
+        data_center: str,
+        now: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        """Keep the upstreams, and the data centre of the entry."""
+        self._upstreams = upstreams
+        self._limits = limits
+        self._data_center = data_center
+        self._now = now
+        self._rng = rng
+
+    def select(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> Upstream | None:
+        """Return an upstream for a call, or None if none has capacity."""
+        selected = self._select(admitted, tried)
+        if not self._limits.seconds_until_room(selected):
+            return selected
+        assert selected is not None
+        self._limits.log_diverted_call(
+            admitted.facts.request_id, admitted.service, selected
+        )
+        return self._select(admitted, tried, within_limits=True)
+
+    def has_alternative(self, admitted: Admitted, tried: Sequence[str]) -> bool:
+        """Return whether another upstream can accept a call now."""
+        return self._select(admitted, tried, within_limits=True) is not None
+
+    def find_capacity_wait(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> NoCapacity | None:
+        """Return why and until when upstreams accept no calls, if known."""
+        now = self._now()
+        candidates = self._upstreams.list_service(admitted.service)
+        backoff_ends_at = earliest_backoff_end(candidates, now)
+        if backoff_ends_at is not None:
+            return NoCapacity(
+                'all upstreams asked for a rest', backoff_ends_at - now
+            )
+        wait_s = self._limits.seconds_until_room(self._select(admitted, tried))
+        if wait_s:
+            return NoCapacity('limits leave no room', wait_s)
+        return None
+
+    def _select(
+        self,
+        admitted: Admitted,
+        tried: Sequence[str],
+        *,
+        within_limits: bool = False,
+    ) -> Upstream | None:
+        requirements = CallRequirements(
+            self._data_center, admitted.route.gap_s, tried
+        )
+        candidates: Sequence[Upstream] = self._upstreams.list_service(
+            admitted.service
+        )
+        if within_limits:
+            candidates = self._limits.filter_with_room(candidates)
+        return select_upstream(candidates, requirements, self._now(), self._rng)
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -7,26 +7,15 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from snipebend.relay.upstream_views import view_candidates
+
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
     from random import Random
 
+    from snipebend.relay.upstream_views import CallRequirements, UpstreamView
     from snipebend.relay.upstreams import Upstream
 
-#: Calls that may queue at an upstream, as a share of its slots: it starts a
-#: queued call without the round trip that an entry would need.
-QUEUE_SHARE = 1.0
-
-
-class CallRequirements(NamedTuple):
-    """What one call requires of its upstream."""
-
-    data_center: str
-    #: Longest pause in its stream that is still on time, in seconds; 0: any.
-    allowed_pause_s: float = 0
-    #: Identities of the upstreams that were called before.
-    tried: Collection[str] = ()
-
 
 class NoCapacity(NamedTuple):
     """Why no upstream accepts a call, when the end of it is known."""
@@ -66,11 +55,8 @@
     that all picked the first one would overload it.
     """
     ranked = [
-        (_sort_key(upstream, requirements, now, rng), upstream)
-        for upstream in candidates
-        if upstream.is_open(now)
-        and upstream.record.identity not in requirements.tried
-        and _has_free_slot(upstream)
+        (_sort_key(view, rng), view.upstream)
+        for view in view_candidates(candidates, requirements, now)
     ]
     if not ranked:
         return None
@@ -93,22 +79,13 @@
     return min(ends, default=None)
 
 
-def _has_free_slot(upstream: Upstream) -> bool:
-    limit = upstream.record.slots * (1 + QUEUE_SHARE)
-    return upstream.calls < limit
-
-
-def _sort_key(
-    upstream: Upstream, requirements: CallRequirements, now: float, rng: Random
-) -> _SortKey:
-    group = upstream.group
+def _sort_key(view: UpstreamView, rng: Random) -> _SortKey:
     return _SortKey(
-        group is not None and group.is_down(now),
-        group is not None
-        and group.is_too_slow(now, requirements.allowed_pause_s),
-        upstream.refusals.is_avoided(now),
-        upstream.slow,
-        upstream.calls / max(1, upstream.record.slots),
-        upstream.record.data_center != requirements.data_center,
+        view.is_down,
+        view.is_too_slow,
+        view.is_avoided,
+        view.is_slow,
+        view.load,
+        view.is_remote,
         rng.random(),
     )
--- /dev/null
+++ b/src/snipebend/relay/upstream_views.py
@@ -0,0 +1,81 @@
+"""What an upstream can take now, judged once for all decisions of an entry.
+
+Choice, admission, retries and resumed streams read these views and no other
+state of an upstream, so that they can't disagree. Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from snipebend.relay.upstreams import Upstream
+
+#: Calls that may queue at an upstream, as a share of its slots: it starts a
+#: queued call without the round trip that an entry would need.
+QUEUE_SHARE = 1.0
+
+
+class CallRequirements(NamedTuple):
+    """What one call requires of its upstream."""
+
+    data_center: str
+    #: Longest pause in its stream that is still on time, in seconds; 0: any.
+    allowed_pause_s: float = 0
+    #: Identities of the upstreams that were called before.
+    tried: Collection[str] = ()
+
+
+class UpstreamView(NamedTuple):
+    """One upstream as a decision about a call sees it."""
+
+    upstream: Upstream
+    #: Calls that it can begin now; 0 or less: it is full.
+    free_calls: float
+    #: Whether its group is known to have stopped.
+    is_down: bool
+    #: Whether its group makes every stream late.
+    is_too_slow: bool
+    #: Whether it has refused requests or broken calls lately.
+    is_avoided: bool
+    #: Whether it slows down its group.
+    is_slow: bool
+    #: Calls in progress relative to what it runs concurrently.
+    load: float
+    #: Whether it is in another data centre than the entry.
+    is_remote: bool
+
+
+def view_upstream(
+    upstream: Upstream, requirements: CallRequirements, now: float
+) -> UpstreamView:
+    """Return the view of an upstream that may be given work."""
+    group = upstream.group
+    record = upstream.record
+    calls = upstream.calls
+    return UpstreamView(
+        upstream,
+        record.slots * (1 + QUEUE_SHARE) - calls,
+        group is not None and group.is_down(now),
+        group is not None
+        and group.is_too_slow(now, requirements.allowed_pause_s),
+        upstream.refusals.is_avoided(now),
+        upstream.slow,
+        calls / max(1, record.slots),
+        record.data_center != requirements.data_center,
+    )
+
+
+def view_candidates(
+    upstreams: Iterable[Upstream], requirements: CallRequirements, now: float
+) -> list[UpstreamView]:
+    """Return the views of those upstreams that a call may go to now."""
+    return [
+        view
+        for upstream in upstreams
+        if upstream.is_open(now)
+        and upstream.record.identity not in requirements.tried
+        and (view := view_upstream(upstream, requirements, now)).free_calls > 0
+    ]
--- a/tests/relay/test_backoff.py
+++ b/tests/relay/test_backoff.py
@@ -11,10 +11,10 @@
 from unittest import mock
 
 from snipebend.relay.upstream_selection import (
-    CallRequirements,
     earliest_backoff_end,
     select_upstream,
 )
+from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import Upstream, UpstreamTable
 from snipebend.state.roster import RosterPhase, UpstreamRecord
 
--- a/tests/relay/test_refusals.py
+++ b/tests/relay/test_refusals.py
@@ -20,7 +20,8 @@
     RefusalHistory,
     RefusalReport,
 )
-from snipebend.relay.upstream_selection import CallRequirements, select_upstream
+from snipebend.relay.upstream_selection import select_upstream
+from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.state.roster import UpstreamRecord
 
--- a/tests/relay/test_upstream_selection.py
+++ b/tests/relay/test_upstream_selection.py
@@ -17,7 +17,8 @@
     PASS_TIME_MAX_AGE_S,
     UpstreamGroup,
 )
-from snipebend.relay.upstream_selection import CallRequirements, select_upstream
+from snipebend.relay.upstream_selection import select_upstream
+from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import (
     INITIAL_PAUSE_S,
     MAX_PAUSE_S,
