Keep what engines and services declare of their speed and of cold starts

The document names how long a step takes, how fast a prompt is read, how long a group forms, and how many requests a cold upstream accepts; none of it was kept. Nothing reads it yet: decisions are as before.

--- a/src/snipebend/hosts/model.py
+++ b/src/snipebend/hosts/model.py
@@ -80,6 +80,16 @@
     expert_share: float = 0
     #: Age of an engine's reports in seconds.
     report_lag_s: float = 0.5
+    #: Seconds of one token step without requests, and for each one that writes.
+    step_s: float = 0
+    request_step_s: float = 0
+    #: Steps of one pass, after which a stream has its next event.
+    pass_steps: int = 1
+    #: Prompt tokens read per second, and at most in one step.
+    read_per_s: float = 0
+    read_per_step: int = 0
+    #: Seconds from the return of a lost rank until its group works again.
+    form_s: float = 0
 
 
 class HostService(NamedTuple):
@@ -90,6 +100,11 @@
     #: Connections that one upstream accepts from all callers together.
     max_connections: int
     engine: EngineProfile | None = None
+    #: Seconds for which an upstream is cold after its start.
+    cold_start_s: float = 0
+    #: Requests per second that a cold upstream accepts from all entries; 0:
+    #: its upstreams are never cold.
+    cold_per_s: float = 0
 
 
 class HostWorkspace(NamedTuple):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -51,6 +51,8 @@
                 'name': 's-1',
                 'health_path': '/healthz',
                 'max_connections': 418,
+                'cold_start_s': 3.0,
+                'cold_per_s': 26.0,
                 'engine': {
                     'slots': 6,
                     'kv_tokens': 140000,
@@ -61,6 +63,12 @@
                     'spare': 2,
                     'expert_mb': 2500.0,
                     'expert_share': 0.85,
+                    'step_ms': 4.84,
+                    'per_seq_ms': 0.87,
+                    'stride': 7,
+                    'read_per_s': 74800.0,
+                    'chunk': 512,
+                    'form_ms': 600.0,
                 },
             },
             {'name': 's-2', 'health_path': '/healthz', 'max_connections': 110},
@@ -104,7 +112,13 @@
         engine = table.services[0].engine
         self.assertEqual((engine.layers, engine.experts), (4, 64))
         self.assertAlmostEqual(engine.fetch_s, 0.1111, 4)
+        self.assertEqual((engine.pass_steps, engine.read_per_step), (7, 512))
+        self.assertEqual(engine.read_per_s, 74800.0)
+        self.assertEqual((engine.step_s, engine.form_s), (0.00484, 0.6))
+        self.assertAlmostEqual(engine.request_step_s, 0.00087, 6)
         self.assertIsNone(table.services[1].engine)
+        cold = [(one.cold_start_s, one.cold_per_s) for one in table.services]
+        self.assertEqual(cold, [(3.0, 26.0), (0, 0)])
         self.assertEqual(table.limits.input_timeout_s, 15.0)
         self.assertEqual(table.workspaces[0].keys, ('k1', 'k2'))
 
