Read the relay service's clock at each choice of an upstream

The chooser had bound the service's clock when it was built, so that a test that stops that clock (edge.test_breaking_upstreams, an upstream called again after its pause) saw the choice on the real one: it failed in the first whole run of the checks, on a machine that had been up for less than the test's fixed time. Not the pause, nor the load beside it: it failed each time until this change, and passes on the code before the chooser.

--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -90,7 +90,8 @@
             self._upstreams,
             self.limits,
             self._cfg.process.data_center,
-            self.now,
+            # Looked up at each use, as a test may stop this service's clock.
+            lambda: self.now(),
             self._rng,
         )
         self.crashes = CrashTracker(
