Count a failure of many upstreams once for parts that were never served

Of upstreams that fail together, each counted against a part that was never served and that some of them ran: two failures of all upstreams quarantined it. A request with a crashing part ends its upstreams by itself, so most upstreams that end in that moment run it. An end now counts only once in a moment in which more than twice as many upstreams ended as ran the part. Upstreams with the part may be known first, so a quarantine that later ends refute is lifted.

Ruled out: asking for a part that all broken calls share, since the first part of most prompts is shared by all of them and was served.

--- a/src/snipebend/relay/crash_causes.py
+++ b/src/snipebend/relay/crash_causes.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from snipebend.hashing.part_keys import is_part_key
+from snipebend.relay.crash_moments import KnownEnds
 from snipebend.relay.crash_suspect import MIN_REQUESTS
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
         for key, suspect in suspects.items()
         if key not in known and len(suspect.ends) >= crash_limit
     }
+    if not candidates:
+        return []
+    ends = KnownEnds(suspects.values(), explained)
     found: list[str] = []
     for has_survivals in (False, True):
         eligible = {
@@ -43,12 +47,39 @@
             for key, suspect in candidates.items()
             if suspect.has_survivals is has_survivals
         }
-        found += _select(eligible, explained, crash_limit)
+        found += _select(eligible, ends, explained, crash_limit)
     return found
 
 
+def find_refuted(
+    suspects: Mapping[str, CrashSuspect],
+    known: Collection[str],
+    crash_limit: int,
+) -> set[str]:
+    """Return the ``known`` causes that later ends show to be sound.
+
+    Of upstreams that fail together, those with the suspect may be known first.
+    """
+    doubtful = {
+        key: suspects[key]
+        for key in known
+        if is_part_key(key) and not suspects[key].has_survivals
+    }
+    if not doubtful:
+        return set()
+    ends = KnownEnds(suspects.values(), ())
+    return {
+        key
+        for key, suspect in doubtful.items()
+        if suspect.count_separate_ends((), ends) < crash_limit
+    }
+
+
 def _select(
-    candidates: dict[str, CrashSuspect], explained: set[str], crash_limit: int
+    candidates: dict[str, CrashSuspect],
+    ends: KnownEnds,
+    explained: set[str],
+    crash_limit: int,
 ) -> list[str]:
     """Return the suspects that explain most ends, then those left over.
 
@@ -58,7 +89,7 @@
     remaining = candidates
     while remaining:
         counts = {
-            key: _count(key, suspect, explained, crash_limit)
+            key: _count(key, suspect, ends, explained, crash_limit)
             for key, suspect in remaining.items()
         }
         most = max(counts.values())
@@ -79,6 +110,7 @@
 def _count(
     key: str,
     suspect: CrashSuspect,
+    ends: KnownEnds,
     explained: Container[str],
     crash_limit: int,
 ) -> int:
@@ -95,7 +127,7 @@
     # end in the middle of its responses: activity spares it only once.
     if suspect.is_active:
         limit += 1
-    count = suspect.count_separate_ends(explained)
+    count = suspect.count_separate_ends(explained, ends)
     return count if count >= limit else 0
 
 
--- a/src/snipebend/relay/crash_suspect.py
+++ b/src/snipebend/relay/crash_suspect.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
+    from snipebend.relay.crash_moments import KnownEnds
     from snipebend.relay.crash_report import UpstreamEnd
 
 #: Most ends that are kept of one suspect; the oldest is dropped first.
@@ -147,22 +148,30 @@
         ]
         return sorted(found, key=lambda end: end.ended_at)
 
-    def count_separate_ends(self, explained: Container[str]) -> int:
+    def count_separate_ends(
+        self, explained: Container[str], known: KnownEnds
+    ) -> int:
         """Return how many of these ends are not of one common failure.
 
         Upstreams that fail together count once, whatever they run. The call
         under which another one ends begins or ends clearly after them. What was
         never served counts each time that it ends an upstream before the first
-        response.
+        response, unless most of the upstreams that end in that moment don't run
+        it.
         """
         count = 0
         last_ended_at = -math.inf
-        for end in self.list_ends(explained):
+        ends = self.list_ends(explained)
+        for end in ends:
             separate_at = last_ended_at + SEPARATION_S
             if (
                 end.began_at >= last_ended_at
                 or end.ended_at >= separate_at
-                or not (end.responding or self.has_survivals)
+                or not (
+                    end.responding
+                    or self.has_survivals
+                    or known.is_common_failure(end, ends)
+                )
             ):
                 count += 1
                 last_ended_at = end.ended_at
--- a/src/snipebend/relay/crash_table.py
+++ b/src/snipebend/relay/crash_table.py
@@ -18,7 +18,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from snipebend.relay.crash_causes import find_causes
+from snipebend.relay.crash_causes import find_causes, find_refuted
 from snipebend.relay.crash_store import CrashStore
 from snipebend.relay.crash_trials import may_try
 
@@ -180,13 +180,15 @@
     def _decide(self) -> frozenset[str]:
         """Quarantine the causes of ends; return the new ones.
 
-        A suspect stays quarantined until it is cleared or expires.
+        A suspect stays quarantined until it is cleared, refuted or expires.
         """
         self._store.drop_surplus(self.quarantined)
         suspects = self._store.find(self.quarantined)
         kept = {
             key for key, suspect in suspects.items() if not suspect.is_cleared
         }
-        found = find_causes(self._store.suspects, kept, self._crash_limit)
+        known = self._store.suspects
+        kept -= find_refuted(known, kept, self._crash_limit)
+        found = find_causes(known, kept, self._crash_limit)
         self.quarantined = frozenset(kept.union(found))
         return frozenset(found)
