Evacuate data centres by order

Operators could not keep work from a data centre: both orders were answered 404. Views of upstreams there are closed, so that first calls, retries and resumed streams go elsewhere; a call that was chosen is checked again before it is sent. If all of a service is evacuated, requests are refused at once. What runs there ends there.

An order names the revision that its daemon knew, so that a late copy after a later acknowledgement changes nothing. Each acknowledged order raises the revision, also one that changes nothing: otherwise a start that was given up, and whose end was acknowledged, could still be carried out. A daemon that has just stood still, or whose operator has disconnected, refuses the order: after the thaw it may have applied later revisions before it reads the old order. Ruled out: to learn the revision by a linearizable read, which would make an old order look new.

--- a/src/snipebend/daemons/host_control.py
+++ b/src/snipebend/daemons/host_control.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.daemons.running import build_admin, connect_admin
 from snipebend.experts.group_pass_times import GroupPassTimes
 from snipebend.kernel.process import Process
 from snipebend.settings.seeds import split_address
+from snipebend.transport.evacuation_service import EvacuationService
 from snipebend.transport.group_api import GroupApi
 from snipebend.balancing.group_balancer import GroupBalancer
 from snipebend.transport.host_service import HostService
@@ -23,10 +24,19 @@
     from snipebend.settings.model import ControlSettings
 
 
+class HostControl(NamedTuple):
+    """The process, and the parts that its outer HTTP server's routes use."""
+
+    process: Process
+    host_service: HostService
+    evacuations: EvacuationService
+    outer: HttpServer
+
+
 def build_host_control(
     cfg: ControlSettings, link: EngineLink, read_table: TableParser
-) -> tuple[Process, HostService, HttpServer]:
-    """Build the process; return it, its host service and its outer HTTP server.
+) -> HostControl:
+    """Build the process with its parts.
 
     The outer server gets its routes from the caller.
     """
@@ -34,11 +44,13 @@
     grpc = RpcServer('grpc', cfg.listen.host, cfg.listen.grpc_port)
     outer = HttpServer('outer', *split_address(cfg.outer))
     host_service = HostService('hosts', grpc)
+    evacuations = EvacuationService('evacuations', grpc, cfg.data_centers)
     pass_times = GroupPassTimes()
     table = TableReader(host_service, read_table).read
     services = [
         ReplicatedState('state', cfg),
         host_service,
+        evacuations,
         GroupApi('group-api', grpc),
         GroupBalancer('balancer', link, table, pass_times),
         grpc,
@@ -47,7 +59,7 @@
         admin,
     ]
     process = connect_admin(Process(cfg.process.name, services), admin)
-    return process, host_service, outer
+    return HostControl(process, host_service, evacuations, outer)
 
 
 class TableReader:
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -18,6 +18,7 @@
 from result import Result
 
 from snipebend.edge.document_fetcher import DocumentFetcher
+from snipebend.edge.evacuations import EvacuationTracker
 from snipebend.errors.hierarchy import InvalidInputError, UnavailableError
 from snipebend.hosts.lookup import HostIndex
 from snipebend.hosts.model import HostTable
@@ -88,6 +89,7 @@
         self._entry_directory = EntryDirectory()
         #: The other entries, including those that are cut off now.
         self.fleet = FleetMembers()
+        self.evacuations = EvacuationTracker()
         #: Called after each update.
         self.on_update: Callable[[], None] = _ignore_update
         #: Called with the group statuses; with none while no daemon sends any.
@@ -176,6 +178,7 @@
             'watched': sorted(self._watched),
             'entries': sorted(self.entries),
             'news_age_s': self.update_age_s,
+            'evacuations': self.evacuations.dump(),
         }
 
     async def _watch_seeds(self) -> None:
@@ -253,6 +256,7 @@
         self.updated_at = now
         if self._first_update_at is None:
             self._first_update_at = now
+        self.evacuations.apply(update.evacuations, address)
         if update.document and update.number > self._number:
             # Sent by a daemon of an earlier version.
             self._fetcher.record_received(update.number)
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -103,6 +103,10 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._evacuated = meter.create_counter(
+            'snipebend_relay_calls_evacuated',
+            description='calls sent to evacuated data centres, must be 0',
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -139,6 +143,10 @@
         """Count an upstream that requests a backoff or shuts down."""
         self._declined.add(1, {'service': service, 'reason': reason})
 
+    def count_evacuated_call(self, service: str) -> None:
+        """Count a call sent to an evacuated data centre."""
+        self._evacuated.add(1, {'service': service})
+
     def count_crash(self) -> None:
         """Count the end of an upstream under a request."""
         self._crashes.add(1)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -184,14 +184,18 @@
         )
 
     def _release_if_declined(self, call: Call) -> CallResult | None:
-        """Release the connection if the upstream has stopped accepting work.
+        """Release the connection if the upstream must not get work any more.
 
-        Its notice may have been received while the connection was opened.
+        Its notice, or the evacuation of its data centre, may have been received
+        while the connection was opened.
         """
-        if not call.upstream.declines_work(self._relay.now()):
+        if self._relay.chooser.is_evacuated(call.upstream):
+            reason = 'its data centre is evacuated'
+        elif call.upstream.declines_work(self._relay.now()):
+            reason = 'the upstream asked for no more work'
+        else:
             return None
         call.release()
-        reason = 'the upstream asked for no more work'
         return CallResult(CallOutcome.UNSENT, reason, declined=True)
 
     async def _send_and_receive(self, call: Call) -> CallResult | None:
@@ -208,6 +212,8 @@
 
     def _send(self, call: Call) -> None:
         admitted = self._admitted
+        if self._relay.chooser.is_evacuated(call.upstream):
+            self._relay.meters.count_evacuated_call(admitted.service)
         if len(self._tried) == 1:
             waited_s = self._relay.now() - admitted.began_at
             self._relay.meters.record_forwarding_delay(waited_s)
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -15,10 +15,15 @@
     from collections.abc import Callable, Sequence
     from random import Random
 
+    from snipebend.edge.evacuations import EvacuationTracker
     from snipebend.edge.rate_limit_tracker import RateLimitTracker
     from snipebend.relay.admission import Admitted
     from snipebend.relay.upstreams import Upstream, UpstreamTable
 
+#: Seconds after which a caller may retry if all data centres of a service are
+#: evacuated. The end isn't known; callers wait for a third of their timeout.
+EVACUATED_RETRY_S = 1.0
+
 
 class UpstreamChooser:
     """Chooses from the upstreams that the entry knows."""
@@ -30,8 +35,10 @@
         data_center: str,
         now: Callable[[], float],
         rng: Random,
+        evacuations: EvacuationTracker,
     ) -> None:
         """Keep the upstreams, and the data centre of the entry."""
+        self._evacuations = evacuations
         self._upstreams = upstreams
         self._limits = limits
         self._data_center = data_center
@@ -55,12 +62,22 @@
         """Return whether another upstream can accept a call now."""
         return self._select(admitted, tried, within_limits=True) is not None
 
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Return whether an upstream must not get anything."""
+        return upstream.record.data_center in self._evacuations.data_centers
+
     def find_capacity_wait(
         self, admitted: Admitted, tried: Sequence[str]
     ) -> NoCapacity | None:
         """Return why and until when upstreams accept no calls, if known."""
         now = self._now()
-        candidates = self._upstreams.list_service(admitted.service)
+        known = self._upstreams.list_service(admitted.service)
+        candidates = [one for one in known if not self.is_evacuated(one)]
+        if known and not candidates:
+            return NoCapacity(
+                'all data centres of the service are evacuated',
+                EVACUATED_RETRY_S,
+            )
         backoff_ends_at = earliest_backoff_end(candidates, now)
         if backoff_ends_at is not None:
             return NoCapacity(
@@ -79,7 +96,10 @@
         within_limits: bool = False,
     ) -> Upstream | None:
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried
+            self._data_center,
+            admitted.route.gap_s,
+            tried,
+            self._evacuations.data_centers,
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -26,6 +26,8 @@
     allowed_pause_s: float = 0
     #: Identities of the upstreams that were called before.
     tried: Collection[str] = ()
+    #: Names of the data centres whose upstreams get nothing.
+    evacuated: Collection[str] = ()
 
 
 class UpstreamView(NamedTuple):
@@ -46,6 +48,8 @@
     load: float
     #: Whether it is in another data centre than the entry.
     is_remote: bool
+    #: Whether it must not get anything, since its data centre is evacuated.
+    is_evacuated: bool
 
 
 def view_upstream(
@@ -65,6 +69,7 @@
         upstream.slow,
         calls / max(1, record.slots),
         record.data_center != requirements.data_center,
+        record.data_center in requirements.evacuated,
     )
 
 
@@ -77,5 +82,8 @@
         for upstream in upstreams
         if upstream.is_open(now)
         and upstream.record.identity not in requirements.tried
-        and (view := view_upstream(upstream, requirements, now)).free_calls > 0
+        and not (
+            view := view_upstream(upstream, requirements, now)
+        ).is_evacuated
+        and view.free_calls > 0
     ]
--- a/src/snipebend/state/commands.py
+++ b/src/snipebend/state/commands.py
@@ -19,6 +19,7 @@
 )
 from snipebend.state.crashes import CrashReport, SuspectCleared, SuspectList
 from snipebend.state.documents import PutReply, PutRequest
+from snipebend.state.evacuations import EvacuationOrder, EvacuationReply
 from snipebend.state.expert_maps import DecideMapReply, MapDecision
 from snipebend.state.fences import FenceReply, FenceRequest
 from snipebend.state.group_plans import PlanReply, PlanRequest
@@ -96,6 +97,13 @@
     at: float
 
 
+class ChangeEvacuation(Struct, frozen=True, tag=True):
+    """Evacuate a data centre, or end its evacuation."""
+
+    req: EvacuationOrder
+    at: float
+
+
 Command = (
     ApplyFleet
     | Claim
@@ -107,6 +115,7 @@
     | PutDocument
     | RecordUpstream
     | DecideGroupPlan
+    | ChangeEvacuation
 )
 
 Reply = (
@@ -119,6 +128,7 @@
     | PutReply
     | RecordReply
     | PlanReply
+    | EvacuationReply
 )
 
 #: The reply type of each command, to decode a reply from the leader.
@@ -134,6 +144,7 @@
         PutDocument: PutReply,
         RecordUpstream: RecordReply,
         DecideGroupPlan: PlanReply,
+        ChangeEvacuation: EvacuationReply,
     }
 )
 
--- a/src/snipebend/state/host_updates.py
+++ b/src/snipebend/state/host_updates.py
@@ -52,6 +52,14 @@
     slow: tuple[str, ...] = ()
 
 
+class EvacuationNews(Struct, frozen=True):
+    """The evacuated data centres; a later revision replaces an earlier one."""
+
+    #: 0: the sender knows nothing of evacuations.
+    revision: int = 0
+    data_centers: tuple[str, ...] = ()
+
+
 class HostUpdate(Struct, frozen=True):
     """What has changed since the watcher's state, or only a heartbeat.
 
@@ -76,3 +84,5 @@
     #: The data centre of each of ``entries``, in the same order; empty if
     #: not reported.
     entry_data_centers: tuple[str, ...] = field(default=(), name='entry_places')
+    #: Sent with each update.
+    evacuations: EvacuationNews = EvacuationNews()
--- a/src/snipebend/state/machine.py
+++ b/src/snipebend/state/machine.py
@@ -11,6 +11,7 @@
 from snipebend.state.claim_state import ClaimState
 from snipebend.state.commands import (
     ApplyFleet,
+    ChangeEvacuation,
     Claim,
     ClearSuspect,
     Command,
@@ -26,6 +27,7 @@
 from snipebend.state.configuration import ConfigurationState
 from snipebend.state.crash_state import CrashState
 from snipebend.state.documents import DocumentState
+from snipebend.state.evacuations import EvacuationState
 from snipebend.state.expert_maps import MapState
 from snipebend.state.fence_state import FenceState
 from snipebend.state.group_plans import PlanState
@@ -46,6 +48,7 @@
     documents: DocumentState = field(default_factory=DocumentState)
     roster: Roster = field(default_factory=Roster)
     plans: PlanState = field(default_factory=PlanState)
+    evacuations: EvacuationState = field(default_factory=EvacuationState)
 
 
 class Machine:
@@ -111,7 +114,10 @@
                 return self._execute_for_hosts(command)
 
     def _execute_for_hosts(
-        self, command: PutDocument | RecordUpstream | DecideGroupPlan
+        self,
+        command: (
+            PutDocument | RecordUpstream | DecideGroupPlan | ChangeEvacuation
+        ),
     ) -> Reply:
         """Execute a command of entries that route by host and path."""
         match command:
@@ -121,3 +127,5 @@
                 return self.state.roster.record(req)
             case DecideGroupPlan(req=req):
                 return self.state.plans.decide(req)
+            case ChangeEvacuation(req=req):
+                return self.state.evacuations.execute(req, self.state.now)
--- a/src/snipebend/transport/host_service.py
+++ b/src/snipebend/transport/host_service.py
@@ -19,6 +19,7 @@
 from snipebend.state.commands import PutDocument, RecordUpstream
 from snipebend.state.documents import DocumentState, PutReply, PutRequest
 from snipebend.state.host_updates import (
+    EvacuationNews,
     HostUpdate,
     HostWatchRequest,
     UpstreamGroupStatus,
@@ -60,6 +61,8 @@
     #: Change counts of the groups and watchers last sent; -1: not sent yet.
     group_changes: int = -1
     watcher_changes: int = -1
+    #: The revision of the evacuations last sent.
+    evacuations: int = -1
 
 
 class HostService(Service):
@@ -254,6 +257,15 @@
             () if groups_unchanged else tuple(self._groups.values()),
             groups_unchanged,
             tuple(entry.data_center for entry in entries),
+            self._evacuation_news(cursor),
+        )
+
+    def _evacuation_news(self, cursor: WatchCursor) -> EvacuationNews:
+        """Return the evacuations; advance the cursor."""
+        evacuations = self._store.machine.state.evacuations
+        cursor.evacuations = evacuations.revision
+        return EvacuationNews(
+            evacuations.revision, evacuations.list_evacuated()
         )
 
     def _changed_entries(self, cursor: WatchCursor) -> list[HostWatchRequest]:
@@ -275,14 +287,16 @@
                     lambda: (
                         self._stopping
                         or self._group_changes != cursor.group_changes
-                        or self._is_newer(cursor.number, cursor.revision)
+                        or self._is_newer(cursor)
                     ),
                 )
         except TimeoutError:
             return
 
-    def _is_newer(self, number: int, revision: int) -> bool:
+    def _is_newer(self, cursor: WatchCursor) -> bool:
         state = self._store.machine.state
         return (
-            state.documents.number > number or state.roster.revision > revision
+            state.documents.number > cursor.number
+            or state.roster.revision > cursor.revision
+            or state.evacuations.revision > cursor.evacuations
         )
--- a/src/snipebend/transport/methods.py
+++ b/src/snipebend/transport/methods.py
@@ -22,6 +22,12 @@
     SuspectList,
     SuspectQuery,
 )
+from snipebend.state.evacuations import (
+    EvacuationList,
+    EvacuationQuery,
+    EvacuationReply,
+    OrderRequest,
+)
 from snipebend.state.expert_maps import DecideMapReply, MapDecision, MapQuery
 from snipebend.state.fences import FenceQuery, FenceReply, FenceRequest
 from snipebend.state.host_updates import HostUpdate, HostWatchRequest
@@ -108,6 +114,16 @@
     DecideMapReply,
 )
 READ_MAP = Method('/snipebend.Control/ReadMap', MapQuery, DecideMapReply)
+ORDER_EVACUATION = Method(
+    '/snipebend.Control/OrderEvacuation',
+    OrderRequest,
+    EvacuationReply,
+)
+LIST_EVACUATIONS = Method(
+    '/snipebend.Control/ListEvacuations',
+    EvacuationQuery,
+    EvacuationList,
+)
 DELIVER = Method(
     '/snipebend.Group/Deliver',
     Delivery,
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -79,8 +79,11 @@
 class Deployment:
     """Control daemons, one entry and the upstreams of a test."""
 
-    def __init__(self, folder: Path, stack: AsyncExitStack) -> None:
+    def __init__(
+        self, folder: Path, stack: AsyncExitStack, data_centers=()
+    ) -> None:
         self.folder = folder
+        self.data_centers = list(data_centers)
         self.stack = stack
         ports = free_ports(5)
         self.grpc_port = ports[0]
@@ -96,6 +99,7 @@
         """Start a control daemon on the given host address."""
         text = (
             f'outer = "{host}:{self.outer_port}"\n'
+            f'data_centers = {json.encode(self.data_centers).decode()}\n'
             f'[process]\nname = "core-{host}"\ndata_center = "dc-a"\n'
             f'[listen]\nhost = "{host}"\ngrpc_port = {self.grpc_port}\n'
             f'admin_port = {self.admin_port}\n'
@@ -154,14 +158,14 @@
             return 0, b''
 
     async def send_heartbeat(
-        self, identity, upstream, state='ready', **options
+        self, identity, upstream, state='ready', zone='dc-a', **options
     ):
         """Send a heartbeat of an upstream."""
         body = msgpack.encode(
             {
                 'service': CONFIG_SERVICE,
                 'address': upstream.address,
-                'zone': 'dc-a',
+                'zone': zone,
                 'slots': 4,
                 'state': state,
                 'seq': 1,
@@ -233,10 +237,10 @@
 
 
 @asynccontextmanager
-async def deployment(folder):
+async def deployment(folder, data_centers=()):
     """Run three control daemons and one entry."""
     async with AsyncExitStack() as stack:
-        cluster = Deployment(Path(folder), stack)
+        cluster = Deployment(Path(folder), stack, data_centers)
         stack.push_async_callback(cluster.session.close)
         await asyncio.gather(
             *(
--- a/tests/relay/test_upstream_selection.py
+++ b/tests/relay/test_upstream_selection.py
@@ -70,6 +70,14 @@
         self.assertIsNone(self.select(*closed))
         self.assertEqual(self.select(*closed, make_upstream('open')), 'open')
 
+    def test_upstreams_of_evacuated_data_centers_are_skipped(self):
+        requirements = REQUIREMENTS._replace(evacuated=('dc-a',))
+        near, far = make_upstream('near'), make_upstream('far', 'dc-b')
+        self.assertEqual(
+            self.select(near, far, requirements=requirements), 'far'
+        )
+        self.assertIsNone(self.select(near, requirements=requirements))
+
     def test_tried_upstreams_are_skipped(self):
         requirements = REQUIREMENTS._replace(tried=('a',))
         self.assertIsNone(
