--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -93,6 +93,7 @@
             # Looked up at each use, as a test may stop this service's clock.
             lambda: self.now(),
             self._rng,
+            self._follower.evacuations,
         )
         self.crashes = CrashTracker(
             self._cfg.relay,
