Limit the calls to cold upstreams

An upstream that has just started takes few requests a second and ends well above that; nothing kept the entries together below it.

Control daemons keep, unstored, what the heartbeats that they hear say of an upstream's warmth, and send its changes to the entries that ask for them. Heartbeats are numbered by their upstream, so entries merge several daemons' reports without any clock. What no daemon has heard to be warm counts as cold where the service names a rate: new, silent for 3 s, a later lifetime, a daemon out of reach, a call without a response.

Each entry spends its even part of what a cold upstream accepts in any second, which needs no news of the others' calls. What can't be divided goes by rendezvous hash. Entries that were cut off still count, by the entry's memory and control's; an entry that has just started assumes 600 others. The account is the one of announced limits, moved to a module of its own.

Ruled out: the shared account with its call counts, which entries that are cut off would each spend in full; an order of entries by rotation, which shifts all parts whenever an entry joins.

Tests: the sum over 1, 17 and 300 entries in any second, with half of them restarted while cut off, all restarted, joining, or hearing late. None of the tests can pass on the former code, which has no limits.

Takes effect only with `[relay.cold]` and a rate of the service.

--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -34,6 +34,7 @@
     from snipebend.kernel.registry import Registry
     from snipebend.state.host_updates import HostUpdate, UpstreamGroupStatus
     from snipebend.state.roster import UpstreamRecord
+    from snipebend.state.warmth import WarmthReport
 
 #: Parses the body of a document.
 TableParser = Callable[[bytes], Result[HostTable, InvalidInputError]]
@@ -94,6 +95,16 @@
         self.on_groups: Callable[[tuple[UpstreamGroupStatus, ...]], None] = (
             _ignore_groups
         )
+        #: Called with a daemon's address and its reports of cold and warm
+        #: upstreams; with None when its earlier ones no longer hold.
+        self.on_warmth: Callable[
+            [str, tuple[WarmthReport, ...] | None], None
+        ] = _ignore_warmth
+        self._wants_warmth = cfg.relay.cold is not None
+        #: Number of entries that each daemon knows of.
+        self._known_entries: dict[str, int] = {}
+        #: When control first listed any entries; None: not yet.
+        self.entries_listed_at: float | None = None
         #: Group statuses by daemon; only the leader sends them.
         self._groups: dict[str, tuple[UpstreamGroupStatus, ...]] = {}
         self.gossip_address = ''
@@ -160,6 +171,11 @@
         """Return the number of the document in force here."""
         return self._number
 
+    @property
+    def known_entries(self) -> int:
+        """Return the number of entries that any daemon knows of."""
+        return max(self._known_entries.values(), default=0)
+
     @property
     def update_age_s(self) -> float:
         """Return seconds since the last update from control; -1: none yet."""
@@ -190,6 +206,7 @@
             )
         for address in self._watched.keys() - wanted:
             self._watched.pop(address).cancel()
+            self.on_warmth(address, None)
             self._clients.retire(address)
 
     async def _watch(self, address: str) -> None:
@@ -202,6 +219,7 @@
             except (UnavailableError, TimeoutError) as exc:
                 self._clients.retire(address)
                 self._apply_groups(address, ())
+                self.on_warmth(address, None)
                 self._entry_directory.remove_daemon(address)
                 self._fetcher.remove_daemon(address)
                 # A daemon that keeps refusing is logged only once.
@@ -235,7 +253,9 @@
             fetches=True,
             keeps_groups=True,
             data_center=self.data_center,
+            wants_warmth=self._wants_warmth,
         )
+        self.on_warmth(address, None)
         stream = self._clients.stream(address, WATCH_HOSTS, req)
         while True:
             async with asyncio.timeout(WATCH_TIMEOUT_S):
@@ -264,6 +284,9 @@
         if 0 <= update.confirmed_ago_s <= CONFIRMATION_MAX_AGE_S:
             self._confirmed_number = max(self._confirmed_number, update.number)
             self._update_confirmed()
+        if update.warmth:
+            self.on_warmth(address, update.warmth)
+        self._known_entries[address] = update.known_entries
         if not update.groups_unchanged:
             self._apply_groups(address, update.groups)
         if update.entries:
@@ -279,7 +302,10 @@
     def _update_entries(self) -> None:
         self.data_centers = self._entry_directory.merge_data_centers()
         self.entries = frozenset(self.data_centers) - {self.gossip_address}
-        self.fleet.record(self.entries, self._clock.now())
+        now = self._clock.now()
+        self.fleet.record(self.entries, now)
+        if self.entries_listed_at is None:
+            self.entries_listed_at = now
 
     def _apply_groups(
         self, address: str, groups: tuple[UpstreamGroupStatus, ...]
@@ -324,3 +350,9 @@
 
 def _ignore_groups(_: tuple[UpstreamGroupStatus, ...]) -> None:
     """Do nothing; used until a callback for groups is set."""
+
+
+def _ignore_warmth(
+    daemon: str, reports: tuple[WarmthReport, ...] | None
+) -> None:
+    """Do nothing; used until a callback is set."""
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -99,6 +99,14 @@
             'snipebend_relay_calls_diverted',
             description='calls that a limit kept from an upstream, by service',
         )
+        self._cold_calls = meter.create_counter(
+            'snipebend_relay_cold_calls',
+            description='calls of upstreams that may be cold, by service',
+        )
+        self._cold_diversions = meter.create_counter(
+            'snipebend_relay_cold_calls_diverted',
+            description='calls that a cold upstream could not take, by service',
+        )
         self._declined = meter.create_counter(
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
@@ -133,7 +141,15 @@
 
     def count_diverted_call(self, service: str) -> None:
         """Count a call that a limit diverted from an upstream."""
-        self._diverted.add(1, {'service': service})
+        self._diverted.add(1, _by_service(service))
+
+    def count_cold_call(self, service: str) -> None:
+        """Count a call of an upstream that may be cold."""
+        self._cold_calls.add(1, _by_service(service))
+
+    def count_cold_diversion(self, service: str) -> None:
+        """Count a call that the limit of a cold upstream diverted."""
+        self._cold_diversions.add(1, _by_service(service))
 
     def count_declining_upstream(self, service: str, reason: str) -> None:
         """Count an upstream that requests a backoff or shuts down."""
@@ -162,7 +178,7 @@
     def count_retry(self, service: str, *, granted: bool) -> None:
         """Count a retry that the budget allows or denies."""
         counter = self._retries_granted if granted else self._retries_refused
-        counter.add(1, {'service': service})
+        counter.add(1, _by_service(service))
 
     def record_request(
         self, admitted: Admitted, response: ResponseWriter, now: float
@@ -178,6 +194,10 @@
             )
 
 
+def _by_service(service: str) -> dict[str, str]:
+    return {'service': service}
+
+
 def _observe(
     read: Callable[[], float], options: CallbackOptions
 ) -> Iterable[Observation]:
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from snipebend.edge.cold_tracker import ColdTracker
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
@@ -72,7 +73,7 @@
         self._follower.on_upstreams = self._apply_upstreams
         self._follower.on_groups = self._upstreams.apply_group_statuses
         self.outage_wait = OutageWait(self.now)
-        self._follower.on_update = self.outage_wait.wake
+        self._follower.on_update = self._apply_update
         self.meters = RelayMeters(
             GaugeSources(
                 lambda: self._in_progress,
@@ -86,9 +87,14 @@
             self.dialect, self._follower, self.meters
         )
         self.limits = RateLimitTracker(self.now, self.meters)
+        self.cold = ColdTracker(
+            self._cfg.relay, self._upstreams, self.now, self.meters
+        )
+        self._follower.on_warmth = self.cold.apply_reports
         self.chooser = UpstreamChooser(
             self._upstreams,
             self.limits,
+            self.cold,
             self._cfg.process.data_center,
             self.now,
             self._rng,
@@ -102,7 +108,7 @@
             self._rng,
         )
         self.notices = UpstreamNotices(
-            self.now, self.meters, self.limits, self.crashes
+            self.now, self.meters, self.limits, self.cold, self.crashes
         )
         self._tasks.start('sweep', self._sweep_forever)
 
@@ -121,6 +127,7 @@
             'idle_to_upstreams': self.pool.count_idle(),
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
+            'cold': self.cold.table.dump(),
             'crashes': self.crashes.dump(),
         }
 
@@ -287,6 +294,10 @@
     def _count_entries(self) -> int:
         return self._follower.fleet.count(self.now()) + 1
 
+    def _apply_update(self) -> None:
+        self.cold.update(self._follower)
+        self.outage_wait.wake()
+
     def _apply_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
         for record in records:
             logger.info(
@@ -308,6 +319,7 @@
             )
             self.pool.close_idle(ended.record.identity)
             self.limits.table.remove(ended.record.identity)
+            self.cold.table.remove(ended.record.identity)
 
     async def _probe(self, upstream: Upstream) -> ProbeOutcome:
         record = upstream.record
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -145,6 +145,7 @@
         )
         upstream.own_calls += 1
         self._relay.limits.record_call(upstream)
+        self._relay.cold.record_call(upstream)
         if upstream.group is not None:
             upstream.group.record_probe(self._relay.now())
         call: Call | None = None
@@ -331,6 +332,7 @@
         self._relay.meters.count_call(
             service, result.outcome.value, self._framing
         )
+        self._relay.cold.record_result(upstream, result)
         now = self._relay.now()
         if result.faulty:
             upstream.record_failure(now)
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable, Sequence
     from random import Random
 
+    from snipebend.edge.cold_tracker import ColdTracker
     from snipebend.edge.rate_limit_tracker import RateLimitTracker
     from snipebend.relay.admission import Admitted
     from snipebend.relay.upstreams import Upstream, UpstreamTable
@@ -27,6 +28,7 @@
         self,
         upstreams: UpstreamTable,
         limits: RateLimitTracker,
+        cold: ColdTracker,
         data_center: str,
         now: Callable[[], float],
         rng: Random,
@@ -34,6 +36,7 @@
         """Keep the upstreams, and the data centre of the entry."""
         self._upstreams = upstreams
         self._limits = limits
+        self._cold = cold
         self._data_center = data_center
         self._now = now
         self._rng = rng
@@ -43,6 +46,10 @@
     ) -> Upstream | None:
         """Return an upstream for a call, or None if none has capacity."""
         selected = self._select(admitted, tried)
+        if self._cold.find_limits(admitted.service) is not None:
+            self._cold.log_diverted_call(
+                admitted.facts.request_id, admitted.service, selected
+            )
         if not self._limits.seconds_until_room(selected):
             return selected
         assert selected is not None
@@ -69,6 +76,9 @@
         wait_s = self._limits.seconds_until_room(self._select(admitted, tried))
         if wait_s:
             return NoCapacity('limits leave no room', wait_s)
+        cold_wait_s = self._cold.find_wait(admitted.service)
+        if cold_wait_s:
+            return NoCapacity('cold upstreams accept no more yet', cold_wait_s)
         return None
 
     def _select(
@@ -79,7 +89,10 @@
         within_limits: bool = False,
     ) -> Upstream | None:
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried
+            self._data_center,
+            admitted.route.gap_s,
+            tried,
+            self._cold.find_limits(admitted.service),
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- a/src/snipebend/edge/upstream_notices.py
+++ b/src/snipebend/edge/upstream_notices.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from snipebend.edge.cold_tracker import ColdTracker
     from snipebend.edge.crash_tracker import CrashTracker
     from snipebend.edge.rate_limit_tracker import RateLimitTracker
     from snipebend.edge.relay_meters import RelayMeters
@@ -24,12 +25,14 @@
         now: Callable[[], float],
         meters: RelayMeters,
         limits: RateLimitTracker,
+        cold: ColdTracker,
         crashes: CrashTracker,
     ) -> None:
         """Keep the trackers; other state is kept per upstream."""
         self._now = now
         self._meters = meters
         self._limits = limits
+        self._cold = cold
         self._crashes = crashes
 
     def apply(
@@ -39,6 +42,7 @@
 
         ``call_started_at`` is in monotonic seconds.
         """
+        self._cold.record_response(upstream, facts)
         if facts.identity_mismatch:
             upstream.displaced = True
             self._crashes.record_successor(
--- a/src/snipebend/relay/backpressure_headers.py
+++ b/src/snipebend/relay/backpressure_headers.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+_MS = 1000
+
 #: With any other status, a retry time is addressed to the caller.
 _REFUSALS = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -44,6 +46,16 @@
     return BackoffRequest(max(_read_decimals(header_values), default=None))
 
 
+def parse_cold_time(header_values: Sequence[str]) -> float | None:
+    """Return the longest readable time for which an upstream stays cold.
+
+    ``header_values`` are decimal numbers of milliseconds; the result is in
+    seconds, and None if none is stated readably.
+    """
+    cold_ms = max(_read_decimals(header_values), default=None)
+    return None if cold_ms is None else cold_ms / _MS
+
+
 def _read_decimals(header_values: Sequence[str]) -> list[float]:
     return [
         number
--- a/src/snipebend/relay/entry_directory.py
+++ b/src/snipebend/relay/entry_directory.py
@@ -70,6 +70,15 @@
 
     def count(self, now: float) -> int:
         """Return the number of members."""
+        self._remove_expired(now)
+        return len(self._listed) + len(self._unlisted_at)
+
+    def list_names(self, now: float) -> frozenset[str]:
+        """Return the names of the members."""
+        self._remove_expired(now)
+        return self._listed.union(self._unlisted_at)
+
+    def _remove_expired(self, now: float) -> None:
         expired = [
             entry
             for entry, unlisted_at in self._unlisted_at.items()
@@ -77,4 +86,3 @@
         ]
         for entry in expired:
             self._unlisted_at.pop(entry)
-        return len(self._listed) + len(self._unlisted_at)
--- a/src/snipebend/relay/facts.py
+++ b/src/snipebend/relay/facts.py
@@ -105,6 +105,8 @@
     backoff: BackoffRequest | None = None
     #: Whether the upstream is shutting down and accepts no new work.
     leaving: bool = False
+    #: Seconds for which the upstream stays cold; None if not stated.
+    cold_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/snipebend/relay/rate_limit.py
+++ b/src/snipebend/relay/rate_limit.py
@@ -14,7 +14,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, Self
+
+from snipebend.relay.token_account import TokenAccount
 
 #: Calls that may accumulate in the bucket while there is no demand.
 MAX_SAVED_CALLS = 2.0
@@ -49,14 +51,16 @@
     """The token bucket of one upstream that has announced a limit."""
 
     notice: LimitNotice
-    #: When the bucket was last refilled; monotonic seconds.
-    refilled_at: float
-    #: Calls that may begin now; negative after too many calls.
-    balance: float = 0
+    account: TokenAccount
     #: Calls of this entry since the bucket was created.
     own_calls: int = 0
     _others: dict[str, CallCount] = field(default_factory=dict)
 
+    @classmethod
+    def announced(cls, notice: LimitNotice, now: float) -> Self:
+        """Return the limit of a notice, with an account that starts empty."""
+        return cls(notice, TokenAccount(now))
+
     @property
     def per_s(self) -> float:
         """Return the rate of calls that all entries may begin together."""
@@ -69,23 +73,21 @@
         entry included: entries that are cut off from each other each use no
         more than their part of the limit.
         """
-        filled = self.balance + share * self.per_s * (now - self.refilled_at)
         max_balance = MAX_SAVED_CALLS + MAX_SAVED_S * self.per_s
-        self.balance = min(max_balance, filled)
-        self.refilled_at = now
+        self.account.refill(now, share * self.per_s, max_balance)
 
     def has_room(self) -> bool:
         """Return whether a call may begin, as of the last refill."""
-        return self.balance >= 1
+        return self.account.has_room()
 
     def seconds_until_room(self, share: float) -> float:
         """Return seconds until a call may begin if other entries begin none."""
-        return max(0, 1 - self.balance) / (share * self.per_s)
+        return self.account.seconds_until_room(share * self.per_s)
 
     def record_call(self) -> None:
         """Deduct a call of this entry."""
         self.own_calls += 1
-        self.balance -= 1
+        self.account.balance -= 1
 
     def apply_call_count(self, entry: str, spent: CallCount) -> None:
         """Deduct the calls another entry began since its previous report."""
@@ -94,4 +96,4 @@
         if known is None or known.started_at != spent.started_at:
             # It is unknown when the calls counted so far began.
             return
-        self.balance -= max(0, spent.calls - known.calls)
+        self.account.balance -= max(0, spent.calls - known.calls)
--- a/src/snipebend/relay/rate_limit_table.py
+++ b/src/snipebend/relay/rate_limit_table.py
@@ -158,7 +158,7 @@
         return {
             upstream: {
                 'per_s': rate_limit.per_s,
-                'balance': round(rate_limit.balance, 2),
+                'balance': round(rate_limit.account.balance, 2),
                 'own_calls': rate_limit.own_calls,
             }
             for upstream, rate_limit in self._limits.items()
@@ -188,7 +188,7 @@
     ) -> None:
         rate_limit = self._limits.get(upstream)
         if rate_limit is None:
-            self._limits[upstream] = RateLimit(notice, now)
+            self._limits[upstream] = RateLimit.announced(notice, now)
             return
         rate_limit.refill(now, self.share)
         rate_limit.notice = notice
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -33,7 +33,10 @@
     is_too_slow: bool
     is_avoided: bool
     is_slow: bool
+    #: Steps down from a warm upstream that runs a call at once.
+    warmth_steps: int
     load: float
+    is_cold: bool
     is_remote: bool
     tie_breaker: float
 
@@ -50,9 +53,12 @@
     is too slow for any stream to be on time: with one slow rank of eight, steps
     took 0.4 s instead of 0.06 s, and a stream there ends after its caller's
     timeout. Next come upstreams that have refused lately, since their few calls
-    do not show that. Load is the number of calls relative to the slots. Among
-    equals the same data centre is preferred, then the choice is random: entries
-    that all picked the first one would overload it.
+    do not show that. A cold upstream comes after warm ones that have slots
+    left, and before those that would queue the call; in a group, whose fullest
+    rank delays all, only after warm ranks with equal load. Load is the number
+    of calls relative to the slots. Among equals the same data centre is
+    preferred, then the choice is random: entries that all picked the first one
+    would overload it.
     """
     ranked = [
         (_sort_key(view, rng), view.upstream)
@@ -85,7 +91,17 @@
         view.is_too_slow,
         view.is_avoided,
         view.is_slow,
+        _warmth_steps(view),
         view.load,
+        view.is_cold,
         view.is_remote,
         rng.random(),
     )
+
+
+def _warmth_steps(view: UpstreamView) -> int:
+    if view.upstream.group is not None:
+        return 0
+    if view.load >= 1:
+        return 2
+    return int(view.is_cold)
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from snipebend.relay.cold_upstreams import ColdUpstreams
     from snipebend.relay.upstreams import Upstream
 
 #: Calls that may queue at an upstream, as a share of its slots: it starts a
@@ -26,6 +27,8 @@
     allowed_pause_s: float = 0
     #: Identities of the upstreams that were called before.
     tried: Collection[str] = ()
+    #: The limits of cold upstreams; None if the service has none.
+    cold: ColdUpstreams | None = None
 
 
 class UpstreamView(NamedTuple):
@@ -46,6 +49,8 @@
     load: float
     #: Whether it is in another data centre than the entry.
     is_remote: bool
+    #: Whether it accepts few calls a second now.
+    is_cold: bool = False
 
 
 def view_upstream(
@@ -55,9 +60,14 @@
     group = upstream.group
     record = upstream.record
     calls = upstream.calls
+    free_calls = record.slots * (1 + QUEUE_SHARE) - calls
+    cold = requirements.cold
+    is_cold = cold is not None and cold.is_cold(upstream, now)
+    if cold is not None and is_cold and not cold.has_room(upstream, now):
+        free_calls = 0
     return UpstreamView(
         upstream,
-        record.slots * (1 + QUEUE_SHARE) - calls,
+        free_calls,
         group is not None and group.is_down(now),
         group is not None
         and group.is_too_slow(now, requirements.allowed_pause_s),
@@ -65,6 +75,7 @@
         upstream.slow,
         calls / max(1, record.slots),
         record.data_center != requirements.data_center,
+        is_cold,
     )
 
 
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -20,6 +20,19 @@
 )
 
 
+class ColdSection(Section, frozen=True, kw_only=True):
+    """What cold upstreams accept beyond the rate that their service names."""
+
+    #: Requests that a cold upstream accepts in a second, relative to the rate.
+    rate_factor: Annotated[float, Meta(ge=0)] = 1.0
+    #: Further requests that it accepts in any second.
+    extra_requests: Annotated[float, Meta(ge=0)] = 0
+
+    def requests_per_s(self, cold_per_s: float) -> int:
+        """Return the requests that a cold upstream accepts in any second."""
+        return int(cold_per_s * self.rate_factor + self.extra_requests)
+
+
 class RelaySection(Section, frozen=True, kw_only=True):
     """How an entry calls upstreams without an agent."""
 
@@ -37,6 +50,8 @@
     crash_limit: Annotated[int, Meta(ge=1)] = 3
     #: Seconds for which such a request is refused after the last end.
     quarantine_s: Seconds = 600.0
+    #: Limits of cold upstreams; none are limited without the section.
+    cold: ColdSection | None = None
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/src/snipebend/state/host_updates.py
+++ b/src/snipebend/state/host_updates.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 
 from snipebend.state.roster import UpstreamRecord
+from snipebend.state.warmth import WarmthReport
 
 
 class HostWatchRequest(Struct, frozen=True):
@@ -28,6 +29,8 @@
     #: update says that they have not changed.
     keeps_groups: bool = False
     data_center: str = ''
+    #: Whether the process is told which upstreams are cold and warm.
+    wants_warmth: bool = False
 
 
 class GroupPhase(IntEnum):
@@ -76,3 +79,8 @@
     #: The data centre of each of ``entries``, in the same order; empty if
     #: not reported.
     entry_data_centers: tuple[str, ...] = field(default=(), name='entry_places')
+    #: Reports on upstreams that have turned cold or warm or fallen silent since
+    #: the previous update of this watch; the first updates hold all.
+    warmth: tuple[WarmthReport, ...] = ()
+    #: Number of entries that watch the sender or did so lately; 0: not stated.
+    known_entries: int = 0
--- a/src/snipebend/transport/host_service.py
+++ b/src/snipebend/transport/host_service.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from grpclib.exceptions import GRPCError
@@ -27,6 +27,7 @@
 from snipebend.transport.methods import FETCH_PART, WATCH_HOSTS
 from snipebend.transport.replicated_state import ReplicatedState
 from snipebend.transport.rpc_server import Endpoint, RpcServer
+from snipebend.transport.warmth_reporter import WarmthCursor, WarmthReporter
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -60,6 +61,7 @@
     #: Change counts of the groups and watchers last sent; -1: not sent yet.
     group_changes: int = -1
     watcher_changes: int = -1
+    warmth: WarmthCursor = field(default_factory=WarmthCursor)
 
 
 class HostService(Service):
@@ -77,6 +79,7 @@
         self._group_changes = 0
         self._watcher_changes = 0
         self._document_parts = DocumentStore()
+        self.warmth = WarmthReporter()
         server.add(
             Endpoint(WATCH_HOSTS, self.watch),
             Endpoint(FETCH_PART, self.fetch_part),
@@ -86,6 +89,7 @@
         """Look up the replicated state."""
         self._clock = registry.clock
         self._store = registry.find('state', ReplicatedState)
+        self.warmth.start(self._clock, self._store)
         self._started = True
 
     async def stop(self) -> None:
@@ -102,6 +106,7 @@
         return {
             'document': state.documents.number,
             'roster_revision': state.roster.revision,
+            'warmth': self.warmth.dump(),
             'watchers': {
                 name: req.gossip_address for name, req in self._watchers.items()
             },
@@ -190,6 +195,7 @@
         began_at = self._clock.now()
         self._watchers[req.process] = req
         self._watcher_changes += 1
+        self.warmth.record_entry(req.gossip_address)
         cursor = WatchCursor(req.number, req.roster_revision)
         try:
             while not self._stopping:
@@ -198,12 +204,9 @@
                 cursor.revision = max(cursor.revision, update.roster_revision)
                 yield update
                 await asyncio.sleep(MIN_UPDATE_INTERVAL_S)
-                await self._wait_for_newer(cursor)
+                await self._wait_for_newer(req, cursor)
         finally:
-            # A replaced watch may end after the new one has started.
-            if self._watchers.get(req.process) is req:
-                self._watchers.pop(req.process)
-                self._watcher_changes += 1
+            self._remove_watcher(req)
             logger.info(
                 'event=watch_closed process={} lasted_ms={:.0f} number={}',
                 req.process,
@@ -211,6 +214,13 @@
                 cursor.number,
             )
 
+    def _remove_watcher(self, req: HostWatchRequest) -> None:
+        self.warmth.record_lost_entry(req.gossip_address)
+        # A replaced watch may end after the new one has started.
+        if self._watchers.get(req.process) is req:
+            self._watchers.pop(req.process)
+            self._watcher_changes += 1
+
     async def fetch_part(self, req: PartRequest) -> DocumentPart:
         """Return a part of a document, compressed once for all entries."""
         documents = self.documents
@@ -254,6 +264,8 @@
             () if groups_unchanged else tuple(self._groups.values()),
             groups_unchanged,
             tuple(entry.data_center for entry in entries),
+            self.warmth.reports_since(req, cursor.warmth),
+            self.warmth.known_entries,
         )
 
     def _changed_entries(self, cursor: WatchCursor) -> list[HostWatchRequest]:
@@ -268,7 +280,9 @@
         except GRPCError as exc:
             return Err(UnavailableError(str(exc.message), step='execute'))
 
-    async def _wait_for_newer(self, cursor: WatchCursor) -> None:
+    async def _wait_for_newer(
+        self, req: HostWatchRequest, cursor: WatchCursor
+    ) -> None:
         try:
             async with asyncio.timeout(UPDATE_INTERVAL_S), self._store.changed:
                 await self._store.changed.wait_for(
@@ -276,6 +290,7 @@
                         self._stopping
                         or self._group_changes != cursor.group_changes
                         or self._is_newer(cursor.number, cursor.revision)
+                        or self.warmth.has_news(req, cursor.warmth)
                     ),
                 )
         except TimeoutError:
--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -295,6 +295,7 @@
     slots=4,
     listener=None,
     clock=None,
+    section=None,
 ):
     """Run a relay with upstreams that follow these scripts.
 
@@ -303,7 +304,7 @@
     cfg = RelaySettings(
         process=ProcessSection(name='entry-1', data_center='dc-a'),
         control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
-        relay=RelaySection(),
+        relay=section or RelaySection(),
         stop_within_s=stop_within_s,
     )
     registry = Registry(clock or SystemClock(), TaskSupervisor())
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -15,7 +15,7 @@
 from types import MappingProxyType
 
 from snipebend.settings.model import ControlSettings
-from snipebend.settings.relay import RelaySettings
+from snipebend.settings.relay import ColdSection, RelaySettings
 
 ROOT = Path(__file__).parent.parent.parent
 ADAPTER_FOLDER = ROOT / 'platform' / 'snipebend_platform'
@@ -45,6 +45,8 @@
         'bootstrap': 'true',
         'bounds.retry_budget_ratio': '0.25',
         'bounds.budget_slack': '124',
+        'bounds.cold_over': '1.5',
+        'bounds.cold_slack': '5',
     }
 )
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
@@ -89,6 +91,9 @@
         self.assertEqual(cfg.callers, '10.1.0.40:8227')
         self.assertEqual(cfg.relay.retry_ratio, 0.25)
         self.assertEqual(cfg.relay.retry_slack, 124)
+        self.assertEqual(
+            cfg.relay.cold, ColdSection(rate_factor=1.5, extra_requests=5)
+        )
         self.assertEqual(
             cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
         )
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -143,6 +143,19 @@
         self.assertTrue(leaving((b'server-leaving', b'1')))
         self.assertFalse(leaving((b'Server-Leaving', b'0')))
 
+    def test_cold_times(self):
+        def cold_s(*texts):
+            headers = tuple((b'snipebend-cold-ms', text) for text in texts)
+            head = ResponseHead(200, b'', headers)
+            return self.dialect.read_response(head).cold_s
+
+        self.assertIsNone(cold_s())
+        self.assertEqual(cold_s(b'0'), 0)
+        self.assertEqual(cold_s(b'1', b'x', b'1500'), 1.5)
+        for text in (b'', b'-1', b'nan', b'inf', b'soon', b'\xff'):
+            with self.subTest(text=text):
+                self.assertIsNone(cold_s(text))
+
     def test_refusals(self):
         lines = dict(self.dialect.refusal_headers('9c41', 0.25))
         self.assertEqual(lines[b'Retry-After'], b'0.25')
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -15,7 +15,11 @@
 from msgspec import json, msgpack
 
 from snipebend.state.roster import RecordRequest, Roster, RosterPhase
-from snipebend_platform.heartbeats import read_departure, read_heartbeat
+from snipebend_platform.heartbeats import (
+    read_departure,
+    read_heartbeat,
+    read_warmth,
+)
 
 HEARTBEAT = MappingProxyType(
     {
@@ -99,6 +103,27 @@
         record = read_heartbeat('i-1', msgpack.encode(heartbeat)).unwrap()
         self.assertEqual(record.born, 0)
 
+    def test_how_long_it_stays_cold(self):
+        body = msgpack.encode(HEARTBEAT | {'cold_remaining_ms': 1200})
+        self.assertEqual(
+            read_warmth('i-1', body), ('i-1', HEARTBEAT['born'], 3, 1.2)
+        )
+
+    def test_a_doubtful_cold_time_rejects_no_heartbeat(self):
+        for cold_ms in (None, 'soon', [1], -5, True, {}):
+            body = msgpack.encode(HEARTBEAT | {'cold_remaining_ms': cold_ms})
+            self.assertTrue(read_heartbeat('i-1', body).is_ok(), cold_ms)
+            self.assertIsNone(read_warmth('i-1', body).cold_s, cold_ms)
+        self.assertIsNone(
+            read_warmth('i-1', msgpack.encode(dict(HEARTBEAT))).cold_s
+        )
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=200) | BODIES)
+    def test_any_body_says_something_or_nothing_of_its_warmth(self, body):
+        hearing = read_warmth('i-1', body)
+        self.assertTrue(hearing is None or hearing.upstream == 'i-1')
+
     def test_departure_with_and_without_start_time(self):
         self.assertEqual(read_departure('i', b'').unwrap().born, 0)
         self.assertEqual(read_departure('i', b'{"born":5}').unwrap().born, 5)
--- a/tests/transport/test_host_service.py
+++ b/tests/transport/test_host_service.py
@@ -15,6 +15,8 @@
     HostWatchRequest,
     UpstreamGroupStatus,
 )
+from snipebend.state.roster import RecordRequest, UpstreamRecord
+from snipebend.state.warmth import Warmth, WarmthReport, read_hearing
 from snipebend.transport import host_service
 from tests.edge.document_fixture import Daemon
 
@@ -40,6 +42,47 @@
         update = await self.first_update(fetches=False)
         self.assertEqual((update.number, update.document), (4, b'4 body'))
 
+    def hear(self, cold_ms, number, born=5):
+        record = UpstreamRecord('i-1', 's', '10.0.0.9:80', 'dc', 4, born=born)
+        self.host_service.warmth.hear(
+            record, read_hearing('i-1', born, number, cold_ms)
+        )
+
+    async def test_cold_upstreams_are_reported_to_who_wants_to_know(self):
+        self.hear(900, 1)
+        old = await self.first_update(fetches=True)
+        self.assertEqual(old.warmth, ())
+        watch = HostWatchRequest('e', 0, 0, wants_warmth=True)
+        async with aclosing(self.host_service.watch(watch)) as updates:
+            update = await anext(updates)
+            self.assertEqual(
+                update.warmth, (WarmthReport('i-1', Warmth.COLD, 5, 1),)
+            )
+            self.hear(0, 2)
+            self.hear(0, 3)
+            update = await anext(updates)
+            self.assertEqual(
+                update.warmth, (WarmthReport('i-1', Warmth.WARM, 5, 2),)
+            )
+
+    async def test_a_late_heartbeat_of_a_former_lifetime_is_not_heard(self):
+        record = UpstreamRecord('i-1', 's', '10.0.0.9:80', 'dc', 4, born=5)
+        roster = self.daemon.state.local_machine.state.roster
+        roster.record(RecordRequest(record))
+        self.hear(0, 9, born=4)
+        watch = HostWatchRequest('e', 0, 0, wants_warmth=True)
+        async with aclosing(self.host_service.watch(watch)) as updates:
+            update = await anext(updates)
+        self.assertEqual(update.warmth, ())
+
+    async def test_entries_that_were_cut_off_still_count(self):
+        """Others would take their part of the limits of cold upstreams."""
+        for number in range(3):
+            watch = HostWatchRequest(f'e-{number}', 0, 0, f'10.0.0.{number}:7')
+            async with aclosing(self.host_service.watch(watch)) as updates:
+                update = await anext(updates)
+        self.assertEqual(update.known_entries, 3)
+
     async def test_the_end_of_an_old_watch_leaves_the_new_one(self):
         """Otherwise other entries drop a running entry and its calls."""
         old = self.host_service.watch(HostWatchRequest('e', 0, 0, '10.0.0.1:7'))
