Merge the limits of cold upstreams

An evacuation that ends makes the upstreams of its data centre count as cold until they are heard to be warm; the template's list of data centres is filled in the test of the templates.

--- a/src/snipebend/edge/evacuations.py
+++ b/src/snipebend/edge/evacuations.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from snipebend.state.host_updates import EvacuationNews
 
@@ -22,6 +22,8 @@
         """Begin without evacuations."""
         #: Names of the data centres whose upstreams get nothing.
         self.data_centers: frozenset[str] = frozenset()
+        #: Called with each data centre whose evacuation has ended.
+        self.on_end: Callable[[str], None] = _ignore_end
         self._revision = 0
 
     def apply(self, news: EvacuationNews, peer: str) -> None:
@@ -40,6 +42,8 @@
                 news.revision,
                 peer,
             )
+        for ended in sorted(before - self.data_centers):
+            self.on_end(ended)
 
     def dump(self) -> Mapping[str, object]:
         """Return the evacuated data centres and the revision."""
@@ -47,3 +51,7 @@
             'data_centers': sorted(self.data_centers),
             'revision': self._revision,
         }
+
+
+def _ignore_end(data_center: str) -> None:
+    """Do nothing; used until a callback is set."""
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -15,7 +15,7 @@
 from types import MappingProxyType
 
 from snipebend.settings.model import ControlSettings
-from snipebend.settings.relay import RelaySettings
+from snipebend.settings.relay import ColdSection, RelaySettings
 
 ROOT = Path(__file__).parent.parent.parent
 ADAPTER_FOLDER = ROOT / 'platform' / 'snipebend_platform'
@@ -45,9 +45,12 @@
         'bootstrap': 'true',
         'bounds.retry_budget_ratio': '0.25',
         'bounds.budget_slack': '124',
+        'bounds.cold_over': '1.5',
+        'bounds.cold_slack': '5',
     }
 )
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
+ZONES = '"zone-a","zone-b"'
 
 
 class TestBoundary(unittest.TestCase):
@@ -75,6 +78,7 @@
     def fill(self, name):
         text = (ROOT / 'deploy' / f'{name}.template').read_text('utf-8')
         text = re.sub(r'{{#seeds}}.*?{{/seeds}}', SEEDS, text)
+        text = re.sub(r'{{#zones}}.*?{{/zones}}', ZONES, text)
         text = re.sub(
             r'{{#([\w.]+)}}(.*?){{\.}}{{/\1}}',
             lambda match: match[2] + TEMPLATE_VALUES[match[1]],
@@ -89,6 +93,9 @@
         self.assertEqual(cfg.callers, '10.1.0.40:8227')
         self.assertEqual(cfg.relay.retry_ratio, 0.25)
         self.assertEqual(cfg.relay.retry_slack, 124)
+        self.assertEqual(
+            cfg.relay.cold, ColdSection(rate_factor=1.5, extra_requests=5)
+        )
         self.assertEqual(
             cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
         )
@@ -99,3 +106,4 @@
         self.assertEqual(cfg.outer, '10.1.0.42:8229')
         self.assertTrue(cfg.seeds.bootstrap)
         self.assertEqual(cfg.member_name, '10.1.0.40')
+        self.assertEqual(cfg.data_centers, ['zone-a', 'zone-b'])
