Order and list evacuations by the command line

Operators without the platform had no way to evacuate a data centre, and nobody saw who had asked for it.

A test runs the commands against real control daemons and an entry.

--- a/src/snipebend/console/application.py
+++ b/src/snipebend/console/application.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from snipebend.console import apply, check, demo, explain, show, status
+from snipebend.console import (
+    apply,
+    check,
+    demo,
+    evacuate,
+    explain,
+    show,
+    status,
+)
 from snipebend.console import dump as dump_command
 from snipebend.console.exit_codes import EPILOG
 
@@ -28,6 +36,7 @@
         'apply': apply,
         'show': show,
         'status': status,
+        'evacuate': evacuate,
         'dump': dump_command,
         'explain': explain,
         'demo': demo,
--- a/src/snipebend/console/status.py
+++ b/src/snipebend/console/status.py
@@ -13,6 +13,11 @@
     call_control,
     find_control_addresses,
 )
+from snipebend.console.evacuation_status import (
+    fetch_evacuations,
+    print_evacuations,
+    describe_evacuations,
+)
 from snipebend.console.exit_codes import ExitCode
 from snipebend.console.map_status import fetch_group_statuses, print_groups
 from snipebend.console.member_status import MemberStatus, list_member_statuses
@@ -47,6 +52,9 @@
     members = list_member_statuses(replies)
     if not args.json:
         _print_members(members)
+    evacuations = fetch_evacuations(found.unwrap())
+    if not args.json:
+        print_evacuations(evacuations)
     shown = call_control(args, SHOW, ShowRequest())
     if shown.is_err():
         return print_error(shown.unwrap_err())
@@ -59,6 +67,7 @@
         document['groups'] = {
             group.group: msgspec.to_builtins(group) for group in groups
         }
+        document['evacuations'] = describe_evacuations(evacuations)
         document['members'] = [member._asdict() for member in members]
         print_json(document)
     else:
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -22,7 +22,15 @@
 from snipebend.state.messages import ApplyOutcome, ApplyReply
 from snipebend.fleet.lease import MIN_CONFIG_LEASE_S
 
-_COMMANDS = ('check', 'apply', 'show', 'status', 'dump', 'demo')
+_COMMANDS = (
+    'check',
+    'apply',
+    'show',
+    'status',
+    'evacuate',
+    'dump',
+    'demo',
+)
 
 
 def _run(*arguments: str) -> tuple[int, str, str]:
@@ -58,6 +66,8 @@
         for arguments in (
             ('show', '--control', address),
             ('status', '--control', address),
+            ('evacuate', 'start', 'dc-a', '--control', address),
+            ('evacuate', 'list', '--control', address),
             ('dump', address),
         ):
             with self.subTest(arguments=arguments):
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -8,11 +8,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import io
+import json
 import random
 import signal
 import tempfile
 import unittest
-from contextlib import asynccontextmanager
+
+from snipebend.console.application import main
 
 from tests.edge.relay_fixture import read_response
 from tests.platform.deployment import (
@@ -33,7 +37,7 @@
     return True
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def serving():
     """Run a deployment that serves by one upstream, in ``dc-a``."""
     with tempfile.TemporaryDirectory() as folder:
@@ -168,6 +172,52 @@
             await self.assert_nothing_sent(cluster)
 
 
+class TestConsole(EvacuationCase):
+    """Operators order and look at evacuations by the command line."""
+
+    async def run_console(self, cluster, *arguments):
+        """Run a command against all daemons; return its code and output."""
+        control = ','.join(
+            f'{host}:{cluster.grpc_port}' for host in cluster.controls
+        )
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            code = await asyncio.to_thread(
+                main, [*arguments, '--control', control]
+            )
+        return code, out.getvalue()
+
+    async def test_start_list_status_and_end(self):
+        async with serving() as cluster:
+            code, out = await self.run_console(
+                cluster, 'evacuate', 'start', 'dc-a', '--by', 'mk'
+            )
+            self.assertEqual((code, out), (0, 'changed: revision 1\n'))
+            await self.assert_nothing_sent(cluster)
+            code, out = await self.run_console(cluster, 'evacuate', 'list')
+            self.assertEqual(code, 0)
+            self.assertRegex(
+                out, r'^data_center dc-a evacuated since=\S+ by=mk revision=1$'
+            )
+            _, status = await self.run_console(cluster, 'status')
+            self.assertIn(out, status)
+            code, out = await self.run_console(
+                cluster, 'evacuate', 'list', '--json'
+            )
+            record = json.loads(out)['records']['dc-a']
+            self.assertTrue(record['evacuated'])
+            code, out = await self.run_console(
+                cluster, 'evacuate', 'start', 'dc-x'
+            )
+            self.assertEqual((code, out), (2, 'unknown: revision 1\n'))
+            await wait_known(cluster, evacuated=True)
+            code, _ = await self.run_console(
+                cluster, 'evacuate', 'end', 'dc-a', '--json'
+            )
+            self.assertEqual(code, 0)
+            await cluster.send_until(200)
+
+
 class TestControlFails(EvacuationCase):
     """An acknowledged order survives what daemons may lose."""
 
