--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -33,6 +33,7 @@
 )
 from snipebend.state.commands import (
     ApplyFleet,
+    ChangeEvacuation,
     Claim,
     ClearSuspect,
     Command,
@@ -42,6 +43,7 @@
     TakeFence,
 )
 from snipebend.state.crashes import CrashReport, SuspectCleared
+from snipebend.state.evacuations import EvacuationOrder
 from snipebend.state.expert_maps import MapDecision
 from snipebend.state.fences import FenceRequest
 from snipebend.state.machine import Machine
@@ -54,6 +56,10 @@
     return ApplyFleet(ApplyRequest(change, expected, text), 1)
 
 
+def evacuate(name: str, evacuated: bool, after: int) -> ChangeEvacuation:
+    return ChangeEvacuation(EvacuationOrder(name, evacuated, after), 1)
+
+
 def claim(
     request: str = 'r', attempt: int = 1, fingerprint: str = 'f', at: float = 1
 ) -> Claim:
@@ -383,6 +389,9 @@
         st.sampled_from((None, _ANSWER)),
     ),
     st.builds(crash, st.sampled_from('uv'), st.sampled_from('pq')),
+    st.builds(
+        evacuate, st.sampled_from('ab'), st.booleans(), st.integers(0, 6)
+    ),
 )
 
 
