--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -79,7 +79,9 @@
                 lambda: self._follower.number,
                 lambda: self._follower.update_age_s,
                 self._retries_left,
-                lambda: self._upstreams.count_statuses(self.now()),
+                lambda: self._upstreams.count_statuses(
+                    self.now(), self._follower.evacuations.data_centers
+                ),
             )
         )
         self.refusal_writer = RefusalWriter(
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -14,7 +14,7 @@
 from snipebend.state.roster import RosterPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Collection, Iterable, Iterator, Mapping
 
     from snipebend.relay.refusals import RefusalReport
     from snipebend.state.host_updates import UpstreamGroupStatus
@@ -203,9 +203,19 @@
                 avoided.append(upstream)
         return avoided
 
-    def count_statuses(self, now: float) -> dict[str, int]:
-        """Return the number of upstreams by status."""
-        counts = Counter(one.status(now) for one in self._by_identity.values())
+    def count_statuses(
+        self, now: float, evacuated: Collection[str] = ()
+    ) -> dict[str, int]:
+        """Return the number of upstreams by status.
+
+        Those in ``evacuated`` data centres count as such, whatever their own.
+        """
+        counts = Counter(
+            'evacuated'
+            if one.record.data_center in evacuated
+            else one.status(now)
+            for one in self._by_identity.values()
+        )
         return dict(counts)
 
     def dump(self) -> dict[str, object]:
--- a/tests/edge/test_evacuations.py
+++ b/tests/edge/test_evacuations.py
@@ -148,6 +148,20 @@
         self.assertEqual(got.body, make_event(1) + make_event(2))
 
 
+class TestGauge(unittest.IsolatedAsyncioTestCase):
+    """Operators see which upstreams an evacuation closes."""
+
+    async def test_upstreams_by_state(self):
+        async with running(respond_ok, respond_ok) as relay:
+            place(relay, 1, 'dc-b')
+            evacuate(relay, 'dc-b')
+            counted = relay.service.meters._sources.upstreams()
+            self.assertEqual(counted, {'open': 1, 'evacuated': 1})
+            evacuate(relay)
+            counted = relay.service.meters._sources.upstreams()
+            self.assertEqual(counted, {'open': 2})
+
+
 class TestTracker(unittest.TestCase):
     """The latest news counts, whoever sends it."""
 
