Name a wait for cold upstreams only where nothing else is open

A refusal for another reason (a group that is down, a full upstream) named the time until a cold upstream accepts its next call as soon as one of them was at its limit.

--- a/src/snipebend/edge/cold_tracker.py
+++ b/src/snipebend/edge/cold_tracker.py
@@ -111,7 +111,7 @@
     def find_wait(self, service: str) -> float | None:
         """Return seconds until a cold upstream of a service accepts a call.
 
-        None if none waits only for that.
+        None if no upstream is closed for that reason only.
         """
         if service not in self.table.limits:
             return None
@@ -120,6 +120,7 @@
             (
                 self.table.seconds_until_room(one, now)
                 for one in self._list_limited(service, now)
+                if one.group is None or not one.group.is_down(now)
             ),
             default=None,
         )
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -88,7 +88,10 @@
         )
         self.limits = RateLimitTracker(self.now, self.meters)
         self.cold = ColdTracker(
-            self._cfg.relay, self._upstreams, self.now, self.meters
+            self._cfg.relay,
+            self._upstreams,
+            lambda: self.now(),
+            self.meters,
         )
         self._follower.on_warmth = self.cold.apply_reports
         self.chooser = UpstreamChooser(
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -73,13 +73,16 @@
             return NoCapacity(
                 'all upstreams asked for a rest', backoff_ends_at - now
             )
-        wait_s = self._limits.seconds_until_room(self._select(admitted, tried))
+        selected = self._select(admitted, tried)
+        wait_s = self._limits.seconds_until_room(selected)
         if wait_s:
             return NoCapacity('limits leave no room', wait_s)
+        if selected is not None:
+            return None
         cold_wait_s = self._cold.find_wait(admitted.service)
-        if cold_wait_s:
-            return NoCapacity('cold upstreams accept no more yet', cold_wait_s)
-        return None
+        if cold_wait_s is None:
+            return None
+        return NoCapacity('cold upstreams accept no more yet', cold_wait_s)
 
     def _select(
         self,
--- a/src/snipebend/relay/reported_warmth.py
+++ b/src/snipebend/relay/reported_warmth.py
@@ -35,12 +35,15 @@
         """Create an empty table: nothing is known of any upstream."""
         self._by_upstream: dict[str, dict[str, _Ranked]] = {}
         self._latest: dict[str, WarmthReport] = {}
+        #: Daemons with reports; others cost nothing to remove.
+        self._daemons: set[str] = set()
         self._arrivals = 0
 
     def apply(
         self, daemon: str, reports: Iterable[WarmthReport]
     ) -> list[WarmthReport]:
         """Apply a daemon's reports; return the changed ones in force."""
+        self._daemons.add(daemon)
         return [
             changed
             for report in reports
@@ -49,6 +52,9 @@
 
     def remove_daemon(self, daemon: str) -> int:
         """Remove the reports of a daemon that is unreachable; count them."""
+        if daemon not in self._daemons:
+            return 0
+        self._daemons.remove(daemon)
         upstreams = [
             upstream
             for upstream, by_daemon in self._by_upstream.items()
--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -11,6 +11,7 @@
 
 from snipebend.hosts.model import HostService
 from snipebend.settings.relay import ColdSection, RelaySection
+from snipebend.state.host_updates import GroupPhase, UpstreamGroupStatus
 from snipebend.state.warmth import Warmth, WarmthReport
 from tests.edge.relay_fixture import (
     TABLE,
@@ -109,6 +110,31 @@
             self.assertEqual(sent.counts[1], 1)
             self.assertEqual(sent.statuses.count(200), 1)
 
+    async def test_a_wait_is_named_only_if_no_other_upstream_is_open(self):
+        """Else a refusal for another reason would name a wait that is none."""
+        async with running(
+            respond_ok,
+            respond_ok,
+            table=COLD_TABLE,
+            clock=SteppedClock(),
+            section=COLD,
+        ) as relay:
+            know_fleet(relay)
+            await self.send(relay, 2)
+            admitted = SimpleNamespace(service='s', route=TABLE.routes[0])
+            find_wait = relay.service.chooser.find_capacity_wait
+            self.assertIsNotNone(find_wait(admitted, ()))
+            report(relay, 'i-0')
+            self.assertIsNone(find_wait(admitted, ()))
+            self.assertIsNotNone(find_wait(admitted, ('i-0',)))
+            report(relay)
+            relay.follower.on_warmth('d-1', None)
+            status = UpstreamGroupStatus(
+                'g', 's', GroupPhase.DOWN, ('i-0', 'i-1')
+            )
+            relay.follower.on_groups((status,))
+            self.assertIsNone(find_wait(admitted, ()))
+
     async def test_a_broken_call_makes_a_warm_one_doubtful(self):
         async def break_off(req, writer):
             return False
