--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -90,7 +90,10 @@
         )
         self.limits = RateLimitTracker(self.now, self.meters)
         self.cold = ColdTracker(
-            self._cfg.relay, self._upstreams, self.now, self.meters
+            self._cfg.relay,
+            self._upstreams,
+            lambda: self.now(),
+            self.meters,
         )
         self._follower.on_warmth = self.cold.apply_reports
         self._follower.evacuations.on_end = self.cold.forget_data_center
