Plan a map as soon as the pace of a rank has changed

A slow rank was noticed with the next reports, up to a second old, and planned for only after the demand had been counted again.

Reports are now read again when passes have grown more than the reported paces explain, and a changed pace is planned for at once, with the known demand. Paces that passes deny are disregarded.

--- a/src/snipebend/balancing/demand_follower.py
+++ b/src/snipebend/balancing/demand_follower.py
@@ -81,6 +81,27 @@
         self._rechecked_at = now
         return True
 
+    def must_plan_for_paces(self, monitor: GroupMonitor) -> bool:
+        """Return whether a rank's pace has changed since the last plan."""
+        if monitor.is_demand_unknown:
+            return False
+        if not monitor.paces.is_plan_due(self._clock.now()):
+            return False
+        self.log_paces('changed', monitor)
+        return True
+
+    def log_paces(self, change: str, monitor: GroupMonitor) -> None:
+        """Log what reports and passes say about the paces of the ranks."""
+        logger.info(
+            'event=paces_{} group={} slowest={:.1f} slow_ranks={} '
+            + 'pass_ms={:.0f}',
+            change,
+            monitor.group,
+            max(monitor.paces.reported, default=1),
+            monitor.paces.slow_ranks,
+            1000 * (monitor.reported_pass_s or 0),
+        )
+
     def note_kept(self, monitor: GroupMonitor, kept: MapKept) -> None:
         """Log and record the decision to keep the current map."""
         logger.info(
--- a/src/snipebend/balancing/group_controller.py
+++ b/src/snipebend/balancing/group_controller.py
@@ -128,8 +128,10 @@
     ) -> float:
         """Complete an unfinished switch, or else track the demand."""
         monitor = self._current_monitor(sizes, snapshot)
-        monitor.slowness = snapshot.slowness
         self._follower.update_pass_time(monitor)
+        monitor.paces.update(
+            snapshot.slowness, monitor.reported_pass_s, self._clock.now()
+        )
         can_order = self._clock.now() >= self._orders_allowed_at(sizes)
         state = self._context.store.machine.state
         plan = state.plans.latest(self.key.group)
@@ -166,12 +168,24 @@
     async def _follow_demand(
         self, sizes: ExpertSizes, snapshot: GroupSnapshot, plan: GroupPlan
     ) -> None:
-        """Read the demand if it may have shifted, and improve the map."""
+        """Read the demand if it may have shifted, and improve the map.
+
+        A changed pace of a rank is planned for with the demand that is known.
+        """
         monitor = self._current_monitor(sizes, snapshot)
-        if snapshot.is_held or await self._follower.read(monitor, snapshot):
+        was_counting = self._follower.plan.is_counting
+        if (
+            snapshot.is_held
+            or self._follower.must_plan_for_paces(monitor)
+            or await self._follower.read(monitor, snapshot)
+        ):
             await self._improve_map(sizes, snapshot, plan)
         elif self._follower.should_recheck(monitor):
             self._observer.invalidate(self.key)
+        elif self._follower.plan.is_counting and not was_counting:
+            if monitor.paces.are_reports_outdated:
+                # A rank may have become slow since it was observed.
+                self._observer.invalidate(self.key)
 
     async def _sample_while_settling(self, snapshot: GroupSnapshot) -> None:
         """Read the demand while orders are not allowed yet."""
@@ -191,11 +205,14 @@
             return
         # The search takes 0.1 s for 32 ranks of 12 layers; in a thread it does
         # not delay heartbeats.
+        monitor.paces.note_planned(self._clock.now())
         proposal = await asyncio.to_thread(monitor.propose_map, layers)
         if snapshot.is_held:
             # The group is on hold because of a late order; only a switch
             # releases it.
             proposal = MapProposal(layers)
+        if proposal.are_paces_denied:
+            self._follower.log_paces('denied', monitor)
         if isinstance(proposal, MapKept):
             self._follower.note_kept(monitor, proposal)
             return
--- a/src/snipebend/experts/group_monitor.py
+++ b/src/snipebend/experts/group_monitor.py
@@ -10,12 +10,16 @@
 from snipebend.experts.hold_planner import MIN_PASS_S
 from snipebend.experts.layer_state import LayerMap
 from snipebend.experts.map_search import ChangeLimits, MapSearch
+from snipebend.experts.rank_paces import RankPaces
 from snipebend.experts.reading_plan import ON_TIME_PAUSE_SHARE
 from snipebend.experts.uncertain_skew import expected_skew
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import numpy as np
+    from numpy.typing import NDArray
+
     from snipebend.experts.direct_orders import RankCounts, RankReport
     from snipebend.experts.sizes import ExpertSizes
 
@@ -52,6 +56,8 @@
     #: Experts to fetch over all ranks and layers, and the maximum of one rank.
     fetches: int = 0
     max_fetches: int = 0
+    #: Whether passes are too short for the reported paces.
+    are_paces_denied: bool = False
 
 
 class MapKept(NamedTuple):
@@ -61,6 +67,7 @@
     skew: float = 0
     skew_after: float = 0
     saving: float = 0
+    are_paces_denied: bool = False
 
 
 class GroupMonitor:
@@ -76,7 +83,7 @@
         self.reported_pass_s: float | None = None
         self._pass_timing: PassTiming | None = None
         #: Duration of each rank's work relative to its usual duration.
-        self.slowness: tuple[float, ...] = ()
+        self.paces = RankPaces()
         self._sizes = sizes
         self.demand = Demand(sizes.layers, sizes.experts)
         #: Time at which the counts were last read.
@@ -149,17 +156,39 @@
         if shares is None or chosen is None:
             return MapKept('turning')
         loads: list[list[float]] = (shares * self.size).tolist()
-        better = self._search(layers, loads)
+        are_denied = self._are_paces_denied(layers, chosen)
+        slowness = () if are_denied else self.paces.reported
+        better = self._search(layers, loads, slowness)
         fetched = _fetches_by_rank(layers, better)
-        before = expected_skew(layers, chosen, self.slowness)
-        after = expected_skew(better, chosen, self.slowness)
-        saving = self._saving(before, after)
+        before = expected_skew(layers, chosen, slowness)
+        after = expected_skew(better, chosen, slowness)
+        saving = _relative_saving(self._sizes.work_share, before, after)
         if saving < self._least_saving(max(fetched)):
-            return MapKept('saving', before, after, saving)
+            return MapKept('saving', before, after, saving, are_denied)
         if self._is_deferrable(saving):
-            return MapKept('calm', before, after, saving)
+            return MapKept('calm', before, after, saving, are_denied)
         return MapProposal(
-            better, before, after, saving, sum(fetched), max(fetched)
+            better,
+            before,
+            after,
+            saving,
+            sum(fetched),
+            max(fetched),
+            are_denied,
+        )
+
+    def _are_paces_denied(
+        self, layers: tuple[LayerMap, ...], chosen: NDArray[np.float64]
+    ) -> bool:
+        """Return whether passes are too short for the reported paces."""
+        if not self.paces.has_slow_rank:
+            return False
+        work_share = self._sizes.work_share
+        reported = expected_skew(layers, chosen, self.paces.reported)
+        usual = expected_skew(layers, chosen)
+        return self.paces.are_denied(
+            _relative_length(work_share, reported)
+            / _relative_length(work_share, usual)
         )
 
     def _least_saving(self, max_fetches: int) -> float:
@@ -184,24 +213,32 @@
         )
 
     def _search(
-        self, layers: tuple[LayerMap, ...], loads: list[list[float]]
+        self,
+        layers: tuple[LayerMap, ...],
+        loads: list[list[float]],
+        slowness: tuple[float, ...],
     ) -> tuple[LayerMap, ...]:
         limits = ChangeLimits(
             self._sizes.slots,
             self._sizes.max_new,
             max_fetches=self._max_fetched(),
         )
-        return MapSearch(layers, loads, limits, self.slowness).run()
+        return MapSearch(layers, loads, limits, slowness).run()
 
     def _max_fetched(self) -> float:
         if not self._sizes.fetch_s:
             return math.inf
         return max(1, MAX_FETCH_S // self._sizes.fetch_s)
 
-    def _saving(self, before: float, after: float) -> float:
-        work_share = self._sizes.work_share
-        length = (1 - work_share) + work_share * before
-        return work_share * (before - after) / length
+
+def _relative_saving(work_share: float, before: float, after: float) -> float:
+    """Return the share of a pass that a fall of the skew saves."""
+    return work_share * (before - after) / _relative_length(work_share, before)
+
+
+def _relative_length(work_share: float, skew: float) -> float:
+    """Return the duration of a pass relative to one without skew."""
+    return (1 - work_share) + work_share * skew
 
 
 def _fetches_by_rank(
--- a/tests/balancing/group_model.py
+++ b/tests/balancing/group_model.py
@@ -72,6 +72,8 @@
     pause_s: float = 0.2
     fetch_s: float = 0.0076
     spare: int = 2
+    #: Part of a pass that depends on the slowest rank's pace only.
+    steps_s: float = 0
 
     def table(self):
         """Return a document that declares such engines."""
@@ -129,6 +131,19 @@
         #: Counts of the ranks that were read, and the pass they extend to.
         self._counts = {}
         self._history = deque(maxlen=100)
+        #: How many times as long each rank takes, and what its reports say.
+        self.paces = (1.0,) * shape.ranks
+        self._reported_paces = deque([(0.0, self.paces)])
+        self._update_skew()
+
+    def slow_down(self, slow, *, reported=None):
+        """Set the paces of some ranks; the others have their usual pace.
+
+        ``reported`` are the paces that reports state if these are wrong.
+        """
+        self.paces = self._all_paces(slow)
+        stated = slow if reported is None else reported
+        self._reported_paces.append((_now(), self._all_paces(stated)))
         self._update_skew()
 
     def drift(self, pairs):
@@ -189,8 +204,11 @@
     @property
     def pass_s(self):
         """Return the duration of a pass in seconds."""
-        stretch = 1 - EXPERT_SHARE + EXPERT_SHARE * self.skew
-        return self.shape.pass_s * stretch
+        stretch = (1 - EXPERT_SHARE) * max(self.paces)
+        stretch += EXPERT_SHARE * self.skew
+        return (
+            self.shape.steps_s * max(self.paces) + self.shape.pass_s * stretch
+        )
 
     async def read_report(self, upstream):
         await asyncio.sleep(ROUND_TRIP_S)
@@ -208,6 +226,7 @@
             prepared=self._prepared_version(rank),
             armed=self._armed.get(rank),
             held=held if rank == 0 else None,
+            slowness=self._reported_paces_at(_now() - LAG_S)[rank],
         )
 
     async def read_counts(self, upstream):
@@ -283,9 +302,19 @@
                 return step, version, held
         return self._history[0][1:] if self._history else (self.step, 0, None)
 
+    def _all_paces(self, slow):
+        return tuple(slow.get(rank, 1.0) for rank in range(self.shape.ranks))
+
+    def _reported_paces_at(self, moment):
+        known = [paces for at, paces in self._reported_paces if at <= moment]
+        return known[-1] if known else self._reported_paces[0][1]
+
     def _update_skew(self):
         loads = (self._popularity * self.shape.ranks).tolist()
-        self.skew = fmean(map(layer_skew, self._layers, loads))
+        self.skew = fmean(
+            layer_skew(layer, layer_loads, self.paces)
+            for layer, layer_loads in zip(self._layers, loads, strict=True)
+        )
 
     def _random_popularity(self):
         experts = range(1, self.shape.experts + 1)
