Let operators prefer upstreams in the own data centre

With [relay] remote_weight a call to another one counts for so many calls more; a near upstream without a free slot isn't preferred, so that no caller waits for the sake of distance. The default of 0 decides as before.

--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -92,6 +92,7 @@
             self._cfg.process.data_center,
             self.now,
             self._rng,
+            self._cfg.relay.remote_weight,
         )
         self.crashes = CrashTracker(
             self._cfg.relay,
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -30,13 +30,18 @@
         data_center: str,
         now: Callable[[], float],
         rng: Random,
+        remote_weight: float = 0,
     ) -> None:
-        """Keep the upstreams, and the data centre of the entry."""
+        """Keep the upstreams, and the data centre of the entry.
+
+        ``remote_weight`` is the weight of calls to other data centres.
+        """
         self._upstreams = upstreams
         self._limits = limits
         self._data_center = data_center
         self._now = now
         self._rng = rng
+        self._remote_weight = remote_weight
 
     def select(
         self, admitted: Admitted, tried: Sequence[str]
@@ -79,7 +84,10 @@
         within_limits: bool = False,
     ) -> Upstream | None:
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried
+            self._data_center,
+            admitted.route.gap_s,
+            tried,
+            self._remote_weight,
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -33,6 +33,7 @@
     is_too_slow: bool
     is_avoided: bool
     is_slow: bool
+    would_wait: bool
     load: float
     is_remote: bool
     tie_breaker: float
@@ -52,7 +53,9 @@
     timeout. Next come upstreams that have refused lately, since their few calls
     do not show that. Load is the number of calls relative to the slots. Among
     equals the same data centre is preferred, then the choice is random: entries
-    that all picked the first one would overload it.
+    that all picked the first one would overload it. Where distance has a
+    weight, an upstream of the same data centre is preferred until it has so
+    many calls more, or no free slot.
     """
     ranked = [
         (_sort_key(view, rng), view.upstream)
@@ -85,6 +88,7 @@
         view.is_too_slow,
         view.is_avoided,
         view.is_slow,
+        view.would_wait,
         view.load,
         view.is_remote,
         rng.random(),
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -26,6 +26,9 @@
     allowed_pause_s: float = 0
     #: Identities of the upstreams that were called before.
     tried: Collection[str] = ()
+    #: Calls that one to another data centre counts for in addition; 0: data
+    #: centres matter among equals only.
+    remote_weight: float = 0
 
 
 class UpstreamView(NamedTuple):
@@ -42,10 +45,14 @@
     is_avoided: bool
     #: Whether it slows down its group.
     is_slow: bool
-    #: Calls in progress relative to what it runs concurrently.
+    #: Calls in progress relative to what it runs concurrently, with the weight
+    #: of the distance.
     load: float
     #: Whether it is in another data centre than the entry.
     is_remote: bool
+    #: Whether a call would wait for others, where distance has a weight: no
+    #: caller waits for the sake of a shorter distance.
+    would_wait: bool = False
 
 
 def view_upstream(
@@ -55,6 +62,8 @@
     group = upstream.group
     record = upstream.record
     calls = upstream.calls
+    is_remote = record.data_center != requirements.data_center
+    distance = requirements.remote_weight * is_remote
     return UpstreamView(
         upstream,
         record.slots * (1 + QUEUE_SHARE) - calls,
@@ -63,8 +72,9 @@
         and group.is_too_slow(now, requirements.allowed_pause_s),
         upstream.refusals.is_avoided(now),
         upstream.slow,
-        calls / max(1, record.slots),
-        record.data_center != requirements.data_center,
+        (calls + distance) / max(1, record.slots),
+        is_remote,
+        requirements.remote_weight > 0 and calls >= record.slots,
     )
 
 
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -37,6 +37,9 @@
     crash_limit: Annotated[int, Meta(ge=1)] = 3
     #: Seconds for which such a request is refused after the last end.
     quarantine_s: Seconds = 600.0
+    #: Calls that one to another data centre counts for in addition when
+    #: upstreams are compared; 0: data centres matter among equals only.
+    remote_weight: Annotated[float, Meta(ge=0)] = 0
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
