Keep requests off slow ranks, and move resumable streams away from them

All ranks wait in each pass for the slowest one that has requests.

While at most a third of a group's ranks are slow, these get no requests, also when the others are full. A stream on such a rank is resumed elsewhere with its next event, if its route allows that, runs and attempts are left, another upstream has room and the retry budget grants it; the retry is spent before the call is ended. The rank's refusals and failures aren't counted for that.

--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -20,6 +20,9 @@
     faulty: bool = False
     #: Whether nothing was sent because the upstream wants no work.
     declined: bool = False
+    #: Whether this entry ended a stream to resume it at another upstream, and
+    #: has spent a retry for that.
+    moved: bool = False
 
 
 class BodyEnd(NamedTuple):
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -17,6 +17,7 @@
     ResponseCompleted,
     ResponseStarted,
 )
+from snipebend.edge.stream_mover import StreamMover
 from snipebend.edge.stream_relay import StreamRelay
 from snipebend.edge.upstream_pool import RefusedConnectionError
 from snipebend.errors.hierarchy import UnavailableError
@@ -75,6 +76,9 @@
             admitted, relay.now, relay.refusal_writer.describe_host_state
         )
         self._stream = StreamRelay(response, relay.now, self._record_pause)
+        self._mover = StreamMover(
+            self._retry_conditions, lambda: relay.acquire_retry(admitted)
+        )
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
         )
@@ -164,7 +168,11 @@
             if call is not None:
                 self._abandon(call)
         self._record_result(upstream, result, call_started_at)
-        if result is not None and result.outcome is CallOutcome.UNKNOWN:
+        if (
+            result is not None
+            and result.outcome is CallOutcome.UNKNOWN
+            and not result.moved
+        ):
             await self._crashes.record_broken_call(
                 upstream, call_started_at, self._stream.events
             )
@@ -295,6 +303,9 @@
             if self._stream.feed(event.data):
                 self._crashes.record_activity()
                 await self._response.drain()
+                moved = self._mover.move_from(call.upstream)
+                if moved is not None:
+                    return moved
             event = await call.receive()
         if isinstance(event, ResponseCompleted):
             return self._end_stream(started.framing)
@@ -334,7 +345,7 @@
         now = self._relay.now()
         if result.faulty:
             upstream.record_failure(now)
-        if result.outcome is CallOutcome.UNKNOWN:
+        if result.outcome is CallOutcome.UNKNOWN and not result.moved:
             # An upstream that breaks calls seems as idle as one that refuses.
             upstream.refusals.record_refusal(call_started_at, now)
         self._log.end_call(
@@ -343,8 +354,9 @@
 
     def _should_continue(self, result: CallResult) -> bool:
         """Return whether to call another upstream; if not, respond."""
-        if result.declined:
-            # Nothing was sent to an upstream, so no retry is deducted.
+        if result.declined or result.moved:
+            # Nothing was sent to an upstream, so no retry is deducted, or the
+            # retry was deducted before the call was ended.
             return True
         action = decide_next_action(result.outcome, self._retry_conditions())
         if action is NextAction.RETRY and self._relay.acquire_retry(
--- a/src/snipebend/relay/upstream_groups.py
+++ b/src/snipebend/relay/upstream_groups.py
@@ -29,6 +29,12 @@
 PASS_TIME_MAX_AGE_S = 3.0
 
 
+#: Share of slow ranks up to which they get no requests. A rank without requests
+#: does not delay the others; leaving out a third of the ranks costs no more
+#: than passes that take half as long again.
+MAX_SPARED_SHARE = 1 / 3
+
+
 @dataclass(slots=True)
 class UpstreamGroup:
     """One group; its ranks can only work together."""
@@ -37,6 +43,8 @@
     phase: GroupPhase = GroupPhase.OPEN
     #: Whether control reports a rank that slows down the others.
     has_slow_rank: bool = False
+    #: Whether the other ranks do more without the slow ones.
+    spares_slow_ranks: bool = False
     #: Chosen last until then, after a call of this entry found a rank lost.
     avoided_until: float = 0
     #: Until then, a call in progress is expected to show the pass time.
@@ -49,6 +57,9 @@
         """Apply a status reported by control."""
         self.phase = status.phase
         self.has_slow_rank = bool(status.slow)
+        self.spares_slow_ranks = (
+            0 < len(status.slow) <= MAX_SPARED_SHARE * len(status.members)
+        )
 
     def record_lost_rank(self, now: float) -> None:
         """Avoid the group: the other ranks are waiting for a lost one."""
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -81,11 +81,20 @@
 def view_candidates(
     upstreams: Iterable[Upstream], requirements: CallRequirements, now: float
 ) -> list[UpstreamView]:
-    """Return the views of those upstreams that a call may go to now."""
-    return [
-        view
+    """Return the views of those upstreams that a call may go to now.
+
+    Slow ranks that delay the passes of their group are left out while it has
+    others, also if these are full.
+    """
+    candidates = [
+        upstream
         for upstream in upstreams
         if upstream.is_open(now)
         and upstream.record.identity not in requirements.tried
-        and (view := view_upstream(upstream, requirements, now)).free_calls > 0
+    ]
+    preferred = [one for one in candidates if not one.is_spared]
+    return [
+        view
+        for upstream in preferred or candidates
+        if (view := view_upstream(upstream, requirements, now)).free_calls > 0
     ]
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -55,6 +55,15 @@
         """Return the known calls of all entries."""
         return self.own_calls + sum(self.other_entries_calls.values())
 
+    @property
+    def is_spared(self) -> bool:
+        """Return whether its group is faster without requests to it."""
+        return (
+            self.slow
+            and self.group is not None
+            and self.group.spares_slow_ranks
+        )
+
     @property
     def _is_available(self) -> bool:
         if self.displaced or self.leaving:
--- a/tests/relay/test_upstream_selection.py
+++ b/tests/relay/test_upstream_selection.py
@@ -76,6 +76,25 @@
             self.select(make_upstream('a'), requirements=requirements)
         )
 
+    def test_slow_ranks_get_nothing_while_their_group_has_others(self):
+        """One request would delay the streams of all other ranks."""
+        group = UpstreamGroup('g', has_slow_rank=True, spares_slow_ranks=True)
+        slow = make_upstream('slow', slow=True, group=group)
+        full = make_upstream('full', own_calls=100, group=group)
+        self.assertIsNone(self.select(slow, full))
+        paused = make_upstream('paused', group=group, paused_until=11.0)
+        self.assertEqual(self.select(slow, paused), 'slow')
+
+    def test_only_a_few_slow_ranks_are_spared(self):
+        members = ('a', 'b', 'c')
+        for slow, is_spared in ((), False), (('a',), True), (('a', 'b'), False):
+            group = UpstreamGroup('g')
+            group.apply_status(
+                UpstreamGroupStatus('g', 's', GroupPhase.OPEN, members, slow)
+            )
+            with self.subTest(slow=slow):
+                self.assertEqual(group.spares_slow_ranks, is_spared)
+
     def test_slow_upstreams_come_last(self):
         slow = make_upstream('slow', slow=True)
         busy = make_upstream('busy', own_calls=3)
