--- a/src/snipebend/edge/call_log.py
+++ b/src/snipebend/edge/call_log.py
@@ -74,7 +74,7 @@
             + 'failures={} refusals={} {}',
             self._admitted.facts.request_id,
             upstream.record.identity,
-            result.outcome.value,
+            result.ending,
             result.reason,
             framing_name(body_end.framing),
             body_end.events,
--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -24,6 +24,11 @@
     #: has spent a retry for that.
     moved: bool = False
 
+    @property
+    def ending(self) -> str:
+        """Return how the call ended, for logs and metrics."""
+        return 'moved' if self.moved else self.outcome.value
+
 
 class BodyEnd(NamedTuple):
     """How the responses of a request's calls ended."""
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -339,9 +339,7 @@
             upstream.record_response(call_started_at)
             self._relay.meters.count_call(service, 'answered', self._framing)
             return
-        self._relay.meters.count_call(
-            service, result.outcome.value, self._framing
-        )
+        self._relay.meters.count_call(service, result.ending, self._framing)
         now = self._relay.now()
         if result.faulty:
             upstream.record_failure(now)
