Never deny the pace of a rank that was relieved

Passes deny a reported pace if they grew by less than a share of what it would cause. A rank without experts and requests causes next to nothing, so a fall of the load denied its pace, and the next plan could have given its experts back while it was still slow. A slow rank whose requests were moved already causes less than the experts' work suggests, since the steps of a pass don't grow with it: the share falls from a quarter to a tenth. Found by reading; the two new tests fail without the change.

--- a/src/snipebend/experts/rank_paces.py
+++ b/src/snipebend/experts/rank_paces.py
@@ -28,8 +28,13 @@
 USUAL_PASS_WINDOW_S = 3.0
 
 #: Share of the expected growth of the pass time below which the passes deny the
-#: reported paces. Load and demand change the pass time, too.
-DENIED_GROWTH_SHARE = 0.25
+#: reported paces. A part of a pass doesn't grow with the experts' work, and
+#: load and demand change the pass time, too.
+DENIED_GROWTH_SHARE = 0.1
+
+#: Factor of the pass time from which an expected growth can be told from
+#: changes of load. A slow rank that was relieved causes less.
+MIN_EXPECTED_GROWTH = 1.25
 
 
 class _PassSample(NamedTuple):
@@ -98,6 +103,8 @@
         ``expected_growth`` is the factor by which the reported paces lengthen a
         pass under the map in force.
         """
+        if expected_growth < MIN_EXPECTED_GROWTH:
+            return False
         if self._pass_s is None or not self._usual:
             return False
         growth = self._pass_s / self._shortest_usual_s
--- a/tests/experts/test_rank_paces.py
+++ b/tests/experts/test_rank_paces.py
@@ -70,9 +70,16 @@
     def test_nothing_is_denied_without_pass_times(self):
         self.assertFalse(observe(SLOW, None).are_denied(4.0))
 
-    def test_an_expected_growth_of_zero_denies_nothing(self):
-        """A slow rank without experts and requests."""
-        self.assertFalse(observe(SLOW).are_denied(1.0))
+    def test_passes_that_grew_a_little_confirm_a_slow_rank(self):
+        """Its requests were moved, and load is light."""
+        self.assertFalse(observe(SLOW, 1.6 * PASS_S).are_denied(4.0))
+
+    def test_a_relieved_rank_is_not_denied(self):
+        """It would get its experts back while it is still slow."""
+        for growth in (1.0, 1.05, 1.2):
+            paces = observe(SLOW, 0.9 * PASS_S)
+            with self.subTest(growth=growth):
+                self.assertFalse(paces.are_denied(growth))
 
     def test_passes_that_a_slow_rank_delays_are_not_usual(self):
         paces = observe(SLOW, 4 * PASS_S)
