--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -20,6 +20,14 @@
     faulty: bool = False
     #: Whether nothing was sent because the upstream wants no work.
     declined: bool = False
+    #: Whether this entry ended a stream to resume it at another upstream, and
+    #: has spent a retry for that.
+    moved: bool = False
+
+    @property
+    def ending(self) -> str:
+        """Return how the call ended, for logs and metrics."""
+        return 'moved' if self.moved else self.outcome.value
 
 
 class BodyEnd(NamedTuple):
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -106,6 +106,7 @@
             lambda: self.now(),
             self._rng,
             self._follower.evacuations,
+            self._cfg.relay.remote_weight,
         )
         self.crashes = CrashTracker(
             self._cfg.relay,
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -38,8 +38,12 @@
         now: Callable[[], float],
         rng: Random,
         evacuations: EvacuationTracker,
+        remote_weight: float = 0,
     ) -> None:
-        """Keep the upstreams, and the data centre of the entry."""
+        """Keep the upstreams, and the data centre of the entry.
+
+        ``remote_weight`` is the weight of calls to other data centres.
+        """
         self._evacuations = evacuations
         self._upstreams = upstreams
         self._limits = limits
@@ -47,6 +51,7 @@
         self._data_center = data_center
         self._now = now
         self._rng = rng
+        self._remote_weight = remote_weight
 
     def select(
         self, admitted: Admitted, tried: Sequence[str]
@@ -114,6 +119,7 @@
             tried,
             self._evacuations.data_centers,
             self._cold.find_limits(admitted.service),
+            self._remote_weight,
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -35,6 +35,7 @@
     is_slow: bool
     #: Steps down from a warm upstream that runs a call at once.
     warmth_steps: int
+    would_wait: bool
     load: float
     is_cold: bool
     is_remote: bool
@@ -58,7 +59,8 @@
     rank delays all, only after warm ranks with equal load. Load is the number
     of calls relative to the slots. Among equals the same data centre is
     preferred, then the choice is random: entries that all picked the first one
-    would overload it.
+    would overload it. Where distance has a weight, an upstream of the same data
+    centre is preferred until it has so many calls more, or no free slot.
     """
     ranked = [
         (_sort_key(view, rng), view.upstream)
@@ -92,6 +94,7 @@
         view.is_avoided,
         view.is_slow,
         _warmth_steps(view),
+        view.would_wait,
         view.load,
         view.is_cold,
         view.is_remote,
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -31,6 +31,9 @@
     evacuated: Collection[str] = ()
     #: The limits of cold upstreams; None if the service has none.
     cold: ColdUpstreams | None = None
+    #: Calls that one to another data centre counts for in addition; 0: data
+    #: centres matter among equals only.
+    remote_weight: float = 0
 
 
 class UpstreamView(NamedTuple):
@@ -47,14 +50,16 @@
     is_avoided: bool
     #: Whether it slows down its group.
     is_slow: bool
-    #: Calls in progress relative to what it runs concurrently.
+    #: Calls in progress relative to what it runs concurrently, with the weight
+    #: of the distance.
     load: float
     #: Whether it is in another data centre than the entry.
     is_remote: bool
-    #: Whether it must not get anything, since its data centre is evacuated.
-    is_evacuated: bool
     #: Whether it accepts few calls a second now.
     is_cold: bool = False
+    #: Whether a call would wait for others, where distance has a weight: no
+    #: caller waits for the sake of a shorter distance.
+    would_wait: bool = False
 
 
 def view_upstream(
@@ -69,6 +74,8 @@
     is_cold = cold is not None and cold.is_cold(upstream, now)
     if cold is not None and is_cold and not cold.has_room(upstream, now):
         free_calls = 0
+    is_remote = record.data_center != requirements.data_center
+    distance = requirements.remote_weight * is_remote
     return UpstreamView(
         upstream,
         free_calls,
@@ -77,24 +84,31 @@
         and group.is_too_slow(now, requirements.allowed_pause_s),
         upstream.refusals.is_avoided(now),
         upstream.slow,
-        calls / max(1, record.slots),
-        record.data_center != requirements.data_center,
-        record.data_center in requirements.evacuated,
+        (calls + distance) / max(1, record.slots),
+        is_remote,
         is_cold,
+        requirements.remote_weight > 0 and calls >= record.slots,
     )
 
 
 def view_candidates(
     upstreams: Iterable[Upstream], requirements: CallRequirements, now: float
 ) -> list[UpstreamView]:
-    """Return the views of those upstreams that a call may go to now."""
-    return [
-        view
+    """Return the views of those upstreams that a call may go to now.
+
+    Slow ranks that delay the passes of their group are left out while it has
+    others, also if these are full.
+    """
+    candidates = [
+        upstream
         for upstream in upstreams
         if upstream.is_open(now)
         and upstream.record.identity not in requirements.tried
-        and not (
-            view := view_upstream(upstream, requirements, now)
-        ).is_evacuated
-        and view.free_calls > 0
+        and upstream.record.data_center not in requirements.evacuated
+    ]
+    preferred = [one for one in candidates if not one.is_spared]
+    return [
+        view
+        for upstream in preferred or candidates
+        if (view := view_upstream(upstream, requirements, now)).free_calls > 0
     ]
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -52,6 +52,9 @@
     quarantine_s: Seconds = 600.0
     #: Limits of cold upstreams; none are limited without the section.
     cold: ColdSection | None = None
+    #: Calls that one to another data centre counts for in addition when
+    #: upstreams are compared; 0: data centres matter among equals only.
+    remote_weight: Annotated[float, Meta(ge=0)] = 0
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
