Bound what an entry holds for callers that send or read slowly

With relay.memory_mb, bodies, whole responses and output beyond 16 KiB each are counted against a quarter of the VM's memory. A workspace holds at most as much as is free then. Bodies without room are refused before they are read, whole responses without room are forwarded as fast as they are read, and a caller that acknowledges no byte for 2 s is let go, before its upstream cuts the response off.

Back-pressure did not reach the upstream's socket: each piece that was taken let the connection read on, so that pieces piled up without bound (1000 where 64 are allowed). It is read again only once the reader has caught up. Responses to pipelined requests piled up, too, for a caller that read none.

Ruled out: the transport's own count as progress, since it moves only once the kernel's buffer has room again, and a caller that read 4 kB each 0.1 s was let go.

--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from snipebend.edge.http_headers import encode_head, end_to_end
+from snipebend.edge.response_buffer import PartialResponse
 from snipebend.edge.response_channel import (
     BodyChunk,
     ResponseAborted,
@@ -19,6 +20,7 @@
     from collections.abc import Callable
 
     from snipebend.edge.caller_parser import CompleteRequest
+    from snipebend.edge.response_buffer import ResponseBuffer
     from snipebend.edge.response_channel import ResponseChannel, ResponseEvent
     from snipebend.edge.upstream_connection import UpstreamConnection
     from snipebend.edge.upstream_pool import UpstreamPool
@@ -99,23 +101,23 @@
         return event
 
     async def receive_complete(
-        self, started: ResponseStarted
-    ) -> CompleteResponse | ResponseAborted:
-        """Read the response to its end."""
-        body = bytearray()
-        while True:
-            event = await self.receive()
-            match event:
-                case BodyChunk(data):
-                    body += data
-                case ResponseCompleted():
-                    return CompleteResponse(started, bytes(body))
-                case ResponseAborted():
-                    return event
-                case ResponseStarted():
-                    return ResponseAborted('a second head')
-            if len(body) > MAX_BUFFERED_BYTES:
+        self, started: ResponseStarted, buffer: ResponseBuffer
+    ) -> CompleteResponse | PartialResponse | ResponseAborted:
+        """Read the response to its end, or as far as there is memory."""
+        event = await self.receive()
+        while isinstance(event, BodyChunk):
+            if not buffer.add(event.data):
+                return PartialResponse(started, bytes(buffer.body))
+            if len(buffer.body) > MAX_BUFFERED_BYTES:
                 return ResponseAborted('the answer is too large')
+            event = await self.receive()
+        match event:
+            case ResponseCompleted():
+                return CompleteResponse(started, bytes(buffer.body))
+            case ResponseAborted():
+                return event
+            case ResponseStarted():
+                return ResponseAborted('a second head')
 
     async def drain(self, timeout_s: float) -> None:
         """Read and discard the response, for at most the given time."""
--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -11,15 +11,18 @@
 from snipebend.edge.caller_parser import CallerParser, CompleteRequest
 from snipebend.edge.caller_timer import AwaitedInput, CallerTimer
 from snipebend.edge.framing import FramingFault
+from snipebend.edge.reader_watch import ReaderWatch
 from snipebend.edge.response_writer import ResponseWriter
 from snipebend.transport.abortive_close import reset_on_close
 from snipebend.transport.problems import Problem
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
     from typing import Any
 
     from snipebend.hosts.model import CallerLimits
+    from snipebend.relay.buffer_budget import BufferBudget, BufferHold
+    from snipebend.relay.facts import RequestHead
 
 #: Complete requests that may queue behind the current one before reading from
 #: the connection is paused.
@@ -39,6 +42,10 @@
     def limits(self) -> CallerLimits:
         """Return the limits in force."""
 
+    @property
+    def buffers(self) -> BufferBudget | None:
+        """Return the budget of what is held for callers, if there is one."""
+
     @property
     def draining(self) -> bool:
         """Return whether connections close after the current response."""
@@ -51,6 +58,15 @@
     ) -> Coroutine[Any, Any, None]:
         """Serve a request; cancelled when the caller disconnects."""
 
+    def hold_body(self, head: RequestHead, size: int) -> BufferHold | None:
+        """Hold memory for a body, or return None if there is none."""
+
+    def refuse_body(self, head: RequestHead, response: ResponseWriter) -> None:
+        """Refuse a request for whose body there is no memory."""
+
+    def let_go(self, stalled_s: float, size: int, workspace: str) -> None:
+        """Record that a caller is cut off because it reads nothing."""
+
     def connection_opened(self, conn: CallerConnection) -> None:
         """Register a new connection."""
 
@@ -65,17 +81,24 @@
         """Keep the server of the requests."""
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._parser = CallerParser(lambda: server.limits, self._send_continue)
+        self._parser = CallerParser(
+            lambda: server.limits,
+            self._send_continue,
+            None if server.buffers is None else server.hold_body,
+        )
         self._timer = CallerTimer(lambda: server.limits, self._handle_timeout)
-        self._writable = asyncio.Event()
-        self._writable.set()
+        self._reader = ReaderWatch(
+            server.buffers, lambda: self._task is None, self._let_go
+        )
         self._task: asyncio.Task[None] | None = None
+        self._body_hold: BufferHold | None = None
         self._closing = False
         self._reset_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
         self._transport = cast(asyncio.Transport, transport)
+        self._reader.connect(self._transport)
         self._server.connection_opened(self)
         self._advance()
 
@@ -92,16 +115,19 @@
 
     def pause_writing(self) -> None:
         """Pause writing responses: the caller reads too slowly."""
-        self._writable.clear()
+        self._reader.pause()
 
     def resume_writing(self) -> None:
         """Resume writing responses."""
-        self._writable.set()
+        self._reader.resume()
+        self._advance()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._closing = True
         self._timer.stop()
+        self._reader.stop()
+        self._parser.close()
         if self._reset_timer is not None:
             self._reset_timer.cancel()
         if self._task is not None:
@@ -119,10 +145,16 @@
         self._transport.abort()
 
     def _advance(self) -> None:
-        """Start the next request, if there is one and none is in progress."""
-        if self._task is None and not self._closing:
+        """Start the next request, if there is one and none is in progress.
+
+        Responses must not pile up for a caller that doesn't read them.
+        """
+        is_free = self._task is None and self._reader.writable.is_set()
+        if is_free and not self._closing:
             if self._parser.requests:
                 self._begin(self._parser.requests.popleft())
+            elif self._parser.refused_head is not None:
+                self._refuse_body(self._parser.refused_head)
             elif self._parser.fault is not None:
                 self._refuse(self._parser.fault)
         if self._closing:
@@ -132,9 +164,10 @@
         self._timer.expect(self._awaited_input())
 
     def _begin(self, req: CompleteRequest) -> None:
+        self._body_hold = req.body_hold
         response = ResponseWriter(
             self._transport,
-            self._writable,
+            self._reader,
             now=self._server.now,
             supports_chunks=req.accepts_chunks,
             can_keep_alive=lambda: self._can_keep_alive(req),
@@ -160,6 +193,9 @@
 
     def _handle_response_end(self, keep: bool) -> None:
         self._task = None
+        if self._body_hold is not None:
+            self._body_hold.release()
+            self._body_hold = None
         if not keep:
             self._close()
         elif not self._closing:
@@ -173,18 +209,43 @@
             fault.detail,
             self._transport.get_extra_info('peername'),
         )
-        response = ResponseWriter(
+        self._make_last_response(self._handle_response_end).write_problem(
+            Problem(fault.status, fault.status.phrase, fault.detail), []
+        )
+
+    def _refuse_body(self, head: RequestHead) -> None:
+        """Refuse a request before its body is read."""
+        self._server.refuse_body(
+            head, self._make_last_response(lambda _: self._end_output())
+        )
+
+    def _make_last_response(
+        self, on_end: Callable[[bool], None]
+    ) -> ResponseWriter:
+        return ResponseWriter(
             self._transport,
-            self._writable,
+            self._reader,
             now=self._server.now,
             supports_chunks=False,
             can_keep_alive=lambda: False,  # noqa: WPS522  # `bool` reads worse
-            on_end=self._handle_response_end,
-        )
-        response.write_problem(
-            Problem(fault.status, fault.status.phrase, fault.detail), []
+            on_end=on_end,
         )
 
+    def _end_output(self) -> None:
+        """Close once the caller does; what it still sends is dropped.
+
+        Closing before would reset the connection, and the caller might lose
+        the response.
+        """
+        self._closing = True
+        self._timer.stop()
+        self._transport.write_eof()
+        self._reset_timer = self._loop.call_later(CLOSE_TIMEOUT_S, self._reset)
+
+    def _let_go(self, stalled_s: float, size: int) -> None:
+        self._server.let_go(stalled_s, size, self._reader.workspace)
+        self._reset()
+
     def _send_continue(self) -> None:
         if self._task is None and not self._parser.requests:
             self._transport.write(_CONTINUE)
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -30,6 +30,8 @@
     retries_left: Callable[[], dict[str, float]]
     #: Number of upstreams by status.
     upstreams: Callable[[], dict[str, int]]
+    #: Bytes that are held for callers, as far as they are counted.
+    held_bytes: Callable[[], int]
 
 
 class RelayMeters:
@@ -103,6 +105,10 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._let_go = meter.create_counter(
+            'snipebend_relay_callers_let_go',
+            description='callers that were cut off because they read nothing',
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -111,6 +117,7 @@
             'snipebend_relay_requests_in_flight': sources.requests_in_progress,
             'snipebend_relay_document_number': sources.document_number,
             'snipebend_relay_news_age_seconds': sources.update_age_s,
+            'snipebend_relay_held_bytes': sources.held_bytes,
         }
         for name, read in single.items():
             meter.create_observable_gauge(name, [partial(_observe, read)])
@@ -143,6 +150,10 @@
         """Count the end of an upstream under a request."""
         self._crashes.add(1)
 
+    def count_let_go(self) -> None:
+        """Count a caller that was cut off because it read nothing."""
+        self._let_go.add(1)
+
     def record_pause(self, seconds: float) -> None:
         """Record the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relay_server.py
+++ b/src/snipebend/edge/relay_server.py
@@ -21,6 +21,8 @@
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.kernel.registry import Registry
+    from snipebend.relay.buffer_budget import BufferBudget, BufferHold
+    from snipebend.relay.facts import RequestHead
     from snipebend.settings.relay import RelaySettings
 
 #: Seconds of a graceful shutdown in which new connections are still accepted:
@@ -109,6 +111,29 @@
         index = self._relay.index
         return index.table.limits if index else CallerLimits()
 
+    @property
+    def buffers(self) -> BufferBudget | None:
+        """Return the budget of what is held for callers, if there is one."""
+        return self._relay.buffers
+
+    def hold_body(self, head: RequestHead, size: int) -> BufferHold | None:
+        """Hold memory for a body, or return None if there is none."""
+        return self._relay.hold_body(head, size)
+
+    def refuse_body(self, head: RequestHead, response: ResponseWriter) -> None:
+        """Refuse a request for whose body there is no memory."""
+        self._relay.refuse_body(head, response)
+
+    def let_go(self, stalled_s: float, size: int, workspace: str) -> None:
+        """Record that a caller is cut off because it reads nothing."""
+        self._relay.meters.count_let_go()
+        logger.info(
+            'event=caller_let_go workspace={} stalled_ms={:.0f} unread={}',
+            workspace,
+            1000 * stalled_s,
+            size,
+        )
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -21,6 +21,7 @@
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
 from snipebend.relay.admission import DEFAULT_TIMEOUT_S, Admitted, admit
+from snipebend.relay.buffer_budget import make_budget
 from snipebend.relay.facts import CallerFacts
 from snipebend.relay.retry_after import document_wait_deadline
 from snipebend.relay.pass_times import PassTimeMeter
@@ -36,8 +37,9 @@
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
+    from snipebend.relay.buffer_budget import BufferHold
     from snipebend.relay.crash_report import CrashReport
-    from snipebend.relay.facts import Dialect
+    from snipebend.relay.facts import Dialect, RequestHead
     from snipebend.relay.rate_limit_table import LimitReport
     from snipebend.relay.refusals import RefusalReport
     from snipebend.relay.upstreams import Upstream
@@ -62,6 +64,7 @@
         # Only spreads choices of entries; predictable numbers do no harm.
         self._rng = random.Random()
         self._in_progress = 0
+        self.buffers = make_budget(cfg.relay.memory_mb)
 
     async def start(self, registry: Registry) -> None:
         """Follow the document and the roster."""
@@ -80,6 +83,7 @@
                 lambda: self._follower.update_age_s,
                 self._retries_left,
                 lambda: self._upstreams.count_statuses(self.now()),
+                lambda: 0 if self.buffers is None else self.buffers.held,
             )
         )
         self.refusal_writer = RefusalWriter(
@@ -119,6 +123,7 @@
         return {
             'in_work': self._in_progress,
             'idle_to_upstreams': self.pool.count_idle(),
+            'held_bytes': self.buffers.by_workspace if self.buffers else {},
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
             'crashes': self.crashes.dump(),
@@ -157,6 +162,27 @@
             self._in_progress -= 1
             self.meters.record_request(admitted, response, self.now())
 
+    def hold_body(self, head: RequestHead, size: int) -> BufferHold | None:
+        """Hold memory for a body, or return None if there is none."""
+        if self.buffers is None:
+            return None
+        facts = self.dialect.read_caller(head)
+        workspace = None
+        if self.index is not None and facts is not None:
+            workspace = self.index.find_workspace(facts.key)
+        name = workspace.name if workspace else ''
+        if not self.buffers.has_room(name, size):
+            return None
+        return self.buffers.hold(name, size)
+
+    def refuse_body(self, head: RequestHead, response: ResponseWriter) -> None:
+        """Refuse a request for whose body there is no memory."""
+        facts = self.dialect.read_caller(head) or CallerFacts()
+        refusal = problems.busy(
+            self.refusal_writer.busy_retry_s(), 'no memory for the body'
+        )
+        self.refusal_writer.refuse(response, refusal, facts)
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -6,11 +6,16 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from snipebend.edge.call import Call
+from snipebend.edge.call import Call, CompleteResponse
 from snipebend.edge.call_log import CallLog
 from snipebend.edge.call_result import BodyEnd, CallResult
 from snipebend.edge.final_response import FinalResponse
 from snipebend.edge.request_crashes import RequestCrashes
+from snipebend.edge.response_buffer import (
+    PartialResponse,
+    ResponseBuffer,
+    forward_rest,
+)
 from snipebend.edge.response_channel import (
     BodyChunk,
     ResponseAborted,
@@ -64,6 +69,10 @@
         self._response = response
         self._admitted = admitted
         self._route = admitted.route
+        response.reader.workspace = admitted.workspace
+        self._buffer = ResponseBuffer(relay.buffers, admitted.workspace)
+        #: Whether the caller has got the beginning of a whole response.
+        self._partial = False
         self._tried: list[str] = []
         self._runs = 0
         #: The upstream called last.
@@ -87,6 +96,7 @@
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
         finally:
+            self._buffer.release()
             self._log.end_request(self._response, self.body_end)
 
     @property
@@ -266,10 +276,10 @@
     async def _read_failure(
         self, call: Call, started: ResponseStarted
     ) -> CallResult:
-        response = await call.receive_complete(started)
+        response = await self._receive_complete(call, started)
         reason = f'failed with {started.head.status}'
         if (
-            isinstance(response, ResponseAborted)
+            not isinstance(response, CompleteResponse)
             or not started.facts.authenticated
         ):
             return self._unknown_outcome(reason)
@@ -278,14 +288,33 @@
     async def _forward_complete(
         self, call: Call, started: ResponseStarted
     ) -> CallResult | None:
-        response = await call.receive_complete(started)
-        if isinstance(response, ResponseAborted):
-            return self._unknown_outcome(response.reason)
-        self._final.forward(response)
+        response = await self._receive_complete(call, started)
+        match response:
+            case CompleteResponse():
+                self._final.forward(response)
+            case PartialResponse():
+                self._partial = True
+                reason = await forward_rest(call, response, self._response)
+                if reason:
+                    return self._unknown_outcome(reason)
+            case ResponseAborted(reason):
+                return self._unknown_outcome(reason)
         if started.head.status < HTTPStatus.MULTIPLE_CHOICES:
             self._crashes.record_complete_response()
         return None
 
+    async def _receive_complete(
+        self, call: Call, started: ResponseStarted
+    ) -> CompleteResponse | PartialResponse | ResponseAborted:
+        """Read a response; what its caller has yet to read is counted then."""
+        self._buffer.release()
+        self._buffer = ResponseBuffer(
+            self._relay.buffers, self._admitted.workspace
+        )
+        response = await call.receive_complete(started, self._buffer)
+        self._buffer.release()
+        return response
+
     async def _forward_stream(
         self, call: Call, started: ResponseStarted
     ) -> CallResult | None:
@@ -347,8 +376,10 @@
             # Nothing was sent to an upstream, so no retry is deducted.
             return True
         action = decide_next_action(result.outcome, self._retry_conditions())
-        if action is NextAction.RETRY and self._relay.acquire_retry(
-            self._admitted
+        if (
+            action is NextAction.RETRY
+            and not self._partial
+            and self._relay.acquire_retry(self._admitted)
         ):
             return True
         final = final_action(result.outcome, may_have_run=self._may_have_run)
--- a/src/snipebend/edge/response_channel.py
+++ b/src/snipebend/edge/response_channel.py
@@ -45,6 +45,8 @@
         """Create an empty channel; ``request_id`` names the request."""
         self.request_id = request_id
         self._messages: asyncio.Queue[ResponseEvent] = asyncio.Queue()
+        #: Bytes of the body that have not been read.
+        self.pending_bytes = 0
 
     @property
     def pending(self) -> int:
@@ -53,8 +55,13 @@
 
     def send(self, message: ResponseEvent) -> None:
         """Append an event."""
+        if isinstance(message, BodyChunk):
+            self.pending_bytes += len(message.data)
         self._messages.put_nowait(message)
 
     async def receive(self) -> ResponseEvent:
         """Wait for the next event."""
-        return await self._messages.get()
+        message = await self._messages.get()
+        if isinstance(message, BodyChunk):
+            self.pending_bytes -= len(message.data)
+        return message
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -12,8 +11,11 @@
 from snipebend.transport.problems import MEDIA_PROBLEM, Problem, encode_problem
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
+    from snipebend.edge.reader_watch import ReaderWatch
+
 _STATUS_LINE = b'HTTP/1.1 %d %b'
 _LAST_CHUNK = b'0\r\n\r\n'
 
@@ -24,7 +26,7 @@
     def __init__(
         self,
         transport: asyncio.Transport,
-        writable: asyncio.Event,
+        reader: ReaderWatch,
         *,
         now: Callable[[], float],
         supports_chunks: bool,
@@ -41,7 +43,8 @@
         #: When the first piece of the body was written; seconds of ``now``.
         self.first_byte_at: float | None = None
         self._transport = transport
-        self._writable = writable
+        #: Whether the caller reads what was written.
+        self.reader = reader
         self._now = now
         self._supports_chunks = supports_chunks
         self._can_keep_alive = can_keep_alive
@@ -91,7 +94,7 @@
 
     async def drain(self) -> None:
         """Wait until the caller has read enough of what was written."""
-        await self._writable.wait()
+        await self.reader.writable.wait()
 
     def end(self) -> None:
         """Finish a complete response."""
--- a/src/snipebend/edge/upstream_connection.py
+++ b/src/snipebend/edge/upstream_connection.py
@@ -14,6 +14,9 @@
 #: Events that may queue for the reader before reading is paused.
 MAX_PENDING_EVENTS = 64
 
+#: The same in bytes of the body.
+MAX_PENDING_BYTES = 65_536
+
 
 class UpstreamConnection(asyncio.Protocol):
     """Protocol of one connection to an upstream."""
@@ -70,7 +73,7 @@
         channel = self._parser.channel
         if channel is None and self._parser.not_reusable:
             self.close()
-        if channel is not None and channel.pending > MAX_PENDING_EVENTS:
+        if channel is not None and _is_full(channel):
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -84,7 +87,8 @@
 
     def resume(self) -> None:
         """Resume reading once the reader has caught up."""
-        if self._open and self._parser.channel is not None:
+        channel = self._parser.channel
+        if self._open and channel is not None and not _is_full(channel):
             self._transport.resume_reading()
 
     def _fail(self, reason: str) -> None:
@@ -93,3 +97,10 @@
         if channel is not None:
             channel.send(ResponseAborted(reason))
         self.close()
+
+
+def _is_full(channel: ResponseChannel) -> bool:
+    return (
+        channel.pending > MAX_PENDING_EVENTS
+        or channel.pending_bytes > MAX_PENDING_BYTES
+    )
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -37,6 +37,9 @@
     crash_limit: Annotated[int, Meta(ge=1)] = 3
     #: Seconds for which such a request is refused after the last end.
     quarantine_s: Seconds = 600.0
+    #: Memory of the VM in megabytes, which bounds what is held for slow
+    #: callers; 0: unknown, and nothing is counted.
+    memory_mb: Annotated[float, Meta(ge=0)] = 0
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/tests/edge/relay_fixture.py
+++ b/tests/edge/relay_fixture.py
@@ -295,6 +295,7 @@
     slots=4,
     listener=None,
     clock=None,
+    memory_mb=0,
 ):
     """Run a relay with upstreams that follow these scripts.
 
@@ -303,7 +304,7 @@
     cfg = RelaySettings(
         process=ProcessSection(name='entry-1', data_center='dc-a'),
         control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
-        relay=RelaySection(),
+        relay=RelaySection(memory_mb=memory_mb),
         stop_within_s=stop_within_s,
     )
     registry = Registry(clock or SystemClock(), TaskSupervisor())
