Reject announcements and configurations that can't be stored or used

Found by property tests: a number beyond 64 bits in a heartbeat or configuration passed the checks and could not be encoded as a command; nesting beyond the decoder's depth and numbers that are infinite or none raised other errors than the declared one; addresses such as 999.1.1.1:99999 were recorded. All of them are invalid input now, and so are names over 255 characters, which stay in the roster.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -45,6 +45,7 @@
         'bootstrap': 'true',
         'bounds.retry_budget_ratio': '0.25',
         'bounds.budget_slack': '124',
+        'limits.memory_mb': '152',
     }
 )
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
@@ -89,6 +90,7 @@
         self.assertEqual(cfg.callers, '10.1.0.40:8227')
         self.assertEqual(cfg.relay.retry_ratio, 0.25)
         self.assertEqual(cfg.relay.retry_slack, 124)
+        self.assertEqual(cfg.relay.memory_mb, 152)
         self.assertEqual(
             cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
         )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -10,6 +10,8 @@
 import unittest
 from types import MappingProxyType
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec import json, msgpack
 
 from snipebend.hosts.model import RequestKind, TrafficSplit
@@ -84,6 +86,37 @@
 )
 
 
+#: Parts of the configuration and how to replace a field in the first of them.
+PLACES = ('', 'routes', 'services', 'engine')
+NUMBERS = st.integers(-(2**63), 2**64 - 1) | st.floats()
+FIELDS = NUMBERS | st.none() | st.text(max_size=3) | st.lists(NUMBERS)
+
+
+def find_part(config, place):
+    """Return the part of a configuration that a place names."""
+    match place:
+        case '':
+            return config
+        case 'engine':
+            return config['services'][0]['engine']
+        case _:
+            return config[place][0]
+
+
+def change_one(place, number, changed):
+    """Return a configuration in which one field has another value."""
+    config = msgpack.decode(msgpack.encode(dict(CONFIG)))
+    part = find_part(config, place)
+    names = sorted(part)
+    part[names[number % len(names)]] = changed
+    return msgpack.encode(config)
+
+
+CHANGED = st.builds(
+    change_one, st.sampled_from(PLACES), st.integers(0, 30), FIELDS
+)
+
+
 class TestReadTable(unittest.TestCase):
     """All fields are converted, times into seconds."""
 
@@ -126,6 +159,18 @@
         table = read_table(self.changed('kind', 'new')).unwrap()
         self.assertIs(table.routes[0].kind, RequestKind.UNSAFE)
 
+    @settings(derandomize=True, max_examples=400)
+    @given(CHANGED)
+    def test_any_field_is_converted_or_rejected(self, body):
+        read = read_table(body)
+        if read.is_ok():
+            msgpack.encode(read.unwrap())
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_rejected(self, body):
+        self.assertTrue(read_table(body).is_err())
+
     def test_invalid(self):
         duplicate_key = [
             {'name': 't', 'api_keys': ['k']},
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from types import MappingProxyType
 
@@ -15,7 +16,12 @@
 from msgspec import json, msgpack
 
 from snipebend.state.roster import RecordRequest, Roster, RosterPhase
-from snipebend_platform.heartbeats import read_departure, read_heartbeat
+from snipebend.state.roster_checks import MAX_NAME_CHARS
+from snipebend_platform.heartbeats import (
+    MAX_MESSAGE_BYTES,
+    read_departure,
+    read_heartbeat,
+)
 
 HEARTBEAT = MappingProxyType(
     {
@@ -62,6 +68,15 @@
 )
 
 
+def is_ipv4(host):
+    """Return whether a host is an IPv4 address."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        return False
+    return True
+
+
 class TestReading(unittest.TestCase):
     """An invalid message adds no replica to the roster."""
 
@@ -111,6 +126,51 @@
         for read in (read_heartbeat('i-1', body), read_departure('i-1', body)):
             self.assertTrue(read.is_err() or read.unwrap().identity == 'i-1')
 
+    @settings(derandomize=True, max_examples=400)
+    @given(CHANGED_HEARTBEATS)
+    def test_accepted_records_can_be_stored_and_called(self, changed):
+        """The record becomes part of a command; entries open its address."""
+        read = read_heartbeat('i-1', changed[1])
+        if read.is_ok():
+            record = read.unwrap()
+            msgpack.encode(record)
+            host, _, port = record.address.rpartition(':')
+            self.assertTrue(is_ipv4(host) and int(port) < 1 << 16)
+
+    def test_numbers_at_the_limits(self):
+        for name in ('slots', 'born'):
+            for number in (2**63 - 1, 2**63, 2**64, 10**30):
+                with self.subTest(name=name, number=number):
+                    body = json.encode(HEARTBEAT | {name: number})
+                    read = read_heartbeat('i-1', body)
+                    self.assertEqual(read.is_ok(), number < 2**63)
+        self.assertTrue(read_departure('i', b'{"born":1e400}').is_err())
+
+    def test_addresses_that_cannot_be_opened(self):
+        addresses = (
+            '999.0.0.1:80',
+            '10.0.0.1:65536',
+            '10.0.0.1:80\n',
+            '1.2.3:80',
+            '....:1',
+            '10.0.0.1:\u0664',
+        )
+        for address in addresses:
+            with self.subTest(address=address):
+                body = json.encode(HEARTBEAT | {'address': address})
+                self.assertTrue(read_heartbeat('i-1', body).is_err())
+
+    def test_long_names_and_deep_nesting(self):
+        name = 'a' * (MAX_NAME_CHARS + 1)
+        body = json.encode(dict(HEARTBEAT))
+        self.assertTrue(read_heartbeat(name, body).is_err())
+        self.assertTrue(read_departure(name, b'').is_err())
+        body = json.encode(HEARTBEAT | {'service': name})
+        self.assertTrue(read_heartbeat('i-1', body).is_err())
+        deep = b'{"a":%b' % (b'[' * MAX_MESSAGE_BYTES)
+        self.assertTrue(read_heartbeat('i-1', deep).is_err())
+        self.assertTrue(read_departure('i-1', deep).is_err())
+
     @settings(derandomize=True, max_examples=200)
     @given(CHANGED_HEARTBEATS)
     def test_no_changed_field_removes_a_valid_replica(self, changed):
