Drop what is kept by identity when an upstream starts again

A response of the former incarnation that came late set its rate limit for the next one, refusals and limits that other entries had met before were applied to it, and a connection that was released late would carry its calls to the old address. Limits now have the time at which an incarnation ended, refusals that at which the next one was learned of, and idle connections their address.

Control's roster and the evidence of ends are by start time already; calls that another entry reports before it knows of the next life are not told apart.

--- a/src/snipebend/edge/rate_limit_tracker.py
+++ b/src/snipebend/edge/rate_limit_tracker.py
@@ -29,7 +29,13 @@
     def record_response(
         self, upstream: Upstream, facts: ResponseFacts, call_started_at: float
     ) -> None:
-        """Apply what a response states about its upstream's limit."""
+        """Apply what a response states about its upstream's limit.
+
+        A late response of an incarnation that has ended says nothing of the
+        next one.
+        """
+        if upstream.displaced:
+            return
         identity = upstream.record.identity
         change = self.table.record_response(
             identity, facts, call_started_at, self._now()
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -330,12 +330,12 @@
                 self.crashes.record_successor(
                     record.address, 'another took its place'
                 )
-        for ended in self._upstreams.apply_records(records):
+        for ended in self._upstreams.apply_records(records, self.now()):
             self.crashes.record_successor(
                 ended.record.address, 'control knows of its end'
             )
             self.pool.close_idle(ended.record.identity)
-            self.limits.table.remove(ended.record.identity)
+            self.limits.table.remove(ended.record.identity, self.now())
 
     async def _probe(self, upstream: Upstream) -> ProbeOutcome:
         record = upstream.record
--- a/src/snipebend/edge/upstream_connection.py
+++ b/src/snipebend/edge/upstream_connection.py
@@ -21,8 +21,9 @@
 class UpstreamConnection(asyncio.Protocol):
     """Protocol of one connection to an upstream."""
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(self, dialect: Dialect, address: str) -> None:
         """Keep the dialect; the transport is set on connection."""
+        self.address = address
         self.idle_since: float = 0
         self._parser = ResponseParser(dialect)
         self._open = False
--- a/src/snipebend/edge/upstream_pool.py
+++ b/src/snipebend/edge/upstream_pool.py
@@ -70,7 +70,7 @@
         Raises:
             UnavailableError: when none can be opened in time.
         """
-        conn = self._take_idle(identity, fresh=fresh)
+        conn = self._take_idle(identity, address, fresh=fresh)
         if conn is None:
             conn = await self._open(address)
         return conn
@@ -127,13 +127,17 @@
         return {identity: len(conns) for identity, conns in self._idle.items()}
 
     def _take_idle(
-        self, identity: str, *, fresh: bool
+        self, identity: str, address: str, *, fresh: bool
     ) -> UpstreamConnection | None:
+        """Return an idle connection to an upstream.
+
+        A call to a former incarnation may have released its connection late.
+        """
         conns = self._idle.get(identity, [])
         now = self._clock.now()
         while conns:
             conn = conns.pop()
-            if not self._is_usable(conn, now):
+            if conn.address != address or not self._is_usable(conn, now):
                 conn.close()
                 continue
             if fresh and now - conn.idle_since > FRESH_IDLE_S:
@@ -154,13 +158,15 @@
         try:
             async with asyncio.timeout(self._cfg.connect_timeout_s):
                 transport, conn = await loop.create_connection(
-                    lambda: UpstreamConnection(self._dialect), host, int(port)
+                    lambda: UpstreamConnection(self._dialect, address),
+                    host,
+                    int(port),
                 )
         except ConnectionRefusedError as exc:
             raise RefusedConnectionError(
                 str(exc), step='connect', peer=address
             ) from exc
-        except (OSError, TimeoutError, ValueError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
             reason = str(exc) or 'no connection in time'
             raise UnavailableError(
                 reason, step='connect', peer=address
--- a/src/snipebend/relay/rate_limit_table.py
+++ b/src/snipebend/relay/rate_limit_table.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from msgspec import Struct
@@ -20,6 +21,10 @@
 #: any datagram may be lost.
 REPORT_LIFTED_S = 5.0
 
+#: Seconds for which the end of an upstream is kept: until all entries know of
+#: it, and report its limit no more.
+ENDED_RETENTION_S = 60.0
+
 
 class LimitReport(Struct, frozen=True, array_like=True):
     """An entry's report to the others about one upstream's limit."""
@@ -54,6 +59,8 @@
         self._notices: dict[str, LimitNotice] = {}
         #: Notices that this entry received itself.
         self._own_notices: dict[str, LimitNotice] = {}
+        #: When an incarnation of each upstream ended, in order.
+        self._ended_at: dict[str, float] = {}
 
     def __bool__(self) -> bool:
         """Return whether any limit is in force."""
@@ -99,7 +106,8 @@
         """Apply another entry's notices and call counts."""
         changes: list[LimitChange] = []
         for upstream, reported in reports.items():
-            if reported.age_s is not None:
+            known_from = self._ended_at.get(upstream, -math.inf)
+            if reported.age_s is not None and now - reported.age_s > known_from:
                 notice = LimitNotice(reported.per_s, now - reported.age_s)
                 change = self._apply_notice(upstream, notice, entry, now)
                 if change is not None:
@@ -147,8 +155,15 @@
             rate_limit.refill(now, self.share)
             rate_limit.record_call()
 
-    def remove(self, upstream: str) -> None:
-        """Remove an upstream that no longer exists."""
+    def remove(self, upstream: str, now: float) -> None:
+        """Remove an upstream that no longer exists.
+
+        Notices from before ``now`` don't concern a later incarnation of it.
+        """
+        self._ended_at.pop(upstream, None)
+        self._ended_at[upstream] = now
+        while now - next(iter(self._ended_at.values())) > ENDED_RETENTION_S:
+            self._ended_at.pop(next(iter(self._ended_at)))
         self._limits.pop(upstream, None)
         self._notices.pop(upstream, None)
         self._own_notices.pop(upstream, None)
--- a/src/snipebend/relay/refusals.py
+++ b/src/snipebend/relay/refusals.py
@@ -46,6 +46,8 @@
     own_received_at: float = -math.inf
     #: When the last accepted call of this entry began.
     accepted_call_at: float = -math.inf
+    #: When this entry learned that the upstream has begun another life.
+    begun_at: float = -math.inf
 
     def record_refusal(self, call_started_at: float, now: float) -> None:
         """Record the refusal of a call that began at the given time."""
@@ -61,9 +63,12 @@
             self.consecutive = 0
 
     def apply_report(self, report: RefusalReport, now: float) -> None:
-        """Apply another entry's report unless a later call was accepted."""
+        """Apply another entry's report unless a later call was accepted.
+
+        A report may also be of a former incarnation of the upstream.
+        """
         refused_at = now - report.age_s
-        if refused_at <= self.accepted_call_at:
+        if refused_at <= max(self.accepted_call_at, self.begun_at):
             return
         self.consecutive = max(self.consecutive, report.consecutive)
         self.received_at = max(self.received_at, refused_at)
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -126,23 +127,25 @@
         return iter(tuple(self._by_identity.values()))
 
     def apply_records(
-        self, records: Iterable[UpstreamRecord]
+        self, records: Iterable[UpstreamRecord], now: float = 0
     ) -> list[Upstream]:
         """Apply roster records; return the upstreams that have ended.
 
         A later incarnation of a known identity starts without calls, failures
-        and group.
+        and group, and refusals reported from before ``now`` don't concern it.
         """
         ended: list[Upstream] = []
         for record in records:
             known = self._by_identity.get(record.identity)
+            begun_at = -math.inf
             if known is not None and 0 < known.record.born < record.born:
                 ended.extend(self._drop(record.identity))
                 known = None
+                begun_at = now
             if record.phase is RosterPhase.ENDED:
                 ended.extend(self._apply_end(known, record))
             elif known is None:
-                self._add(record)
+                self._add(record, begun_at)
             elif record.supersedes(known.record):
                 known.record = record
         return ended
@@ -227,8 +230,9 @@
             for identity, upstream in self._by_identity.items()
         }
 
-    def _add(self, record: UpstreamRecord) -> None:
+    def _add(self, record: UpstreamRecord, begun_at: float) -> None:
         upstream = Upstream(record)
+        upstream.refusals.begun_at = begun_at
         upstream.group = self._group_by_rank.get(record.identity)
         self._by_identity[record.identity] = upstream
         members = self._by_service.setdefault(record.service, {})
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -354,7 +354,7 @@
     """An upstream is read again only once its reader has caught up."""
 
     async def _receive_until_reading(self, pieces):
-        conn = UpstreamConnection(Dialect())
+        conn = UpstreamConnection(Dialect(), '10.0.0.1:80')
         transport = FakeTransport()
         conn.connection_made(transport)
         channel = conn.send(b'ask', 'r1')
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -14,7 +14,11 @@
 
 from snipebend.relay.facts import AnnouncedLimit, ResponseFacts
 from snipebend.relay.rate_limit import MIN_PER_S, RateLimit
-from snipebend.relay.rate_limit_table import LimitReport, RateLimitTable
+from snipebend.relay.rate_limit_table import (
+    ENDED_RETENTION_S,
+    LimitReport,
+    RateLimitTable,
+)
 from tests.relay.rate_limit_simulation import UPSTREAM, FleetSimulation
 
 #: Seconds of a window in which calls are counted.
@@ -225,9 +229,23 @@
 
     def test_removed_upstream_is_not_reported(self):
         self.respond(3.0, 1.0)
-        self.table.remove(UPSTREAM)
+        self.table.remove(UPSTREAM, 0)
         self.assertEqual(self.table.make_report(1.0), {})
 
+    def test_late_notices_of_a_former_incarnation_change_nothing(self):
+        self.respond(3.0, 1.0)
+        self.table.remove(UPSTREAM, 2.0)
+        late = {UPSTREAM: LimitReport(9, 1.5, 3.0)}
+        self.assertEqual(self.table.apply_report('e2', 0.0, late, 3.0), [])
+        self.assertFalse(self.table)
+        new = {UPSTREAM: LimitReport(9, 0.5, 3.0)}
+        self.assertEqual(len(self.table.apply_report('e2', 0.0, new, 3.0)), 1)
+
+    def test_ends_are_forgotten(self):
+        for number in range(100):
+            self.table.remove(f'i-{number}', float(number))
+        self.assertLessEqual(len(self.table._ended_at), ENDED_RETENTION_S + 1)
+
     def test_wait_for_room(self):
         self.respond(2.0, 1.0)
         self.assertAlmostEqual(
--- a/tests/relay/test_upstreams.py
+++ b/tests/relay/test_upstreams.py
@@ -11,10 +11,14 @@
 
 from msgspec import structs
 
+from snipebend.relay.refusals import RefusalReport
 from snipebend.relay.upstreams import UpstreamTable
 from snipebend.state.roster import RosterPhase, UpstreamRecord
 
 
+LEARNED_AT = 50.0
+
+
 class TestIncarnations(unittest.TestCase):
     """An identity may have several incarnations, one after another."""
 
@@ -34,3 +38,30 @@
         ended = structs.replace(first, phase=RosterPhase.ENDED)
         self.assertEqual(table.apply_records([ended]), [])
         self.assertIs(table.find('a'), current)
+
+    def test_reports_of_the_former_incarnation_change_nothing(self):
+        table = UpstreamTable()
+        first = UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4, born=10)
+        table.apply_records([first], 1.0)
+        table.apply_calls('other', {'a': 3})
+        table.apply_records([structs.replace(first, born=20)], LEARNED_AT)
+        current = table.find('a')
+        self.assertEqual(current.calls, 0)
+        now = LEARNED_AT + 1
+        late = {'a': RefusalReport(5, 1.5)}
+        self.assertEqual(table.apply_refusals(late, now), [])
+        self.assertFalse(current.refusals.is_avoided(now))
+        new = {'a': RefusalReport(5, 0.5)}
+        self.assertEqual(table.apply_refusals(new, now), [current])
+
+    def test_late_heartbeat_of_the_former_incarnation(self):
+        table = UpstreamTable()
+        first = UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4, born=10)
+        later = structs.replace(first, born=20, address='10.0.0.2:80')
+        table.apply_records([first, later])
+        current = table.find('a')
+        for phase in RosterPhase:
+            late = structs.replace(first, phase=phase)
+            self.assertEqual(table.apply_records([late]), [])
+        self.assertIs(table.find('a'), current)
+        self.assertEqual(current.record, later)
