Bound what the kernel holds for a caller that reads slowly

With relay.memory_mb an entry asks the kernel for 64 KiB a caller. Its own bound is some megabytes: streams of 200 kB to callers that read 1 kB a second were held there whole, a caller never seemed slow, and nothing was counted.

--- a/src/snipebend/edge/reader_watch.py
+++ b/src/snipebend/edge/reader_watch.py
@@ -9,10 +9,13 @@
 
 import asyncio
 from fcntl import ioctl
+from socket import SO_SNDBUF, SOL_SOCKET
 from struct import Struct
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from snipebend.relay.buffer_budget import UNCOUNTED_BYTES
 
 if TYPE_CHECKING:
@@ -30,6 +33,10 @@
 #: Seconds between two checks of a caller that doesn't read.
 CHECK_INTERVAL_S = 0.25
 
+#: Bytes that the kernel may hold for one caller. Its own bound is some
+#: megabytes, and would take the memory of the VM before a caller seems slow.
+MAX_SENT_AHEAD_BYTES = 65_536
+
 _INT = Struct('i')
 _LOW_BYTES = UNCOUNTED_BYTES // 4
 
@@ -64,8 +71,15 @@
     def connect(self, transport: asyncio.Transport) -> None:
         """Bound the bytes that are written ahead of the caller."""
         self._transport = transport
-        if self._budget is not None:
-            transport.set_write_buffer_limits(UNCOUNTED_BYTES, _LOW_BYTES)
+        if self._budget is None:
+            return
+        transport.set_write_buffer_limits(UNCOUNTED_BYTES, _LOW_BYTES)
+        sock = transport.get_extra_info('socket')
+        try:
+            sock.setsockopt(SOL_SOCKET, SO_SNDBUF, MAX_SENT_AHEAD_BYTES)
+        except OSError as exc:
+            # The system's own bound holds.
+            logger.debug('event=send_buffer_unbounded error={!r}', str(exc))
 
     def pause(self) -> None:
         """Start to watch: the caller reads too slowly."""
