--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from snipebend.edge.cold_tracker import ColdTracker
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
 from snipebend.edge.outage_wait import OutageWait
@@ -75,7 +76,7 @@
         self._follower.on_upstreams = self._apply_upstreams
         self._follower.on_groups = self._upstreams.apply_group_statuses
         self.outage_wait = OutageWait(self.now)
-        self._follower.on_update = self.outage_wait.wake
+        self._follower.on_update = self._apply_update
         self.meters = RelayMeters(
             GaugeSources(
                 lambda: self._in_progress,
@@ -90,9 +91,15 @@
             self.dialect, self._follower, self.meters
         )
         self.limits = RateLimitTracker(self.now, self.meters)
+        self.cold = ColdTracker(
+            self._cfg.relay, self._upstreams, self.now, self.meters
+        )
+        self._follower.on_warmth = self.cold.apply_reports
+        self._follower.evacuations.on_end = self.cold.forget_data_center
         self.chooser = UpstreamChooser(
             self._upstreams,
             self.limits,
+            self.cold,
             self._cfg.process.data_center,
             # Looked up at each use, as a test may stop this service's clock.
             lambda: self.now(),
@@ -108,7 +115,7 @@
             self._rng,
         )
         self.notices = UpstreamNotices(
-            self.now, self.meters, self.limits, self.crashes
+            self.now, self.meters, self.limits, self.cold, self.crashes
         )
         self._tasks.start('sweep', self._sweep_forever)
 
@@ -128,6 +135,7 @@
             'held_bytes': self.buffers.by_workspace if self.buffers else {},
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
+            'cold': self.cold.table.dump(),
             'crashes': self.crashes.dump(),
         }
 
@@ -315,6 +323,10 @@
     def _count_entries(self) -> int:
         return self._follower.fleet.count(self.now()) + 1
 
+    def _apply_update(self) -> None:
+        self.cold.update(self._follower)
+        self.outage_wait.wake()
+
     def _apply_upstreams(self, records: tuple[UpstreamRecord, ...]) -> None:
         for record in records:
             logger.info(
@@ -336,6 +348,7 @@
             )
             self.pool.close_idle(ended.record.identity)
             self.limits.table.remove(ended.record.identity, self.now())
+            self.cold.table.remove(ended.record.identity)
 
     async def _probe(self, upstream: Upstream) -> ProbeOutcome:
         record = upstream.record
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from snipebend.relay.cold_upstreams import ColdUpstreams
     from snipebend.relay.upstreams import Upstream
 
 #: Calls that may queue at an upstream, as a share of its slots: it starts a
@@ -28,6 +29,8 @@
     tried: Collection[str] = ()
     #: Names of the data centres whose upstreams get nothing.
     evacuated: Collection[str] = ()
+    #: The limits of cold upstreams; None if the service has none.
+    cold: ColdUpstreams | None = None
 
 
 class UpstreamView(NamedTuple):
@@ -50,6 +53,8 @@
     is_remote: bool
     #: Whether it must not get anything, since its data centre is evacuated.
     is_evacuated: bool
+    #: Whether it accepts few calls a second now.
+    is_cold: bool = False
 
 
 def view_upstream(
@@ -59,9 +64,14 @@
     group = upstream.group
     record = upstream.record
     calls = upstream.calls
+    free_calls = record.slots * (1 + QUEUE_SHARE) - calls
+    cold = requirements.cold
+    is_cold = cold is not None and cold.is_cold(upstream, now)
+    if cold is not None and is_cold and not cold.has_room(upstream, now):
+        free_calls = 0
     return UpstreamView(
         upstream,
-        record.slots * (1 + QUEUE_SHARE) - calls,
+        free_calls,
         group is not None and group.is_down(now),
         group is not None
         and group.is_too_slow(now, requirements.allowed_pause_s),
@@ -70,6 +80,7 @@
         calls / max(1, record.slots),
         record.data_center != requirements.data_center,
         record.data_center in requirements.evacuated,
+        is_cold,
     )
 
 
--- a/tests/platform/test_control_statuses.py
+++ b/tests/platform/test_control_statuses.py
@@ -10,7 +10,7 @@
 import asyncio
 import unittest
 from typing import NamedTuple
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from falcon.testing import ASGIConductor, create_scope
 from msgspec import json, msgpack
@@ -20,12 +20,12 @@
 from snipebend.state.documents import DocumentState, PutReply
 from snipebend.state.roster import RecordReply, RosterPhase
 from snipebend.state.roster_checks import MAX_NAME_CHARS
-from snipebend_platform import control_calls
-from snipebend_platform.control_calls import (
-    MAX_CONFIGURATION_BYTES,
-    build_control_app,
+from snipebend.transport import outer_endpoints
+from snipebend.transport.outer_endpoints import (
+    MAX_ANNOUNCEMENT_BYTES,
+    MAX_DOCUMENT_BYTES,
 )
-from snipebend_platform.heartbeats import MAX_MESSAGE_BYTES
+from snipebend_platform.control_calls import build_control_app
 from tests.platform.deployment import config
 
 PUT = '/-/config/put'
@@ -37,7 +37,7 @@
     {'service': 's', 'address': '10.0.0.1:80', 'state': 'ready', 'born': 5}
 )
 #: Of an unknown field, which is skipped as it is read.
-DEEP = b'{"a":%b' % (b'[' * (MAX_MESSAGE_BYTES - 5))
+DEEP = b'{"a":%b' % (b'[' * (MAX_ANNOUNCEMENT_BYTES - 5))
 
 
 class FakeHosts:
@@ -45,6 +45,7 @@
 
     def __init__(self, outcome=None, *, silent=False, number=7):
         self.received = []
+        self.warmth = Mock()
         self._outcome = outcome
         self._silent = silent
         self._document = DocumentState(number, b'document')
@@ -96,13 +97,13 @@
     Row('two equal routes', PUT, config(3, '/a/', '/a/'), 400),
     Row('number too large', PUT, changed_config(version=2**70), 400),
     Row('unknown service', PUT, changed_config(services=[]), 400),
-    Row('too large', PUT, b'\x00' * (MAX_CONFIGURATION_BYTES + 1), 413),
+    Row('too large', PUT, b'\x00' * (MAX_DOCUMENT_BYTES + 1), 413),
     Row('unreadable', HEARTBEAT, b'\xff', 400),
     Row('empty', HEARTBEAT, b'', 400),
     Row('unknown state', HEARTBEAT, changed(state='warm'), 400),
     Row('no address', HEARTBEAT, changed(address='10.0.0.1:99999'), 400),
     Row('slots too many', HEARTBEAT, changed(slots=2**70), 400),
-    Row('too large', HEARTBEAT, b'\x00' * (MAX_MESSAGE_BYTES + 1), 413),
+    Row('too large', HEARTBEAT, b'\x00' * (MAX_ANNOUNCEMENT_BYTES + 1), 413),
     Row(
         'long name',
         f'/-/replicas/{"a" * (MAX_NAME_CHARS + 1)}/heartbeat',
@@ -110,7 +111,7 @@
         400,
     ),
     Row('unreadable', DEREGISTER, b'\xff', 400),
-    Row('too large', DEREGISTER, b'\x00' * (MAX_MESSAGE_BYTES + 1), 413),
+    Row('too large', DEREGISTER, b'\x00' * (MAX_ANNOUNCEMENT_BYTES + 1), 413),
     Row('unknown path', '/-/config/unknown', b'', 404),
     Row('wrong method', PUT, b'', 405, method='GET'),
 )
@@ -176,7 +177,7 @@
 
     async def test_control_silent(self):
         with patch.multiple(
-            control_calls, RESPONSE_TIMEOUT_S=0.01, PUT_TIMEOUT_S=0.01
+            outer_endpoints, RESPONSE_TIMEOUT_S=0.01, PUT_TIMEOUT_S=0.01
         ):
             await self._check(VALID, FakeHosts(silent=True), 503)
 
