Read responses ahead of slow callers while there is memory

A response is now read ahead within the budget, up to 1 MiB, which frees its upstream; the time after which a caller is let go is 3 s and counts while an upstream waits, 15 s while none does.

--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -87,9 +87,7 @@
             None if server.buffers is None else server.hold_body,
         )
         self._timer = CallerTimer(lambda: server.limits, self._handle_timeout)
-        self._reader = ReaderWatch(
-            server.buffers, lambda: self._task is None, self._let_go
-        )
+        self._reader = ReaderWatch(server.buffers, self._let_go)
         self._task: asyncio.Task[None] | None = None
         self._body_hold: BufferHold | None = None
         self._closing = False
--- a/src/snipebend/edge/reader_watch.py
+++ b/src/snipebend/edge/reader_watch.py
@@ -1,8 +1,9 @@
 """Watches whether a caller reads what was written for it.
 
-A caller that reads nothing keeps its upstream busy, because the entry stops
-reading the response. Upstreams cut off a response that stays unread for some
-seconds; the caller is let go before that, so that the slot is free.
+A response is read from its upstream ahead of a slow caller, as far as there is
+memory: the upstream is free sooner. Without room the upstream has to wait, and
+upstreams cut off a response that stays unread for some seconds. A caller that
+reads nothing meanwhile is let go before that, so that the slot is free.
 """
 
 from __future__ import annotations
@@ -24,11 +25,15 @@
     from snipebend.relay.buffer_budget import BufferBudget, BufferHold
 
 #: Seconds without a byte read after which a caller is let go while its upstream
-#: waits for it.
-STALLED_AFTER_S = 2.0
+#: waits for it. Callers with small windows acknowledge in steps of two seconds
+#: and more.
+STALLED_AFTER_S = 3.0
 
-#: The same once the response is complete, which holds up nothing but memory.
-STALLED_AT_END_AFTER_S = 15.0
+#: The same while no upstream waits: nothing but memory is held up.
+STALLED_AHEAD_AFTER_S = 15.0
+
+#: Bytes that may be read ahead of one caller.
+MAX_AHEAD_BYTES = 1_048_576
 
 #: Seconds between two checks of a caller that doesn't read.
 CHECK_INTERVAL_S = 0.25
@@ -47,7 +52,6 @@
     def __init__(
         self,
         budget: BufferBudget | None,
-        is_at_end: Callable[[], bool],
         on_stalled: Callable[[float, int], None],
     ) -> None:
         """Create for a connection; ``on_stalled`` lets its caller go.
@@ -60,7 +64,8 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self._budget = budget
-        self._is_at_end = is_at_end
+        #: Since when an upstream waits for the caller, if one does.
+        self._waiting_since: float | None = None
         self._on_stalled = on_stalled
         self._loop = asyncio.get_running_loop()
         self._hold: BufferHold | None = None
@@ -97,6 +102,16 @@
         self.writable.set()
         self.stop()
 
+    async def drain(self) -> None:
+        """Wait until more may be written."""
+        if self.writable.is_set() or self._may_read_ahead():
+            return
+        self._waiting_since = self._loop.time()
+        try:
+            await self.writable.wait()
+        finally:
+            self._waiting_since = None
+
     def stop(self) -> None:
         """Release what is held."""
         if self._hold is not None:
@@ -115,15 +130,25 @@
             self._progress_at = now
         self._unread = unread
         self._hold.resize(self._transport.get_write_buffer_size())
-        longest_s = (
-            STALLED_AT_END_AFTER_S if self._is_at_end() else STALLED_AFTER_S
-        )
-        stalled_s = now - self._progress_at
-        if stalled_s >= longest_s:
-            self._on_stalled(stalled_s, unread)
+        if self._is_stalled(now):
+            self._on_stalled(now - self._progress_at, unread)
             return
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
+    def _may_read_ahead(self) -> bool:
+        size = self._transport.get_write_buffer_size()
+        return (
+            self._hold is not None
+            and size <= MAX_AHEAD_BYTES
+            and self._hold.try_grow(size)
+        )
+
+    def _is_stalled(self, now: float) -> bool:
+        if self._waiting_since is None:
+            return now - self._progress_at >= STALLED_AHEAD_AFTER_S
+        since = max(self._progress_at, self._waiting_since)
+        return now - since >= STALLED_AFTER_S
+
     def _count_unread(self) -> int:
         """Return the bytes that the caller has not acknowledged.
 
--- a/src/snipebend/edge/response_writer.py
+++ b/src/snipebend/edge/response_writer.py
@@ -94,7 +94,7 @@
 
     async def drain(self) -> None:
         """Wait until the caller has read enough of what was written."""
-        await self.reader.writable.wait()
+        await self.reader.drain()
 
     def end(self) -> None:
         """Finish a complete response."""
