Count refusals that come too late for their callers, by cause

An entry's own answer after an eighth of the route's target counts in snipebend_relay_late_refusals and has a line, refused_late: with the outcome of the last call, or that none had begun. Nothing is decided by it.

--- a/src/snipebend/edge/final_response.py
+++ b/src/snipebend/edge/final_response.py
@@ -36,6 +36,8 @@
         self._refusal_writer = refusal_writer
         self._facts = facts
         self._time_left_s = time_left_s
+        #: What was written in place of an upstream's response.
+        self.refusal: Refusal | None = None
 
     def forward(self, upstream_response: CompleteResponse) -> None:
         """Write an upstream's complete response."""
@@ -125,4 +127,5 @@
             # A response that was cut off must not look complete.
             self._response.abort()
             return
+        self.refusal = refusal
         self._refusal_writer.refuse(self._response, refusal, self._facts)
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -113,6 +113,10 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._late_refusals = meter.create_counter(
+            'snipebend_relay_late_refusals',
+            description='own answers after an eighth of the target, by cause',
+        )
         self._let_go = meter.create_counter(
             'snipebend_relay_callers_let_go',
             description='callers that were cut off because they read nothing',
@@ -174,6 +178,10 @@
         """Count the end of an upstream under a request."""
         self._crashes.add(1)
 
+    def count_late_refusal(self, status: int, cause: str) -> None:
+        """Count an error response that came too late for its caller."""
+        self._late_refusals.add(1, {'status': str(status), 'cause': cause})
+
     def count_let_go(self) -> None:
         """Count a caller that was cut off because it read nothing."""
         self._let_go.add(1)
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -24,6 +24,7 @@
 from snipebend.relay.admission import DEFAULT_TIMEOUT_S, Admitted, admit
 from snipebend.relay.buffer_budget import make_budget
 from snipebend.relay.facts import CallerFacts
+from snipebend.relay.late_refusals import find_late_refusal
 from snipebend.relay.retry_after import document_wait_deadline
 from snipebend.relay.pass_times import PassTimeMeter
 from snipebend.relay.upstreams import UpstreamTable
@@ -39,8 +40,10 @@
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
     from snipebend.relay.buffer_budget import BufferHold
+    from snipebend.relay.call_outcomes import CallOutcome
     from snipebend.relay.crash_report import CrashReport
     from snipebend.relay.facts import Dialect, RequestHead
+    from snipebend.relay.problems import Refusal
     from snipebend.relay.rate_limit_table import LimitReport
     from snipebend.relay.refusals import RefusalReport
     from snipebend.relay.upstreams import Upstream
@@ -193,6 +196,28 @@
         )
         self.refusal_writer.refuse(response, refusal, facts)
 
+    def record_refusal(
+        self,
+        admitted: Admitted,
+        refusal: Refusal,
+        last_call: CallOutcome | None,
+    ) -> None:
+        """Count a refusal that came too late for its caller."""
+        late = find_late_refusal(admitted, last_call, self.now())
+        if late is None:
+            return
+        self.meters.count_late_refusal(refusal.status.value, late.cause)
+        logger.info(
+            'event=refused_late request={} route={} status={} cause={} '
+            + 'waited_ms={:.0f} target_ms={:.0f}',
+            admitted.facts.request_id,
+            admitted.route.name,
+            refusal.status.value,
+            late.cause,
+            1000 * late.waited_s,
+            1000 * admitted.route.target_s,
+        )
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -77,6 +77,8 @@
         self._runs = 0
         #: The upstream called last.
         self._upstream: Upstream | None = None
+        #: Of the last call; None if it has completed, or there was none.
+        self._last_outcome: CallOutcome | None = None
         #: Of the response to the last call; None if there was none.
         self._framing: BodyFraming | None = None
         self._crashes = RequestCrashes(relay.crashes, req, admitted)
@@ -96,8 +98,7 @@
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
         finally:
-            self._buffer.release()
-            self._log.end_request(self._response, self.body_end)
+            self._end()
 
     @property
     def body_end(self) -> BodyEnd:
@@ -106,6 +107,14 @@
             self._framing, self._stream.events, self._stream.partial_bytes
         )
 
+    def _end(self) -> None:
+        self._buffer.release()
+        if self._final.refusal is not None:
+            self._relay.record_refusal(
+                self._admitted, self._final.refusal, self._last_outcome
+            )
+        self._log.end_request(self._response, self.body_end)
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline - self._relay.now()
 
@@ -360,6 +369,7 @@
         call_started_at: float,
     ) -> None:
         service = self._admitted.service
+        self._last_outcome = None if result is None else result.outcome
         if result is None:
             upstream.record_response(call_started_at)
             self._relay.meters.count_call(service, 'answered', self._framing)
