--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -30,6 +30,8 @@
     retries_left: Callable[[], dict[str, float]]
     #: Number of upstreams by status.
     upstreams: Callable[[], dict[str, int]]
+    #: Bytes that are held for callers, as far as they are counted.
+    held_bytes: Callable[[], int]
 
 
 class RelayMeters:
@@ -111,6 +113,14 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._late_refusals = meter.create_counter(
+            'snipebend_relay_late_refusals',
+            description='own answers after an eighth of the target, by cause',
+        )
+        self._let_go = meter.create_counter(
+            'snipebend_relay_callers_let_go',
+            description='callers that were cut off because they read nothing',
+        )
         self._evacuated = meter.create_counter(
             'snipebend_relay_calls_evacuated',
             description='calls sent to evacuated data centres, must be 0',
@@ -123,6 +133,7 @@
             'snipebend_relay_requests_in_flight': sources.requests_in_progress,
             'snipebend_relay_document_number': sources.document_number,
             'snipebend_relay_news_age_seconds': sources.update_age_s,
+            'snipebend_relay_held_bytes': sources.held_bytes,
         }
         for name, read in single.items():
             meter.create_observable_gauge(name, [partial(_observe, read)])
@@ -167,6 +178,14 @@
         """Count the end of an upstream under a request."""
         self._crashes.add(1)
 
+    def count_late_refusal(self, status: int, cause: str) -> None:
+        """Count an error response that came too late for its caller."""
+        self._late_refusals.add(1, {'status': str(status), 'cause': cause})
+
+    def count_let_go(self) -> None:
+        """Count a caller that was cut off because it read nothing."""
+        self._let_go.add(1)
+
     def record_pause(self, seconds: float) -> None:
         """Record the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -22,7 +22,9 @@
 from snipebend.kernel.service import Service
 from snipebend.relay import problems
 from snipebend.relay.admission import DEFAULT_TIMEOUT_S, Admitted, admit
+from snipebend.relay.buffer_budget import make_budget
 from snipebend.relay.facts import CallerFacts
+from snipebend.relay.late_refusals import find_late_refusal
 from snipebend.relay.retry_after import document_wait_deadline
 from snipebend.relay.pass_times import PassTimeMeter
 from snipebend.relay.upstreams import UpstreamTable
@@ -37,8 +39,11 @@
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.hosts.lookup import HostIndex
     from snipebend.kernel.registry import Registry
+    from snipebend.relay.buffer_budget import BufferHold
+    from snipebend.relay.call_outcomes import CallOutcome
     from snipebend.relay.crash_report import CrashReport
-    from snipebend.relay.facts import Dialect
+    from snipebend.relay.facts import Dialect, RequestHead
+    from snipebend.relay.problems import Refusal
     from snipebend.relay.rate_limit_table import LimitReport
     from snipebend.relay.refusals import RefusalReport
     from snipebend.relay.upstreams import Upstream
@@ -63,6 +68,7 @@
         # Only spreads choices of entries; predictable numbers do no harm.
         self._rng = random.Random()
         self._in_progress = 0
+        self.buffers = make_budget(cfg.relay.memory_mb)
 
     async def start(self, registry: Registry) -> None:
         """Follow the document and the roster."""
@@ -83,6 +89,7 @@
                 lambda: self._upstreams.count_statuses(
                     self.now(), self._follower.evacuations.data_centers
                 ),
+                lambda: 0 if self.buffers is None else self.buffers.held,
             )
         )
         self.refusal_writer = RefusalWriter(
@@ -134,6 +141,7 @@
         return {
             'in_work': self._in_progress,
             'idle_to_upstreams': self.pool.count_idle(),
+            'held_bytes': self.buffers.by_workspace if self.buffers else {},
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
             'cold': self.cold.table.dump(),
@@ -173,6 +181,49 @@
             self._in_progress -= 1
             self.meters.record_request(admitted, response, self.now())
 
+    def hold_body(self, head: RequestHead, size: int) -> BufferHold | None:
+        """Hold memory for a body, or return None if there is none."""
+        if self.buffers is None:
+            return None
+        facts = self.dialect.read_caller(head)
+        workspace = None
+        if self.index is not None and facts is not None:
+            workspace = self.index.find_workspace(facts.key)
+        name = workspace.name if workspace else ''
+        if not self.buffers.has_room(name, size):
+            return None
+        return self.buffers.hold(name, size)
+
+    def refuse_body(self, head: RequestHead, response: ResponseWriter) -> None:
+        """Refuse a request for whose body there is no memory."""
+        facts = self.dialect.read_caller(head) or CallerFacts()
+        refusal = problems.busy(
+            self.refusal_writer.busy_retry_s(), 'no memory for the body'
+        )
+        self.refusal_writer.refuse(response, refusal, facts)
+
+    def record_refusal(
+        self,
+        admitted: Admitted,
+        refusal: Refusal,
+        last_call: CallOutcome | None,
+    ) -> None:
+        """Count a refusal that came too late for its caller."""
+        late = find_late_refusal(admitted, last_call, self.now())
+        if late is None:
+            return
+        self.meters.count_late_refusal(refusal.status.value, late.cause)
+        logger.info(
+            'event=refused_late request={} route={} status={} cause={} '
+            + 'waited_ms={:.0f} target_ms={:.0f}',
+            admitted.facts.request_id,
+            admitted.route.name,
+            refusal.status.value,
+            late.cause,
+            1000 * late.waited_s,
+            1000 * admitted.route.target_s,
+        )
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._clock.now()
@@ -322,12 +373,12 @@
                 self.crashes.record_successor(
                     record.address, 'another took its place'
                 )
-        for ended in self._upstreams.apply_records(records):
+        for ended in self._upstreams.apply_records(records, self.now()):
             self.crashes.record_successor(
                 ended.record.address, 'control knows of its end'
             )
             self.pool.close_idle(ended.record.identity)
-            self.limits.table.remove(ended.record.identity)
+            self.limits.table.remove(ended.record.identity, self.now())
             self.cold.table.remove(ended.record.identity)
 
     async def _probe(self, upstream: Upstream) -> ProbeOutcome:
--- a/src/snipebend/transport/outer_endpoints.py
+++ b/src/snipebend/transport/outer_endpoints.py
@@ -18,6 +18,7 @@
 from snipebend.state.documents import PutRequest
 from snipebend.state.evacuations import EvacuationOutcome, OrderRequest
 from snipebend.state.roster import UpstreamRecord
+from snipebend.state.roster_checks import MAX_NAME_CHARS
 from snipebend.state.warmth import WarmthHearing
 from snipebend.transport.caller_watch import watch_caller
 from snipebend.transport.http_answers import (
@@ -26,6 +27,7 @@
     respond,
     with_timeout,
 )
+from snipebend.transport.limited_body import BodyFault, read_body
 
 if TYPE_CHECKING:
     from falcon.asgi import Request, Response
@@ -36,6 +38,9 @@
 #: A configuration can be megabytes long; its sender waits longer for it.
 PUT_TIMEOUT_S = 2.0
 
+#: A control daemon holds some copies of it while it checks and replicates it.
+MAX_DOCUMENT_BYTES = 8_388_608
+
 #: Limit of an announcement in bytes: ten times one that names a model.
 MAX_ANNOUNCEMENT_BYTES = 16_384
 
@@ -62,16 +67,15 @@
         self, req: Request, resp: Response, identity: str
     ) -> None:
         """Acknowledge an announcement once it is committed."""
-        body = await req.stream.read(MAX_ANNOUNCEMENT_BYTES + 1)
-        if len(body) > MAX_ANNOUNCEMENT_BYTES:
-            reason = f'over {MAX_ANNOUNCEMENT_BYTES} bytes'
-            refuse(resp, falcon.HTTP_413, reason)
+        body = await read_body(req, MAX_ANNOUNCEMENT_BYTES)
+        if isinstance(body, BodyFault):
+            refuse(resp, *body)
             return
         decoded = self._read(identity, body)
         if decoded.is_err():
             reason = str(decoded.unwrap_err())
-            line = 'event=record_unreadable upstream={} error={!r}'
-            logger.warning(line, identity, reason)
+            line = 'event=record_unreadable upstream={!r} error={!r}'
+            logger.warning(line, identity[:MAX_NAME_CHARS], reason)
             refuse(resp, falcon.HTTP_400, reason)
             return
         record = decoded.unwrap()
@@ -90,7 +94,10 @@
 
     async def on_post(self, req: Request, resp: Response) -> None:
         """Acknowledge a document once it is committed."""
-        body = await req.stream.read()
+        body = await read_body(req, MAX_DOCUMENT_BYTES)
+        if isinstance(body, BodyFault):
+            refuse(resp, *body)
+            return
         table = self._read(body)
         if table.is_err():
             refuse(resp, falcon.HTTP_400, str(table.unwrap_err()))
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -45,6 +45,7 @@
         'bootstrap': 'true',
         'bounds.retry_budget_ratio': '0.25',
         'bounds.budget_slack': '124',
+        'limits.memory_mb': '152',
         'bounds.cold_over': '1.5',
         'bounds.cold_slack': '5',
     }
@@ -93,6 +94,7 @@
         self.assertEqual(cfg.callers, '10.1.0.40:8227')
         self.assertEqual(cfg.relay.retry_ratio, 0.25)
         self.assertEqual(cfg.relay.retry_slack, 124)
+        self.assertEqual(cfg.relay.memory_mb, 152)
         self.assertEqual(
             cfg.relay.cold, ColdSection(rate_factor=1.5, extra_requests=5)
         )
