Wake watches when evacuations change

A replica notified its watchers for changes of the configuration, the document and the roster only, so that entries learned of an evacuation by the next keep-alive.

--- a/src/snipebend/transport/applier.py
+++ b/src/snipebend/transport/applier.py
@@ -50,13 +50,14 @@
         return self.machine.state.configuration.revision
 
     @property
-    def watched_revisions(self) -> tuple[int, int, int]:
+    def watched_revisions(self) -> tuple[int, ...]:
         """Return the revisions of all parts of the state that have watchers."""
         state = self.machine.state
         return (
             state.configuration.revision,
             state.documents.number,
             state.roster.revision,
+            state.evacuations.revision,
         )
 
     def apply(self, entry: LogEntry) -> Reply | None:
