Send no overdue call to a cold upstream, and divide calls step by step

A process that was frozen between the choice of a cold upstream and the opening of its connection sent that call beside those that it chose after it woke. Such a call isn't sent. Its test and that of numbers that start anew (an upstream without a start time that was silent, and then counted from one again, was not heard) fail on the former code.

Ruled out: a cheaper order of entries, whose parts all move when an entry joins.

--- a/src/snipebend/edge/cold_tracker.py
+++ b/src/snipebend/edge/cold_tracker.py
@@ -56,7 +56,7 @@
             self._document = index.table
             self._update_limits(index.table)
         listed_at = follower.entries_listed_at
-        self.table.update_fleet(
+        self.table.parts.update_fleet(
             Fleet(
                 follower.gossip_address,
                 follower.fleet.list_names(now),
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -152,7 +152,7 @@
         try:
             call = await self._open(upstream)
             result = self._release_if_declined(
-                call
+                call, call_started_at
             ) or await self._send_and_receive(call)
         except UnavailableError as exc:
             if isinstance(exc, RefusedConnectionError):
@@ -184,12 +184,20 @@
             self._relay.notices.apply,
         )
 
-    def _release_if_declined(self, call: Call) -> CallResult | None:
+    def _release_if_declined(
+        self, call: Call, chosen_at: float
+    ) -> CallResult | None:
         """Release the connection if the upstream has stopped accepting work.
 
-        Its notice may have been received while the connection was opened.
+        Its notice may have been received while the connection was opened, or it
+        may be cold and that took longer than calls to it may be late.
         """
-        if not call.upstream.declines_work(self._relay.now()):
+        upstream = call.upstream
+        now = self._relay.now()
+        if not (
+            upstream.declines_work(now)
+            or self._relay.cold.table.is_overdue(upstream, chosen_at, now)
+        ):
             return None
         call.release()
         reason = 'the upstream asked for no more work'
--- a/src/snipebend/relay/cold_upstreams.py
+++ b/src/snipebend/relay/cold_upstreams.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from snipebend.relay.cold_parts import CallPart, Fleet, find_part
+from snipebend.relay.part_table import PartTable
 from snipebend.relay.reported_warmth import ReportedWarmth
 from snipebend.relay.token_account import TokenAccount
 from snipebend.state.warmth import SILENT_AFTER_S, Warmth
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from snipebend.relay.cold_parts import CallPart
     from snipebend.relay.upstreams import Upstream
 
 #: Seconds for which an upstream counts as cold after it failed to respond: by
@@ -38,12 +39,13 @@
         upstream, when the call is counted, and its first byte.
         """
         self.warmth = ReportedWarmth()
+        self._max_send_delay_s = max_send_delay_s
         self._window_s = LIMIT_WINDOW_S + max_send_delay_s
-        self._fleet = Fleet('', (), 0, is_settled=False)
+        #: The parts of this entry, and what is known of the others.
+        self.parts = PartTable(self._window_s)
         #: Calls a second to a cold upstream of each service that has a limit.
         self.limits: Mapping[str, int] = {}
         self._accounts: dict[str, TokenAccount] = {}
-        self._parts: dict[str, CallPart] = {}
         #: Until when upstreams, and those of a data centre, count as cold.
         self._doubted_until: dict[str, float] = {}
         self._data_centers_doubted_until: dict[str, float] = {}
@@ -52,13 +54,7 @@
         """Replace the limits; other services have no cold upstreams."""
         if limits != self.limits:
             self.limits = limits
-            self._parts.clear()
-
-    def update_fleet(self, fleet: Fleet) -> None:
-        """Replace what is known of the entries."""
-        if fleet != self._fleet:
-            self._fleet = fleet
-            self._parts.clear()
+            self.parts.clear()
 
     def doubt(self, upstream: str, now: float) -> None:
         """Count an upstream as cold, since it has not responded."""
@@ -85,7 +81,7 @@
 
     def has_room(self, upstream: Upstream, now: float) -> bool:
         """Return whether this entry may call a cold upstream now."""
-        part = self._find_part(upstream)
+        part = self._find_part(upstream, now)
         return part.calls > 0 and self._refill(upstream, part, now).has_room()
 
     def seconds_until_room(self, upstream: Upstream, now: float) -> float:
@@ -94,7 +90,7 @@
         An entry without a part in its calls gets one when others are gone, or
         the upstream becomes warm; a window is then the shortest useful wait.
         """
-        part = self._find_part(upstream)
+        part = self._find_part(upstream, now)
         if not part.calls:
             return self._window_s
         account = self._refill(upstream, part, now)
@@ -104,49 +100,53 @@
         """Deduct a call to an upstream, warm or cold."""
         if upstream.record.service not in self.limits:
             return
-        part = self._find_part(upstream)
+        part = self._find_part(upstream, now)
         account = self._refill(upstream, part, now)
         account.balance = max(-part.max_debt, account.balance - 1)
 
+    def is_overdue(
+        self, upstream: Upstream, chosen_at: float, now: float
+    ) -> bool:
+        """Return whether a call would reach a cold upstream too late to send.
+
+        The window in which it was counted is over, as after a process was
+        frozen; calls chosen since then may be sent beside it.
+        """
+        if now <= chosen_at + self._max_send_delay_s:
+            return False
+        return self.is_cold(upstream, now)
+
     def return_call(self, upstream: Upstream, now: float) -> None:
         """Give back a call that reached another incarnation."""
         if upstream.record.identity in self._accounts:
-            part = self._find_part(upstream)
+            part = self._find_part(upstream, now)
             account = self._refill(upstream, part, now)
             account.balance = min(part.saved_calls, account.balance + 1)
 
     def remove(self, upstream: str) -> None:
         """Remove an incarnation that has ended."""
         self._accounts.pop(upstream, None)
-        self._parts.pop(upstream, None)
+        self.parts.remove(upstream)
         self._doubted_until.pop(upstream, None)
 
     def dump(self) -> dict[str, object]:
-        """Return the limits, this entry's parts and what it has left."""
+        """Return the limits, the entries known and the calls left."""
+        fleet = self.parts.fleet
         return {
             'limits': dict(self.limits),
-            'entries': max(self._fleet.size, len(self._fleet.others) + 1),
-            'settled': self._fleet.is_settled,
+            'entries': max(fleet.size, len(fleet.others) + 1),
+            'settled': fleet.is_settled,
             'reported': self.warmth.count(),
-            'parts': {
-                upstream: {
-                    'calls': self._parts[upstream].calls,
-                    'left': round(account.balance, 2),
-                }
+            'left': {
+                upstream: round(account.balance, 2)
                 for upstream, account in self._accounts.items()
-                if upstream in self._parts
             },
         }
 
-    def _find_part(self, upstream: Upstream) -> CallPart:
-        identity = upstream.record.identity
-        part = self._parts.get(identity)
-        if part is None:
-            total = self.limits.get(upstream.record.service, 0)
-            calls = find_part(self._fleet, identity, total)
-            part = CallPart(calls, self._window_s)
-            self._parts[identity] = part
-        return part
+    def _find_part(self, upstream: Upstream, now: float) -> CallPart:
+        record = upstream.record
+        total_calls = self.limits.get(record.service, 0)
+        return self.parts.find(record.identity, total_calls, now)
 
     def _refill(
         self, upstream: Upstream, part: CallPart, now: float
@@ -155,7 +155,7 @@
         account = self._accounts.get(identity)
         if account is None:
             # A former process of this entry may have called it just before.
-            saved = part.saved_calls if self._fleet.is_settled else 0
+            saved = part.saved_calls if self.parts.fleet.is_settled else 0
             account = TokenAccount(now, saved)
             self._accounts[identity] = account
         account.refill(now, part.per_s, part.saved_calls)
--- a/src/snipebend/state/warmth.py
+++ b/src/snipebend/state/warmth.py
@@ -183,6 +183,9 @@
         if hearing.born and known.born and hearing.born != known.born:
             return hearing.born < known.born
         heard = self._heard.get(hearing.upstream)
+        if heard is None and not known.born:
+            # It may have started anew, with new numbers.
+            return False
         last = known.number if heard is None else heard.number
         return 0 < hearing.number <= last
 
--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -135,6 +135,27 @@
             relay.follower.on_groups((status,))
             self.assertIsNone(find_wait(admitted, ()))
 
+    async def test_a_call_that_is_sent_late(self):
+        """As after a freeze: calls chosen since then are sent beside it."""
+        clock = SteppedClock()
+        async with running(
+            respond_ok, table=COLD_TABLE, clock=clock, section=COLD
+        ) as relay:
+            know_fleet(relay)
+            acquire = relay.service.pool.acquire
+
+            async def acquire_late(*args, **kwargs):
+                conn = await acquire(*args, **kwargs)
+                clock.advanced_s += 1
+                return conn
+
+            relay.service.pool.acquire = acquire_late
+            sent = await self.send(relay, 1)
+            self.assertEqual((sent.statuses, sent.counts), ([503], [0]))
+            report(relay, 'i-0')
+            sent = await self.send(relay, 1)
+            self.assertEqual((sent.statuses, sent.counts), ([200], [1]))
+
     async def test_a_broken_call_makes_a_warm_one_doubtful(self):
         async def break_off(req, writer):
             return False
--- a/tests/relay/cold_simulation.py
+++ b/tests/relay/cold_simulation.py
@@ -67,7 +67,7 @@
     def update(self, now, limit):
         self.cold.update_limits({SERVICE: limit})
         settled = now >= self._settles_at
-        self.cold.update_fleet(
+        self.cold.parts.update_fleet(
             Fleet(self.name, self._listed, self._size, settled)
         )
 
--- a/tests/relay/test_cold_upstreams.py
+++ b/tests/relay/test_cold_upstreams.py
@@ -17,6 +17,7 @@
     Fleet,
 )
 from snipebend.relay.cold_upstreams import DOUBT_S, ColdUpstreams
+from snipebend.relay.part_table import MAX_DIVIDED
 from snipebend.relay.upstream_selection import select_upstream
 from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import UpstreamTable
@@ -157,7 +158,7 @@
     def setUp(self):
         self.cold = ColdUpstreams(MAX_SEND_DELAY_S)
         self.cold.update_limits({SERVICE: LIMIT})
-        self.cold.update_fleet(Fleet('e-1', ('e-2',), 2, is_settled=True))
+        self.cold.parts.update_fleet(Fleet('e-1', ('e-2',), 2, is_settled=True))
 
     def hear(self, warmth, number=0, born=0, daemon='d-1'):
         report = WarmthReport('i-1', warmth, born, number)
@@ -223,13 +224,21 @@
         """Its former process may have called the upstream just before."""
         size = 1
         self.cold.update_limits({SERVICE: 10 * ASSUMED_ENTRIES})
-        self.cold.update_fleet(Fleet('e-1', (), size, is_settled=False))
+        self.cold.parts.update_fleet(Fleet('e-1', (), size, is_settled=False))
         upstream = make_upstream()
         self.assertFalse(self.cold.has_room(upstream, NOW))
         wait_s = self.cold.seconds_until_room(upstream, NOW)
         self.assertGreaterEqual(wait_s, 1 + MAX_SEND_DELAY_S)
         self.assertTrue(self.cold.has_room(upstream, NOW + 1.01 * wait_s))
 
+    def test_a_choice_divides_the_calls_of_some_upstreams_only(self):
+        """Of thousands, that would hold up all other requests."""
+        upstreams = [make_upstream(f'i-{n}') for n in range(3 * MAX_DIVIDED)]
+        for turn, known in enumerate((1, 2, 3, 3), 1):
+            now = NOW + turn / 1000
+            rooms = sum(self.cold.has_room(one, now) for one in upstreams)
+            self.assertEqual(rooms, known * MAX_DIVIDED)
+
     def test_a_call_that_reached_another_incarnation_is_given_back(self):
         upstream = make_upstream()
         calls = 0
@@ -255,7 +264,7 @@
         self.cold_one = self.table.find('cold')
         self.cold = ColdUpstreams(MAX_SEND_DELAY_S)
         self.cold.update_limits({SERVICE: 4})
-        self.cold.update_fleet(Fleet('e-1', ('e-2',), 2, is_settled=True))
+        self.cold.parts.update_fleet(Fleet('e-1', ('e-2',), 2, is_settled=True))
         reports = (WarmthReport('warm', Warmth.WARM),)
         self.cold.warmth.apply('d-1', reports)
 
--- a/tests/state/test_warmth.py
+++ b/tests/state/test_warmth.py
@@ -88,6 +88,12 @@
         self.hear(0, 2, now=9, upstream='a')
         self.assertEqual(self.reported(3), [('a', Warmth.WARM, 5)])
 
+    def test_numbers_that_start_anew_without_a_start_time(self):
+        self.hear(0, 50, born=0)
+        self.log.remove_silent(SILENT_AFTER_S + 1)
+        self.hear(2, 1, born=0, now=SILENT_AFTER_S + 2)
+        self.assertEqual(self.reported(), [('i', Warmth.COLD, 0)])
+
     def test_not_stated_withdraws_what_was_heard(self):
         self.hear(0, 1)
         self.hear(None, 2)
