--- a/tests/edge/document_fixture.py
+++ b/tests/edge/document_fixture.py
@@ -13,7 +13,7 @@
 from snipebend.kernel.registry import Registry
 from snipebend.kernel.tasks import TaskSupervisor
 from snipebend.settings.model import ProcessSection
-from snipebend.settings.relay import RelaySettings
+from snipebend.settings.relay import RelaySection, RelaySettings
 from snipebend.settings.seeds import SeedsSection
 from snipebend.state.documents import PutRequest
 from snipebend.state.roster import RecordRequest, UpstreamRecord
@@ -55,12 +55,13 @@
 class Deployment:
     """Daemons, each behind its own link, and a follower of them all."""
 
-    def __init__(self, daemons, cut_after=None):
+    def __init__(self, daemons, cut_after=None, section=None):
         self.daemons = [Daemon() for _ in range(daemons)]
         self.links = []
         self.updated = asyncio.Event()
         self.upstreams = set()
         self._cut_after = cut_after
+        self._section = section or RelaySection()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self):
@@ -114,6 +115,7 @@
         cfg = RelaySettings(
             process=ProcessSection(name='e', data_center='dc'),
             control=SeedsSection(addresses=['127.0.0.1:1'], grpc_port=1),
+            relay=self._section,
         )
         # Tests control when a link is silent; timers must not interfere.
         clients = RpcClients(60, 60)
