--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -175,7 +175,7 @@
         try:
             call = await self._open(upstream)
             result = self._release_if_declined(
-                call
+                call, call_started_at
             ) or await self._send_and_receive(call)
         except UnavailableError as exc:
             if isinstance(exc, RefusedConnectionError):
@@ -211,16 +211,23 @@
             self._relay.notices.apply,
         )
 
-    def _release_if_declined(self, call: Call) -> CallResult | None:
+    def _release_if_declined(
+        self, call: Call, chosen_at: float
+    ) -> CallResult | None:
         """Release the connection if the upstream must not get work any more.
 
         Its notice, or the evacuation of its data centre, may have been received
-        while the connection was opened.
+        while the connection was opened, or it may be cold and that took longer
+        than calls to it may be late.
         """
-        if self._relay.chooser.is_evacuated(call.upstream):
+        upstream = call.upstream
+        now = self._relay.now()
+        if self._relay.chooser.is_evacuated(upstream):
             reason = 'its data centre is evacuated'
-        elif call.upstream.declines_work(self._relay.now()):
+        elif upstream.declines_work(now):
             reason = 'the upstream asked for no more work'
+        elif self._relay.cold.table.is_overdue(upstream, chosen_at, now):
+            reason = 'the call comes too late for an upstream that may be cold'
         else:
             return None
         call.release()
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -117,9 +117,9 @@
             self._data_center,
             admitted.route.gap_s,
             tried,
-            self._evacuations.data_centers,
-            self._cold.find_limits(admitted.service),
-            self._remote_weight,
+            evacuated=self._evacuations.data_centers,
+            cold=self._cold.find_limits(admitted.service),
+            remote_weight=self._remote_weight,
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
