Reject tickets and datagrams that nest too deep, and say what is proved

The decoder of an agent's tickets raised another error than the declared one for a header that nests beyond the decoder's depth: 500 in place of 400. Gossip's was safe with all that was tried, and now catches what the others do.

--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -160,7 +160,7 @@
         """Apply the message of another entry."""
         try:
             message = self._decoder.decode(data)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as exc:
             logger.warning(
                 'event=gossip_unreadable peer={} error={!r}', addr, str(exc)
             )
--- a/src/snipebend/transport/upstream_api.py
+++ b/src/snipebend/transport/upstream_api.py
@@ -253,5 +253,5 @@
             req.get_header(TICKET_HEADER) or '',
             type=AttemptTicket,
         )
-    except DecodeError:
+    except (DecodeError, RecursionError):
         return None
