--- a/src/snipebend/edge/gossip.py
+++ b/src/snipebend/edge/gossip.py
@@ -58,6 +58,8 @@
     refusals: dict[str, RefusalReport] = field(default_factory=dict)
     #: Requests and prompt parts under which upstreams ended, by their keys.
     crashes: dict[str, CrashReport] = field(default_factory=dict)
+    #: Requests that wait at the entry, by service and priority.
+    waiting: dict[str, dict[int, int]] = field(default_factory=dict)
 
 
 class GossipState(Protocol):
@@ -66,6 +68,14 @@
     def own_calls(self) -> dict[str, int]:
         """Return this entry's calls in progress, by upstream identity."""
 
+    def own_waiting(self) -> dict[str, dict[int, int]]:
+        """Return the requests that wait here, by service and priority."""
+
+    def apply_waiting(
+        self, entry: str, waiting: dict[str, dict[int, int]]
+    ) -> None:
+        """Apply the requests that wait at another entry."""
+
     def make_limit_reports(self) -> dict[str, LimitReport]:
         """Return the rate limit reports for others, by upstream identity."""
 
@@ -110,6 +120,7 @@
     #: Consecutive refusals by upstream.
     refusals: dict[str, int]
     has_crash_news: bool
+    waiting: dict[str, dict[int, int]]
 
 
 class Gossip(Service, asyncio.DatagramProtocol):
@@ -171,6 +182,7 @@
         self._last_stamps[message.entry] = stamp
         self._received_at[message.entry] = self._clock.now()
         self._state.apply_calls(message.entry, message.calls)
+        self._state.apply_waiting(message.entry, message.waiting)
         if message.limits:
             self._state.apply_limits(
                 message.entry, message.started_at, message.limits
@@ -188,7 +200,7 @@
 
     async def _send_forever(self) -> None:
         number = 0
-        sent = _Digest({}, {}, {}, has_crash_news=False)
+        sent = _Digest({}, {}, {}, has_crash_news=False, waiting={})
         repeat_at: float = 0
         repeat_crashes_at: float = 0
         while True:
@@ -202,6 +214,7 @@
                 _without_ages(limits),
                 _counts_of(refusals),
                 self._state.has_crash_news,
+                self._state.own_waiting(),
             )
             now = self._clock.now()
             if digest == sent and now < repeat_at:
@@ -222,6 +235,7 @@
                     limits=limits,
                     refusals=refusals,
                     crashes=crashes,
+                    waiting=digest.waiting,
                 )
             )
 
@@ -257,6 +271,7 @@
             if received_at < oldest:
                 self._received_at.pop(entry)
                 self._state.apply_calls(entry, {})
+                self._state.apply_waiting(entry, {})
                 logger.info('event=entry_silent peer={}', entry)
         follower = self._follower
         fleet = follower.fleet.count(self._clock.now())
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,8 +8,10 @@
 
 from loguru import logger
 
+from snipebend.edge.admission_desk import AdmissionDesk
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
+from snipebend.edge.open_desk import OpenDesk
 from snipebend.edge.outage_wait import OutageWait
 from snipebend.edge.rate_limit_tracker import RateLimitTracker
 from snipebend.edge.refusal_writer import RefusalWriter
@@ -93,6 +95,7 @@
             self.now,
             self._rng,
         )
+        self.desk = self._make_desk()
         self.crashes = CrashTracker(
             self._cfg.relay,
             self.now,
@@ -122,6 +125,7 @@
             'upstreams': self._upstreams.dump(),
             'limits': self.limits.table.dump(),
             'crashes': self.crashes.dump(),
+            'admission': self.desk.dump(),
         }
 
     @property
@@ -196,6 +200,16 @@
             if upstream.own_calls
         }
 
+    def own_waiting(self) -> dict[str, dict[int, int]]:
+        """Return the requests that wait here, by service and priority."""
+        return self.desk.waiting()
+
+    def apply_waiting(
+        self, entry: str, waiting: dict[str, dict[int, int]]
+    ) -> None:
+        """Apply the requests that wait at another entry."""
+        self.desk.apply_waiting(entry, waiting)
+
     def make_limit_reports(self) -> dict[str, LimitReport]:
         """Return the rate limit reports for others, by upstream identity."""
         return self.limits.table.make_report(self.now())
@@ -253,6 +267,19 @@
             timeout_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: call.drain(timeout_s))
 
+    def _make_desk(self) -> AdmissionDesk | OpenDesk:
+        cfg = self._cfg.relay.admission
+        if cfg is None:
+            return OpenDesk(self.chooser)
+        return AdmissionDesk(
+            cfg,
+            self.chooser,
+            self._upstreams,
+            lambda: self.index,
+            self.now,
+            self._rng,
+        )
+
     def _retries_left(self) -> dict[str, float]:
         return {name: one.left for name, one in self._budgets.items()}
 
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from snipebend.edge.admission_desk import Inquiry
 from snipebend.edge.call import Call
 from snipebend.edge.call_log import CallLog
 from snipebend.edge.call_result import BodyEnd, CallResult
@@ -29,6 +30,8 @@
     final_action,
 )
 from snipebend.relay.facts import CallContext, header_values
+from snipebend.relay.upstream_selection import NoCapacity
+from snipebend.relay.upstreams import Upstream
 from snipebend.transport.events import MEDIA_EVENTS
 
 if TYPE_CHECKING:
@@ -37,8 +40,6 @@
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.admission import Admitted
     from snipebend.relay.facts import ResponseFacts, ResponseHead
-    from snipebend.relay.upstream_selection import NoCapacity
-    from snipebend.relay.upstreams import Upstream
     from snipebend.transport.body_framing import BodyFraming
 
 #: Upstreams that one request is sent to at most while each proves that it did
@@ -106,12 +107,12 @@
 
     async def _call_until_done(self) -> None:
         while not self._refuse_if_quarantined():
-            upstream = self._relay.chooser.select(self._admitted, self._tried)
-            if upstream is None:
+            upstream = await self._acquire()
+            if not isinstance(upstream, Upstream):
                 self._final.refuse_no_capacity(
                     may_have_run=self._may_have_run,
                     tried=bool(self._tried),
-                    no_capacity=self._find_capacity_wait(),
+                    no_capacity=upstream or self._find_capacity_wait(),
                 )
                 return
             result = await self._call(upstream)
@@ -120,6 +121,17 @@
             if not self._should_continue(result):
                 return
 
+    async def _acquire(self) -> Upstream | NoCapacity | None:
+        """Return an upstream once there is room; its call begins at once."""
+        return await self._relay.desk.acquire(
+            Inquiry(
+                self._admitted,
+                self._tried,
+                len(self._req.body),
+                has_events=self._response.started,
+            )
+        )
+
     def _refuse_if_quarantined(self) -> bool:
         quarantine = self._crashes.find_quarantine()
         if quarantine is None:
@@ -144,6 +156,7 @@
             upstream, len(self._tried), self._stream.resume_after
         )
         upstream.own_calls += 1
+        self._relay.desk.begin_call(self._admitted)
         self._relay.limits.record_call(upstream)
         if upstream.group is not None:
             upstream.group.record_probe(self._relay.now())
@@ -160,9 +173,7 @@
                 )
             result = CallResult(CallOutcome.UNSENT, str(exc), faulty=True)
         finally:
-            upstream.own_calls -= 1
-            if call is not None:
-                self._abandon(call)
+            self._end_call(upstream, call, call_started_at)
         self._record_result(upstream, result, call_started_at)
         if result is not None and result.outcome is CallOutcome.UNKNOWN:
             await self._crashes.record_broken_call(
@@ -170,6 +181,16 @@
             )
         return result
 
+    def _end_call(
+        self, upstream: Upstream, call: Call | None, call_started_at: float
+    ) -> None:
+        """Leave the upstream, and let the next request take the place."""
+        upstream.own_calls -= 1
+        if call is not None:
+            self._abandon(call)
+        held_s = self._relay.now() - call_started_at
+        self._relay.desk.end_call(self._admitted, upstream, held_s)
+
     async def _open(self, upstream: Upstream) -> Call:
         record = upstream.record
         conn = await self._relay.pool.acquire(
@@ -291,8 +312,12 @@
     ) -> CallResult | None:
         self._stream.begin(started.head)
         event = await call.receive()
+        is_first = True
         while isinstance(event, BodyChunk):
             if self._stream.feed(event.data):
+                if is_first:
+                    self._record_first_event(call)
+                is_first = False
                 self._crashes.record_activity()
                 await self._response.drain()
             event = await call.receive()
@@ -302,6 +327,10 @@
             return self._unknown_outcome(event.reason)
         return self._unknown_outcome('a second head')
 
+    def _record_first_event(self, call: Call) -> None:
+        seconds = self._relay.now() - call.started_at
+        self._relay.desk.record_first_event(self._admitted, seconds)
+
     def _end_stream(self, framing: BodyFraming) -> CallResult | None:
         reason = self._stream.find_break(framing)
         if reason:
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -9,7 +9,7 @@
     earliest_backoff_end,
     select_upstream,
 )
-from snipebend.relay.upstream_views import CallRequirements
+from snipebend.relay.upstream_views import CallRequirements, view_candidates
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -39,17 +39,38 @@
         self._rng = rng
 
     def select(
-        self, admitted: Admitted, tried: Sequence[str]
+        self,
+        admitted: Admitted,
+        tried: Sequence[str],
+        queue_share: float | None = None,
     ) -> Upstream | None:
-        """Return an upstream for a call, or None if none has capacity."""
-        selected = self._select(admitted, tried)
+        """Return an upstream for a call, or None if none has capacity.
+
+        ``queue_share`` is as in `CallRequirements`.
+        """
+        selected = self._select(admitted, tried, queue_share)
         if not self._limits.seconds_until_room(selected):
             return selected
         assert selected is not None
         self._limits.log_diverted_call(
             admitted.facts.request_id, admitted.service, selected
         )
-        return self._select(admitted, tried, within_limits=True)
+        return self._select(admitted, tried, queue_share, within_limits=True)
+
+    def can_hand_on(
+        self, upstream: Upstream, admitted: Admitted, tried: Sequence[str]
+    ) -> bool:
+        """Return whether nothing speaks against another call of it."""
+        requirements = CallRequirements(
+            self._data_center, admitted.route.gap_s, tried, queue_share=0
+        )
+        if self._limits.seconds_until_room(upstream):
+            return False
+        return any(
+            not (view.is_down or view.is_too_slow)
+            and not (view.is_avoided or view.is_slow)
+            for view in view_candidates([upstream], requirements, self._now())
+        )
 
     def has_alternative(self, admitted: Admitted, tried: Sequence[str]) -> bool:
         """Return whether another upstream can accept a call now."""
@@ -75,11 +96,12 @@
         self,
         admitted: Admitted,
         tried: Sequence[str],
+        queue_share: float | None = None,
         *,
         within_limits: bool = False,
     ) -> Upstream | None:
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried
+            self._data_center, admitted.route.gap_s, tried, queue_share
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- /dev/null
+++ b/src/snipebend/relay/entry_admission.py
@@ -0,0 +1,191 @@
+"""Who of the requests at an entry is called, waits, or is refused.
+
+Answers a load that exceeds the room of a service's upstreams: a class that
+bursts, a wave's crest, ranks lost. Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+from snipebend.relay.other_entries import OtherEntries
+from snipebend.relay.outage_estimate import OutageEstimate
+from snipebend.relay.request_rates import RequestRates
+from snipebend.relay.return_times import ReturnTimes
+from snipebend.relay.served_shares import MIN_SHARE
+from snipebend.relay.upstream_selection import NoCapacity
+from snipebend.relay.waiting_requests import WaitingRequests
+from snipebend.routing.rates import DrainRate
+
+if TYPE_CHECKING:
+    from snipebend.relay.service_room import ServiceRoom
+    from snipebend.relay.waiter import Waiter
+
+#: Seconds that a request may wait although it will be late: callers give up
+#: without an answer after 2 s.
+LATE_WAIT_S = 1.0
+
+#: Share of the rate at which places come free that counts as spare for late
+#: requests; with less, they would wait for nothing.
+MIN_SPARE_SHARE = 0.05
+
+
+class Keep(NamedTuple):
+    """The request waits, until this time at the latest."""
+
+    until: float
+
+
+class Rates(NamedTuple):
+    """What a judgement depends on besides the queue."""
+
+    room: ServiceRoom
+    #: Calls of this entry in progress.
+    own_calls: int
+    #: Seconds that a group needs to form after a loss.
+    form_s: float = 0
+    #: Whether the entry holds as many requests as it may.
+    is_full: bool = False
+
+
+class EntryAdmission:
+    """The requests of one service at one entry."""
+
+    def __init__(self) -> None:
+        """Create without requests."""
+        self.waiting = WaitingRequests()
+        self.others = OtherEntries()
+        self.drain = DrainRate()
+        self.outage = OutageEstimate()
+        self._returns = ReturnTimes()
+        self._rates = RequestRates()
+
+    def ask(self, waiter: Waiter, now: float) -> None:
+        """Add a request that asks for room."""
+        self._rates.record(waiter.priority, now)
+        self.waiting.shares.record_asked(waiter.priority)
+        self.waiting.push(waiter, now)
+
+    def may_claim(
+        self,
+        room: ServiceRoom,
+        now: float,
+        sample: float,
+        *,
+        handed_on: bool = False,
+    ) -> bool:
+        """Return whether the next request of this entry may be called.
+
+        Room goes to the more urgent requests of all entries first, and is
+        divided by what waits at each among equal ones; ``sample``, uniform over
+        [0, 1), rounds the part. A place that a call of this entry has left is
+        ``handed_on``: no other entry knows of it yet.
+        """
+        first = self.waiting.next(now)
+        if first is None:
+            return False
+        left = room.free - self.others.count_more_urgent(first.priority)
+        if left < 1:
+            return False
+        equal = self.others.count(first.priority)
+        own = self.waiting.counts()[first.priority]
+        return handed_on or left * own > sample * (own + equal)
+
+    def start_next(self, now: float) -> Waiter | None:
+        """Remove and return the request that goes next."""
+        waiter = self.waiting.pop(now)
+        if waiter is not None:
+            self.waiting.shares.record_served(waiter.priority)
+        return waiter
+
+    def judge(
+        self, waiter: Waiter, rates: Rates, now: float
+    ) -> Keep | NoCapacity:
+        """Return whether a request that was not called may wait.
+
+        It waits only while it can be called in its time by the rate at which
+        this entry's calls end, less what more urgent requests take of it.
+        """
+        if rates.is_full:
+            return self._refuse(waiter, rates, now, 'too many requests wait')
+        if rates.room.is_down:
+            return self._judge_in_outage(waiter, rates, now)
+        places_per_s = self._places_per_s(rates, now)
+        until = waiter.start_by
+        wait_s = self._expected_wait_s(waiter, places_per_s, now)
+        if now + wait_s > until:
+            until = _late_until(waiter)
+            wait_s = self._expected_late_wait_s(places_per_s, now)
+        if now + wait_s <= until:
+            return Keep(until)
+        urgent = self.others.count_more_urgent(waiter.priority)
+        if rates.room.free > urgent and now < waiter.latest_start:
+            # It only waits for its part of a place that is free.
+            return Keep(now)
+        return self._refuse(waiter, rates, now, 'all places are taken')
+
+    def record_end(self, held_s: float, now: float) -> None:
+        """Record a call that has ended."""
+        self.drain.record_completion(held_s, now)
+
+    def dump(self) -> dict[str, object]:
+        """Return what waits here and at the other entries, by priority."""
+        return {
+            'waiting': self.waiting.counts(),
+            'others_waiting': self.others.totals(),
+            'served_shares': self.waiting.shares.dump(),
+        }
+
+    def _places_per_s(self, rates: Rates, now: float) -> float:
+        return self.drain.requests_per_s(rates.own_calls, now)
+
+    def _refuse(
+        self, waiter: Waiter, rates: Rates, now: float, detail: str
+    ) -> NoCapacity:
+        places_per_s = self._places_per_s(rates, now)
+        spare_per_s = max(
+            places_per_s - self._rates.total(now),
+            MIN_SPARE_SHARE * places_per_s,
+        )
+        retry_after_s = self._returns.refuse(
+            now, waiter.deadline - now, spare_per_s
+        )
+        return NoCapacity(detail, retry_after_s)
+
+    def _judge_in_outage(
+        self, waiter: Waiter, rates: Rates, now: float
+    ) -> Keep | NoCapacity:
+        left_s = self.outage.left_s(now, rates.form_s)
+        until = _late_until(waiter)
+        if now + left_s <= until:
+            return Keep(until)
+        retry_after_s = self._returns.refuse_in_outage(
+            left_s, waiter.deadline - now
+        )
+        return NoCapacity('the upstreams have stopped', retry_after_s)
+
+    def _expected_wait_s(
+        self, waiter: Waiter, places_per_s: float, now: float
+    ) -> float:
+        """Return seconds until the turn of a request that can be on time."""
+        if not places_per_s:
+            return 0
+        priority = waiter.priority
+        total = self._rates.total(now)
+        floor = MIN_SHARE * self._rates.of(priority, now)
+        if total > places_per_s:
+            floor *= places_per_s / total
+        rate = max(floor, places_per_s - self._rates.below(priority, now))
+        return self.waiting.count_ahead(priority) / rate if rate else inf
+
+    def _expected_late_wait_s(self, places_per_s: float, now: float) -> float:
+        """Return seconds until the turn of a request that is late."""
+        spare_per_s = places_per_s - self._rates.total(now)
+        if spare_per_s <= MIN_SPARE_SHARE * places_per_s:
+            return inf
+        return len(self.waiting) / spare_per_s
+
+
+def _late_until(waiter: Waiter) -> float:
+    return min(waiter.asked_at + LATE_WAIT_S, waiter.latest_start)
--- /dev/null
+++ b/src/snipebend/relay/other_entries.py
@@ -0,0 +1,45 @@
+"""The requests that wait at the other entries.
+
+Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class OtherEntries:
+    """Requests of one service by priority that wait elsewhere, as reported."""
+
+    def __init__(self) -> None:
+        """Create without reports."""
+        self._reports: dict[str, Mapping[int, int]] = {}
+        self._totals: Counter[int] = Counter()
+
+    def apply(self, entry: str, counts: Mapping[int, int]) -> None:
+        """Replace the report of an entry; without counts, forget it."""
+        if counts:
+            self._reports[entry] = counts
+        elif self._reports.pop(entry, None) is None:
+            return
+        self._totals = Counter()
+        for report in self._reports.values():
+            self._totals.update(report)
+
+    def count(self, priority: int) -> int:
+        """Return how many of a priority wait elsewhere."""
+        return self._totals[priority]
+
+    def count_more_urgent(self, priority: int) -> int:
+        """Return how many wait elsewhere that are more urgent."""
+        return sum(
+            number for other, number in self._totals.items() if other < priority
+        )
+
+    def totals(self) -> dict[int, int]:
+        """Return the requests that wait elsewhere, by priority."""
+        return dict(self._totals)
--- /dev/null
+++ b/src/snipebend/relay/service_room.py
@@ -0,0 +1,101 @@
+"""The room that the upstreams of a service have for further calls.
+
+Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from snipebend.relay.group_bounds import GroupLoad, bound_calls
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from snipebend.hosts.model import EngineProfile
+    from snipebend.relay.upstream_groups import UpstreamGroup
+    from snipebend.relay.upstreams import Upstream
+
+
+class ServiceRoom(NamedTuple):
+    """What the upstreams of a service can begin now, for all entries."""
+
+    #: Calls that may begin; 0: none.
+    free: int = 0
+    #: Calls in progress of all entries, and how many may run at once.
+    calls: int = 0
+    bound: int = 0
+    #: Whether upstreams are open, but all of them in groups that have stopped.
+    is_down: bool = False
+
+
+@dataclass(slots=True)
+class _Sums:
+    """Sums over the open ranks of one group, or the upstreams without one."""
+
+    group: UpstreamGroup | None
+    ranks: int = 0
+    slots: int = 0
+    calls: int = 0
+    free: int = 0
+
+    def add(self, upstream: Upstream) -> None:
+        slots = upstream.record.slots
+        calls = upstream.calls
+        self.ranks += 1
+        self.slots += slots
+        self.calls += calls
+        self.free += max(0, slots - calls)
+
+    def room(
+        self, allowed_pause_s: float, engine: EngineProfile | None, now: float
+    ) -> ServiceRoom:
+        if self.group is None:
+            return ServiceRoom(self.free, self.calls, self.slots)
+        load = GroupLoad(
+            self.ranks,
+            self.slots,
+            self.calls,
+            self.group.pass_time_s(now),
+            allowed_pause_s,
+        )
+        bound = bound_calls(load, engine)
+        free = max(0, min(self.free, bound - self.calls))
+        return ServiceRoom(free, self.calls, bound)
+
+
+def measure_room(
+    upstreams: Iterable[Upstream],
+    allowed_pause_s: float,
+    engine: EngineProfile | None,
+    now: float,
+) -> ServiceRoom:
+    """Return the room of these upstreams.
+
+    An upstream that works alone runs its slots; the ranks of a group run what
+    keeps the passes of all within the allowed pause. A group that has stopped
+    has no room.
+    """
+    sums: dict[str, _Sums] = {}
+    stopped_calls = 0
+    has_stopped = False
+    for upstream in upstreams:
+        if not upstream.is_open(now):
+            continue
+        group = upstream.group
+        if group is not None and group.is_down(now):
+            has_stopped = True
+            stopped_calls += upstream.calls
+            continue
+        name = '' if group is None else group.name
+        if name not in sums:
+            sums[name] = _Sums(group)
+        sums[name].add(upstream)
+    rooms = [one.room(allowed_pause_s, engine, now) for one in sums.values()]
+    return ServiceRoom(
+        sum(room.free for room in rooms),
+        sum(room.calls for room in rooms) + stopped_calls,
+        sum(room.bound for room in rooms),
+        has_stopped and not rooms,
+    )
--- /dev/null
+++ b/src/snipebend/relay/waiter_times.py
@@ -0,0 +1,91 @@
+"""By when a request has to be called so that its caller is served in time.
+
+Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from snipebend.hosts.model import RequestKind
+from snipebend.relay.waiter import DEFAULT_WORK, Waiter
+
+if TYPE_CHECKING:
+    from snipebend.relay.admission import Admitted
+
+#: Weight of a new measurement: a change of load shows within some requests.
+_WEIGHT = 0.1
+
+#: Share of a request's target that calls may take until they respond. What
+#: takes longer has waited at an upstream, which admission is to prevent; if it
+#: counted in full, all requests would be taken for late.
+MAX_RESPONSE_SHARE = 0.5
+
+#: Seconds by which a caller's stated time has to be under its route's for it to
+#: have been sent before.
+RETURN_MARGIN_S = 0.1
+
+
+class ServiceTimes:
+    """Moving averages of what the calls of one service take, in seconds."""
+
+    def __init__(self) -> None:
+        """Create without measurements."""
+        self.first_event_s: float = 0
+        self.hold_s: float = 0
+
+    def record_first_event(self, seconds: float) -> None:
+        """Record the time from a call to the first event of its stream."""
+        self.first_event_s = _average(self.first_event_s, seconds)
+
+    def record_hold(self, seconds: float) -> None:
+        """Record the duration of a call."""
+        self.hold_s = _average(self.hold_s, seconds)
+
+    def dump(self) -> dict[str, object]:
+        """Return the averages."""
+        return {'first_event_s': self.first_event_s, 'hold_s': self.hold_s}
+
+
+def make_waiter(
+    admitted: Admitted,
+    number: int,
+    times: ServiceTimes,
+    now: float,
+    *,
+    is_continued: bool,
+    has_events: bool,
+) -> Waiter:
+    """Return the waiter of a request.
+
+    A caller that returns states the time that it has left: its target counts
+    from its first attempt. A resumed stream is on time as soon as it goes on.
+    """
+    route = admitted.route
+    first_sent_at = min(admitted.began_at, admitted.deadline - route.timeout_s)
+    latest_start = max(now, admitted.deadline - times.hold_s)
+    is_stream = route.kind is RequestKind.STREAM
+    response_s = times.first_event_s if is_stream else times.hold_s
+    response_s = min(response_s, MAX_RESPONSE_SHARE * route.target_s)
+    start_by = first_sent_at + route.target_s - response_s
+    if has_events or not route.target_s:
+        start_by = latest_start
+    facts = admitted.facts
+    return Waiter(
+        number,
+        admitted.priority,
+        admitted.workspace,
+        facts.prompt_tokens + facts.answer_tokens or DEFAULT_WORK,
+        now,
+        min(start_by, latest_start),
+        admitted.deadline,
+        latest_start,
+        is_continued,
+        admitted.began_at - first_sent_at > RETURN_MARGIN_S,
+    )
+
+
+def _average(former: float, seconds: float) -> float:
+    if not former:
+        return seconds
+    return former + _WEIGHT * (seconds - former)
--- a/src/snipebend/routing/fair_queue.py
+++ b/src/snipebend/routing/fair_queue.py
@@ -52,11 +52,11 @@
         """Return the next flow."""
         return self._heap[0][1]
 
-    def charge(self) -> None:
-        """Charge one turn to the flow that `peek` returns."""
+    def charge(self, work: float = 1) -> None:
+        """Charge a turn, and the work done in it, to the flow of `peek`."""
         start, flow = heappop(self._heap)
         self._virtual_time = start
-        finish = start + 1 / self._weights[flow]
+        finish = start + work / self._weights[flow]
         self._finish_tags[flow] = finish
         heappush(self._heap, (finish, flow))
 
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -20,6 +20,14 @@
 )
 
 
+class AdmissionSection(Section, frozen=True, kw_only=True):
+    """How an entry decides who waits and who is refused under hard load."""
+
+    #: Requests that may wait at the entry, and the bytes of their bodies.
+    max_waiting: Annotated[int, Meta(ge=1)] = 512
+    max_waiting_bytes: Annotated[int, Meta(ge=1)] = 16_777_216
+
+
 class RelaySection(Section, frozen=True, kw_only=True):
     """How an entry calls upstreams without an agent."""
 
@@ -37,6 +45,9 @@
     crash_limit: Annotated[int, Meta(ge=1)] = 3
     #: Seconds for which such a request is refused after the last end.
     quarantine_s: Seconds = 600.0
+    #: Admits by the room that upstreams have; without it, requests are sent on
+    #: until the upstreams' queues are full.
+    admission: AdmissionSection | None = None
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/tests/edge/gossip_state.py
+++ b/tests/edge/gossip_state.py
@@ -11,6 +11,8 @@
     def __init__(self, calls):
         self.calls = calls
         self.limits = {}
+        self.waiting = {}
+        self.waiting_received = {}
         self.refusals = {}
         self.crashes = {}
         self.sent_crashes = {}
@@ -23,6 +25,12 @@
     def own_calls(self):
         return dict(self.calls)
 
+    def own_waiting(self):
+        return dict(self.waiting)
+
+    def apply_waiting(self, entry, waiting):
+        self.waiting_received[entry] = waiting
+
     def make_limit_reports(self):
         return dict(self.limits)
 
