--- a/bench/entry_load.py
+++ b/bench/entry_load.py
@@ -20,7 +20,7 @@
 import heapq
 import random
 import sys
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, NamedTuple
@@ -31,6 +31,7 @@
 from snipebend.relay.upstream_selection import select_upstream
 from snipebend.relay.upstream_views import CallRequirements
 from snipebend.relay.upstreams import UpstreamTable
+from snipebend.standin.lockstep import LockstepRank, RankSizes, RankStream
 from snipebend.state.roster import UpstreamRecord
 
 if TYPE_CHECKING:
@@ -48,11 +49,15 @@
 DURATION_S = 12.0
 
 #: Seconds of a step, of each stream in a step, and of a chunk of a prompt.
-STEP_S = 0.00455
-STREAM_S = 0.00199
-CHUNK_S = 0.0083
-STEPS_PER_PASS = 6
-PROMPT_CHUNKS = 2
+SIZES = RankSizes(
+    SLOTS_PER_RANK,
+    QUEUE_PER_RANK,
+    step_s=0.00455,
+    stream_s=0.00199,
+    chunk_s=0.0083,
+    steps_per_pass=6,
+    chunks_per_prompt=2,
+)
 EVENTS_PER_STREAM = 15
 EXPERT_SHARE = 0.85
 #: Load of the fullest rank over the mean: with a map that fits, and in the
@@ -95,52 +100,19 @@
 
 
 @dataclass(eq=False, slots=True)
-class Stream:
+class Stream(RankStream):
     """A request and the events that its caller has received."""
 
-    sent_at: float
+    sent_at: float = 0
     entry: int = 0
     rank: int = -1
-    chunks_left: int = PROMPT_CHUNKS
     events: int = 0
     last_event_at: float = 0
     is_in_time: bool = True
-    is_finished: bool = False
     has_retried: bool = False
     tried_upstreams: list[str] = field(default_factory=list)
 
 
-class Rank:
-    """An engine with its running and queued streams."""
-
-    def __init__(self) -> None:
-        """Create a rank without streams."""
-        self.active: list[Stream] = []
-        self.waiting: deque[Stream] = deque()
-
-    def try_enqueue(self, stream: Stream) -> bool:
-        """Queue a stream if there is room; return whether there was."""
-        if (
-            len(self.active) + len(self.waiting)
-            >= SLOTS_PER_RANK + QUEUE_PER_RANK
-        ):
-            return False
-        self.waiting.append(stream)
-        return True
-
-    def start_pass(self) -> float:
-        """Fill the slots; return the seconds that this rank needs."""
-        while self.waiting and len(self.active) < SLOTS_PER_RANK:
-            stream = self.waiting.popleft()
-            if not stream.is_finished:
-                self.active.append(stream)
-        if not self.active:
-            return 0
-        steps_s = STEPS_PER_PASS * (STEP_S + STREAM_S * len(self.active))
-        is_prefilling = any(stream.chunks_left for stream in self.active)
-        return steps_s + PROMPT_CHUNKS * CHUNK_S * is_prefilling
-
-
 class Simulation:
     """A seeded simulation of a policy at a load."""
 
@@ -153,7 +125,9 @@
         self._now: float = 0
         self._sequence_numbers = count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._ranks = [Rank() for _ in range(RANKS)]
+        self._ranks: list[LockstepRank[Stream]] = [
+            LockstepRank(SIZES) for _ in range(RANKS)
+        ]
         self._tables = [UpstreamTable() for _ in range(ENTRIES)]
         for table in self._tables:
             table.apply_records(
@@ -179,7 +153,7 @@
 
     def _arrive(self) -> None:
         self._schedule(self._rng.expovariate(self._rate), self._arrive)
-        stream = Stream(self._now)
+        stream = Stream(sent_at=self._now)
         self._schedule(CALLER_TIMEOUT_S, lambda: self._time_out(stream))
         self._send(stream)
 
@@ -262,17 +236,12 @@
 
     def _finish_pass(self) -> None:
         for rank in self._ranks:
-            rank.active = [one for one in rank.active if not one.is_finished]
-            for stream in rank.active:
+            for stream in rank.finish_pass():
                 self._advance(stream)
-            rank.active = [one for one in rank.active if not one.is_finished]
         self._start_pass()
 
     def _advance(self, stream: Stream) -> None:
-        """Read the prompt, or generate the next event."""
-        if stream.chunks_left:
-            stream.chunks_left = 0
-            return
+        """Generate the next event."""
         previous_at = stream.last_event_at if stream.events else stream.sent_at
         allowed_s = EVENT_GAP_S if stream.events else FIRST_EVENT_S
         stream.is_in_time &= self._now - previous_at <= allowed_s
