--- a/src/snipebend/relay/waiter_times.py
+++ b/src/snipebend/relay/waiter_times.py
@@ -21,9 +21,9 @@
 #: counted in full, all requests would be taken for late.
 MAX_RESPONSE_SHARE = 0.5
 
-#: Seconds by which a caller's stated time has to be under its route's for it to
-#: have been sent before.
-RETURN_MARGIN_S = 0.1
+#: Share of its route's time that a new caller states at least; one that states
+#: less has spent the rest on an earlier attempt.
+NEW_CALLER_SHARE = 0.75
 
 
 class ServiceTimes:
@@ -62,7 +62,11 @@
     from its first attempt. A resumed stream is on time as soon as it goes on.
     """
     route = admitted.route
-    first_sent_at = min(admitted.began_at, admitted.deadline - route.timeout_s)
+    first_sent_at = admitted.began_at
+    time_left_s = admitted.deadline - admitted.began_at
+    has_returned = time_left_s < NEW_CALLER_SHARE * route.timeout_s
+    if has_returned:
+        first_sent_at = admitted.deadline - route.timeout_s
     latest_start = max(now, admitted.deadline - times.hold_s)
     is_stream = route.kind is RequestKind.STREAM
     response_s = times.first_event_s if is_stream else times.hold_s
@@ -81,7 +85,7 @@
         admitted.deadline,
         latest_start,
         is_continued,
-        admitted.began_at - first_sent_at > RETURN_MARGIN_S,
+        has_returned,
     )
 
 
