Leave places to the entry that a call left, and room to more urgent requests

Entries that all started requests on the same place they heard of put six calls on ranks with five slots; a returned caller's request took room from punctual ones.

--- a/src/snipebend/edge/admission_desk.py
+++ b/src/snipebend/edge/admission_desk.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, NamedTuple
@@ -19,6 +20,7 @@
 )
 from snipebend.relay.service_room import ServiceRoom, measure_room
 from snipebend.relay.upstream_selection import NoCapacity
+from snipebend.relay.upstreams import LEFT_PLACE_S
 from snipebend.relay.waiter_times import ServiceTimes, make_waiter
 
 if TYPE_CHECKING:
@@ -72,6 +74,8 @@
     #: Until when each of them waits.
     until: dict[int, float] = field(default_factory=dict)
     own_calls: int = 0
+    #: Upstreams that calls of this entry have left, and when.
+    left: deque[tuple[float, Upstream]] = field(default_factory=deque)
     ticks: asyncio.TimerHandle | None = None
     probed_at: float = float('-inf')
 
@@ -85,6 +89,7 @@
         chooser: UpstreamChooser,
         upstreams: UpstreamTable,
         index: Callable[[], HostIndex | None],
+        count_entries: Callable[[], int],
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -93,6 +98,7 @@
         self._chooser = chooser
         self._upstreams = upstreams
         self._index = index
+        self._count_entries = count_entries
         self._now = now
         self._rng = rng
         self._numbers = count()
@@ -136,14 +142,16 @@
         counter.own_calls -= 1
         counter.times.record_hold(held_s)
         counter.admission.record_end(held_s, self._now())
-        self._dispatch(counter, upstream)
+        counter.left.append((self._now(), upstream))
+        self._dispatch(counter)
 
     def waiting(self) -> dict[str, dict[int, int]]:
-        """Return the requests that wait here by service and priority."""
+        """Return punctual requests here by service and priority."""
+        now = self._now()
         return {
-            counter.service: counter.admission.waiting.counts()
+            counter.service: counts
             for counter in self._counters.values()
-            if counter.pending
+            if (counts := counter.admission.waiting.punctual_counts(now))
         }
 
     def apply_waiting(
@@ -191,9 +199,7 @@
         counter.pending.pop(number, None)
         counter.until.pop(number, None)
 
-    def _dispatch(
-        self, counter: _Counter, handed_on: Upstream | None = None
-    ) -> None:
+    def _dispatch(self, counter: _Counter) -> None:
         """Give upstreams to waiting requests while there is room."""
         admission = counter.admission
         while True:
@@ -204,34 +210,40 @@
             pending = counter.pending[first.number]
             room = self._measure(counter, pending)
             is_probe = self._may_probe(counter, room)
-            is_handed_on = handed_on is not None
+            left = self._find_left(counter, pending)
             if not is_probe and not admission.may_claim(
-                room, now, self._rng.random(), handed_on=is_handed_on
+                room, now, self._rng.random(), handed_on=left is not None
             ):
                 return
             if is_probe:
                 counter.probed_at = now
             admission.start_next(now)
-            self._settle(counter, pending, self._select(pending, handed_on))
-            handed_on = None
+            self._settle(counter, pending, left or self._select(pending))
 
     def _may_probe(self, counter: _Counter, room: ServiceRoom) -> bool:
         due_at = counter.probed_at + PROBE_INTERVAL_S
         return room.is_down and self._now() >= due_at
 
-    def _select(
-        self, pending: Pending, handed_on: Upstream | None
+    def _find_left(
+        self, counter: _Counter, pending: Pending
     ) -> Upstream | None:
-        """Select an upstream, the one that was just left if it is as good.
+        """Return an upstream that a call of this entry has just left.
 
-        Other entries don't know yet that it has a place.
+        Other entries leave its place to this one for a while.
         """
         admitted, tried, *_ = pending.inquiry
-        if handed_on is not None and self._chooser.can_hand_on(
-            handed_on, admitted, tried
-        ):
-            return handed_on
-        return self._chooser.select(admitted, tried, queue_share=0)
+        oldest = self._now() - LEFT_PLACE_S
+        while counter.left:
+            left_at, upstream = counter.left.popleft()
+            if left_at >= oldest and self._chooser.can_hand_on(
+                upstream, admitted, tried
+            ):
+                return upstream
+        return None
+
+    def _select(self, pending: Pending) -> Upstream | None:
+        admitted, tried, *_ = pending.inquiry
+        return self._chooser.select(admitted, tried, needs_slot=True)
 
     def _review(self, counter: _Counter, pending: Pending) -> None:
         """Let a request wait, or refuse it."""
@@ -286,6 +298,7 @@
             now,
         )
         counter.admission.outage.record(now, is_down=room.is_down)
+        counter.admission.entries = self._count_entries()
         return room
 
     def _engine(self, service: str) -> EngineProfile | None:
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -216,7 +216,7 @@
 
     def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Apply the calls that another entry has in progress."""
-        self._upstreams.apply_calls(entry, calls)
+        self._upstreams.apply_calls(entry, calls, self.now())
 
     def apply_limits(
         self, entry: str, started_at: float, limits: dict[str, LimitReport]
@@ -276,6 +276,7 @@
             self.chooser,
             self._upstreams,
             lambda: self.index,
+            self._count_entries,
             self.now,
             self._rng,
         )
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -42,27 +42,30 @@
         self,
         admitted: Admitted,
         tried: Sequence[str],
-        queue_share: float | None = None,
+        *,
+        needs_slot: bool = False,
     ) -> Upstream | None:
         """Return an upstream for a call, or None if none has capacity.
 
-        ``queue_share`` is as in `CallRequirements`.
+        ``needs_slot`` is as in `CallRequirements`.
         """
-        selected = self._select(admitted, tried, queue_share)
+        selected = self._select(admitted, tried, needs_slot=needs_slot)
         if not self._limits.seconds_until_room(selected):
             return selected
         assert selected is not None
         self._limits.log_diverted_call(
             admitted.facts.request_id, admitted.service, selected
         )
-        return self._select(admitted, tried, queue_share, within_limits=True)
+        return self._select(
+            admitted, tried, within_limits=True, needs_slot=needs_slot
+        )
 
     def can_hand_on(
         self, upstream: Upstream, admitted: Admitted, tried: Sequence[str]
     ) -> bool:
         """Return whether nothing speaks against another call of it."""
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried, queue_share=0
+            self._data_center, admitted.route.gap_s, tried, needs_slot=True
         )
         if self._limits.seconds_until_room(upstream):
             return False
@@ -96,12 +99,12 @@
         self,
         admitted: Admitted,
         tried: Sequence[str],
-        queue_share: float | None = None,
         *,
         within_limits: bool = False,
+        needs_slot: bool = False,
     ) -> Upstream | None:
         requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried, queue_share
+            self._data_center, admitted.route.gap_s, tried, needs_slot
         )
         candidates: Sequence[Upstream] = self._upstreams.list_service(
             admitted.service
--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -31,6 +31,11 @@
 MIN_SPARE_SHARE = 0.05
 
 
+#: Seconds for which requests leave room to more urgent ones that arrive at any
+#: entry: until all know who waits and which places are taken.
+NEWS_S = 0.1
+
+
 class Keep(NamedTuple):
     """The request waits, until this time at the latest."""
 
@@ -54,6 +59,8 @@
 
     def __init__(self) -> None:
         """Create without requests."""
+        #: Entries that call the same upstreams, with this one.
+        self.entries = 1
         self.waiting = WaitingRequests()
         self.others = OtherEntries()
         self.drain = DrainRate()
@@ -64,7 +71,8 @@
     def ask(self, waiter: Waiter, now: float) -> None:
         """Add a request that asks for room."""
         self._rates.record(waiter.priority, now)
-        self.waiting.shares.record_asked(waiter.priority)
+        if not waiter.has_returned:
+            self.waiting.shares.record_asked(waiter.priority)
         self.waiting.push(waiter, now)
 
     def may_claim(
@@ -77,7 +85,8 @@
     ) -> bool:
         """Return whether the next request of this entry may be called.
 
-        Room goes to the more urgent requests of all entries first, and is
+        Late requests use the room that punctual ones of all entries leave. It
+        goes to the more urgent ones first, and is
         divided by what waits at each among equal ones; ``sample``, uniform over
         [0, 1), rounds the part. A place that a call of this entry has left is
         ``handed_on``: no other entry knows of it yet.
@@ -85,9 +94,11 @@
         first = self.waiting.next(now)
         if first is None:
             return False
-        left = room.free - self.others.count_more_urgent(first.priority)
+        left = room.free - self._count_reserved(first, now)
         if left < 1:
             return False
+        if now > first.start_by:
+            return True
         equal = self.others.count(first.priority)
         own = self.waiting.counts()[first.priority]
         return handed_on or left * own > sample * (own + equal)
@@ -119,8 +130,7 @@
             wait_s = self._expected_late_wait_s(places_per_s, now)
         if now + wait_s <= until:
             return Keep(until)
-        urgent = self.others.count_more_urgent(waiter.priority)
-        if rates.room.free > urgent and now < waiter.latest_start:
+        if self._has_place(waiter, rates.room, now):
             # It only waits for its part of a place that is free.
             return Keep(now)
         return self._refuse(waiter, rates, now, 'all places are taken')
@@ -137,6 +147,29 @@
             'served_shares': self.waiting.shares.dump(),
         }
 
+    def _has_place(
+        self, waiter: Waiter, room: ServiceRoom, now: float
+    ) -> bool:
+        if now > waiter.latest_start:
+            return False
+        return room.free >= 1 + self._count_reserved(waiter, now)
+
+    def _count_reserved(self, waiter: Waiter, now: float) -> float:
+        """Return the places that other requests need first.
+
+        They wait elsewhere, or arrive until the news of this one's start are
+        everywhere.
+        """
+        if now > waiter.start_by:
+            waiting = self.others.total
+            arrivals_per_s = self._rates.total(now)
+        elif self.waiting.shares.is_neglected(waiter.priority):
+            return 0
+        else:
+            waiting = self.others.count_more_urgent(waiter.priority)
+            arrivals_per_s = self._rates.below(waiter.priority, now)
+        return waiting + NEWS_S * self.entries * arrivals_per_s
+
     def _places_per_s(self, rates: Rates, now: float) -> float:
         return self.drain.requests_per_s(rates.own_calls, now)
 
@@ -144,10 +177,7 @@
         self, waiter: Waiter, rates: Rates, now: float, detail: str
     ) -> NoCapacity:
         places_per_s = self._places_per_s(rates, now)
-        spare_per_s = max(
-            places_per_s - self._rates.total(now),
-            MIN_SPARE_SHARE * places_per_s,
-        )
+        spare_per_s = self._spare_per_s(places_per_s, now)
         retry_after_s = self._returns.refuse(
             now, waiter.deadline - now, spare_per_s
         )
@@ -181,10 +211,15 @@
 
     def _expected_late_wait_s(self, places_per_s: float, now: float) -> float:
         """Return seconds until the turn of a request that is late."""
+        spare_per_s = self._spare_per_s(places_per_s, now)
+        return len(self.waiting) / spare_per_s if spare_per_s else inf
+
+    def _spare_per_s(self, places_per_s: float, now: float) -> float:
+        """Return the rate of places that no punctual request needs."""
         spare_per_s = places_per_s - self._rates.total(now)
-        if spare_per_s <= MIN_SPARE_SHARE * places_per_s:
-            return inf
-        return len(self.waiting) / spare_per_s
+        if spare_per_s < MIN_SPARE_SHARE * places_per_s:
+            return 0
+        return spare_per_s
 
 
 def _late_until(waiter: Waiter) -> float:
--- a/src/snipebend/relay/other_entries.py
+++ b/src/snipebend/relay/other_entries.py
@@ -13,7 +13,7 @@
 
 
 class OtherEntries:
-    """Requests of one service by priority that wait elsewhere, as reported."""
+    """Punctual requests of one service that wait elsewhere, by priority."""
 
     def __init__(self) -> None:
         """Create without reports."""
@@ -40,6 +40,11 @@
             number for other, number in self._totals.items() if other < priority
         )
 
+    @property
+    def total(self) -> int:
+        """Return how many wait elsewhere."""
+        return self._totals.total()
+
     def totals(self) -> dict[int, int]:
         """Return the requests that wait elsewhere, by priority."""
         return dict(self._totals)
--- a/src/snipebend/relay/service_room.py
+++ b/src/snipebend/relay/service_room.py
@@ -40,13 +40,11 @@
     calls: int = 0
     free: int = 0
 
-    def add(self, upstream: Upstream) -> None:
-        slots = upstream.record.slots
-        calls = upstream.calls
+    def add(self, upstream: Upstream, now: float) -> None:
         self.ranks += 1
-        self.slots += slots
-        self.calls += calls
-        self.free += max(0, slots - calls)
+        self.slots += upstream.record.slots
+        self.calls += upstream.calls
+        self.free += max(0, upstream.free_slots(now))
 
     def room(
         self, allowed_pause_s: float, engine: EngineProfile | None, now: float
@@ -91,7 +89,7 @@
         name = '' if group is None else group.name
         if name not in sums:
             sums[name] = _Sums(group)
-        sums[name].add(upstream)
+        sums[name].add(upstream, now)
     rooms = [one.room(allowed_pause_s, engine, now) for one in sums.values()]
     return ServiceRoom(
         sum(room.free for room in rooms),
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -26,9 +26,8 @@
     allowed_pause_s: float = 0
     #: Identities of the upstreams that were called before.
     tried: Collection[str] = ()
-    #: Calls that may queue at an upstream, as a share of its slots; None: as
-    #: without admission by room.
-    queue_share: float | None = None
+    #: Whether only a free slot counts as room, as with admission by room.
+    needs_slot: bool = False
 
 
 class UpstreamView(NamedTuple):
@@ -58,12 +57,12 @@
     group = upstream.group
     record = upstream.record
     calls = upstream.calls
-    queue_share = requirements.queue_share
-    if queue_share is None:
-        queue_share = QUEUE_SHARE
+    free_calls = record.slots * (1 + QUEUE_SHARE) - calls
+    if requirements.needs_slot:
+        free_calls = upstream.free_slots(now)
     return UpstreamView(
         upstream,
-        record.slots * (1 + queue_share) - calls,
+        free_calls,
         group is not None and group.is_down(now),
         group is not None
         and group.is_too_slow(now, requirements.allowed_pause_s),
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -20,6 +20,11 @@
     from snipebend.state.host_updates import UpstreamGroupStatus
     from snipebend.state.roster import UpstreamRecord
 
+#: Seconds for which a place that another entry has left is that entry's to
+#: give: it knows of it first, and all others hear of it at once. Two datagrams
+#: tell whether it has.
+LEFT_PLACE_S = 0.05
+
 #: Seconds for which an upstream gets no calls after a failure, doubled with
 #: each consecutive one. The first is about a round trip and a retry; the last
 #: is the time that a process takes to restart, so that its return is noticed.
@@ -36,6 +41,8 @@
     own_calls: int = 0
     #: Calls of the other entries in their latest reports, by entry.
     other_entries_calls: dict[str, int] = field(default_factory=dict)
+    #: When another entry's calls were last reported to have become fewer.
+    others_left_at: float = float('-inf')
     failures: int = 0
     paused_until: float = 0
     #: Whether another incarnation responds at its address.
@@ -55,6 +62,11 @@
         """Return the known calls of all entries."""
         return self.own_calls + sum(self.other_entries_calls.values())
 
+    def free_slots(self, now: float) -> int:
+        """Return its slots that this entry may give to calls."""
+        is_left = now < self.others_left_at + LEFT_PLACE_S
+        return self.record.slots - self.calls - is_left
+
     @property
     def _is_available(self) -> bool:
         if self.displaced or self.leaving:
@@ -171,10 +183,14 @@
                     upstream.group = group
                     upstream.slow = identity in status.slow
 
-    def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
+    def apply_calls(
+        self, entry: str, calls: dict[str, int], now: float = 0
+    ) -> None:
         """Replace the calls that another entry has in progress."""
         for upstream in self._by_identity.values():
             count = calls.get(upstream.record.identity, 0)
+            if count < upstream.other_entries_calls.get(entry, 0):
+                upstream.others_left_at = now
             if count:
                 upstream.other_entries_calls[entry] = count
             else:
--- a/src/snipebend/relay/waiter_times.py
+++ b/src/snipebend/relay/waiter_times.py
@@ -13,8 +13,10 @@
 if TYPE_CHECKING:
     from snipebend.relay.admission import Admitted
 
-#: Weight of a new measurement: a change of load shows within some requests.
-_WEIGHT = 0.1
+#: Weight of a new measurement above the average, and of one below it: a call
+#: that has waited at its upstream says little of those that don't.
+_WEIGHT_ABOVE = 0.02
+_WEIGHT_BELOW = 0.1
 
 #: Share of a request's target that calls may take until they respond. What
 #: takes longer has waited at an upstream, which admission is to prevent; if it
@@ -23,7 +25,7 @@
 
 #: Share of its route's time that a new caller states at least; one that states
 #: less has spent the rest on an earlier attempt.
-NEW_CALLER_SHARE = 0.75
+NEW_CALLER_SHARE = 0.8
 
 
 class ServiceTimes:
@@ -92,4 +94,5 @@
 def _average(former: float, seconds: float) -> float:
     if not former:
         return seconds
-    return former + _WEIGHT * (seconds - former)
+    weight = _WEIGHT_ABOVE if seconds > former else _WEIGHT_BELOW
+    return former + weight * (seconds - former)
--- a/src/snipebend/relay/waiting_requests.py
+++ b/src/snipebend/relay/waiting_requests.py
@@ -73,6 +73,16 @@
         """Return the number of waiting requests by priority."""
         return dict(self._counts)
 
+    def punctual_counts(self, now: float) -> dict[int, int]:
+        """Return the requests that can be on time, by priority."""
+        return dict(
+            Counter(
+                waiter.priority
+                for waiter in self._waiters.values()
+                if now <= waiter.start_by
+            )
+        )
+
     def count_ahead(self, priority: int) -> int:
         """Return how many wait that are as urgent or more urgent."""
         return sum(
--- a/tests/edge/admission_load.py
+++ b/tests/edge/admission_load.py
@@ -77,7 +77,7 @@
 class Entry:
     """The desk of one entry and what it knows of the upstreams."""
 
-    def __init__(self, number, rng, *, with_admission):
+    def __init__(self, number, rng, *, entries, with_admission):
         self.name = f'e{number}'
         self.table = UpstreamTable()
         self.table.apply_records(
@@ -103,6 +103,7 @@
                 chooser,
                 self.table,
                 lambda: index,
+                lambda: entries,
                 now,
                 rng,
             )
@@ -123,7 +124,12 @@
     ):
         self.rng = random.Random(seed)
         self.entries = [
-            Entry(number, self.rng, with_admission=with_admission)
+            Entry(
+                number,
+                self.rng,
+                entries=entries,
+                with_admission=with_admission,
+            )
             for number in range(entries)
         ]
         self.ranks = [LockstepRank(SIZES) for _ in range(RANKS)]
@@ -246,7 +252,7 @@
                         continue
                     if self.rng.random() < self._loses_gossip:
                         continue
-                    entry.table.apply_calls(name, calls)
+                    entry.table.apply_calls(name, calls, now())
                     entry.desk.apply_waiting(name, waiting)
             running = sum(sum(one[1].values()) for one in reports)
             self.most_calls = max(self.most_calls, running)
