--- a/src/snipebend/edge/admission_desk.py
+++ b/src/snipebend/edge/admission_desk.py
@@ -43,6 +43,12 @@
 PROBE_INTERVAL_S = 0.5
 
 
+#: Share of free places below which entries choose among few upstreams each:
+#: they all know of the same places, and would meet at them.
+TIGHT_SHARE = 0.4
+SAMPLE_SIZE = 3
+
+
 class Inquiry(NamedTuple):
     """A request that asks for an upstream."""
 
@@ -218,7 +224,8 @@
             if is_probe:
                 counter.probed_at = now
             admission.start_next(now)
-            self._settle(counter, pending, left or self._select(pending))
+            upstream = left or self._select(pending, room)
+            self._settle(counter, pending, upstream)
 
     def _may_probe(self, counter: _Counter, room: ServiceRoom) -> bool:
         due_at = counter.probed_at + PROBE_INTERVAL_S
@@ -241,9 +248,15 @@
                 return upstream
         return None
 
-    def _select(self, pending: Pending) -> Upstream | None:
+    def _select(self, pending: Pending, room: ServiceRoom) -> Upstream | None:
         admitted, tried, *_ = pending.inquiry
-        return self._chooser.select(admitted, tried, needs_slot=True)
+        is_tight = room.free < TIGHT_SHARE * room.bound
+        return self._chooser.select(
+            admitted,
+            tried,
+            needs_slot=True,
+            sample_size=SAMPLE_SIZE if is_tight else 0,
+        )
 
     def _review(self, counter: _Counter, pending: Pending) -> None:
         """Let a request wait, or refuse it."""
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -44,12 +44,16 @@
         tried: Sequence[str],
         *,
         needs_slot: bool = False,
+        sample_size: int = 0,
     ) -> Upstream | None:
         """Return an upstream for a call, or None if none has capacity.
 
-        ``needs_slot`` is as in `CallRequirements`.
+        ``needs_slot`` and ``sample_size`` are as in `CallRequirements`.
         """
-        selected = self._select(admitted, tried, needs_slot=needs_slot)
+        requirements = self._requirements(admitted, tried)._replace(
+            needs_slot=needs_slot, sample_size=sample_size
+        )
+        selected = self._select(admitted.service, requirements)
         if not self._limits.seconds_until_room(selected):
             return selected
         assert selected is not None
@@ -57,15 +61,15 @@
             admitted.facts.request_id, admitted.service, selected
         )
         return self._select(
-            admitted, tried, within_limits=True, needs_slot=needs_slot
+            admitted.service, requirements, within_limits=True
         )
 
     def can_hand_on(
         self, upstream: Upstream, admitted: Admitted, tried: Sequence[str]
     ) -> bool:
         """Return whether nothing speaks against another call of it."""
-        requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried, needs_slot=True
+        requirements = self._requirements(admitted, tried)._replace(
+            needs_slot=True
         )
         if self._limits.seconds_until_room(upstream):
             return False
@@ -77,7 +81,12 @@
 
     def has_alternative(self, admitted: Admitted, tried: Sequence[str]) -> bool:
         """Return whether another upstream can accept a call now."""
-        return self._select(admitted, tried, within_limits=True) is not None
+        selected = self._select(
+            admitted.service,
+            self._requirements(admitted, tried),
+            within_limits=True,
+        )
+        return selected is not None
 
     def find_capacity_wait(
         self, admitted: Admitted, tried: Sequence[str]
@@ -90,25 +99,28 @@
             return NoCapacity(
                 'all upstreams asked for a rest', backoff_ends_at - now
             )
-        wait_s = self._limits.seconds_until_room(self._select(admitted, tried))
+        wait_s = self._limits.seconds_until_room(
+            self._select(
+                admitted.service, self._requirements(admitted, tried)
+            )
+        )
         if wait_s:
             return NoCapacity('limits leave no room', wait_s)
         return None
 
+    def _requirements(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> CallRequirements:
+        return CallRequirements(self._data_center, admitted.route.gap_s, tried)
+
     def _select(
         self,
-        admitted: Admitted,
-        tried: Sequence[str],
+        service: str,
+        requirements: CallRequirements,
         *,
         within_limits: bool = False,
-        needs_slot: bool = False,
     ) -> Upstream | None:
-        requirements = CallRequirements(
-            self._data_center, admitted.route.gap_s, tried, needs_slot
-        )
-        candidates: Sequence[Upstream] = self._upstreams.list_service(
-            admitted.service
-        )
+        candidates: Sequence[Upstream] = self._upstreams.list_service(service)
         if within_limits:
             candidates = self._limits.filter_with_room(candidates)
         return select_upstream(candidates, requirements, self._now(), self._rng)
--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -35,6 +35,10 @@
 #: entry: until all know who waits and which places are taken.
 NEWS_S = 0.1
 
+#: Share of the bound that is left so at most: one entry's rate says little of
+#: that of all while there are few requests.
+MAX_RESERVE_SHARE = 0.1
+
 
 class Keep(NamedTuple):
     """The request waits, until this time at the latest."""
@@ -94,7 +98,7 @@
         first = self.waiting.next(now)
         if first is None:
             return False
-        left = room.free - self._count_reserved(first, now)
+        left = room.free - self._count_reserved(first, room, now)
         if left < 1:
             return False
         if now > first.start_by:
@@ -152,9 +156,11 @@
     ) -> bool:
         if now > waiter.latest_start:
             return False
-        return room.free >= 1 + self._count_reserved(waiter, now)
+        return room.free >= 1 + self._count_reserved(waiter, room, now)
 
-    def _count_reserved(self, waiter: Waiter, now: float) -> float:
+    def _count_reserved(
+        self, waiter: Waiter, room: ServiceRoom, now: float
+    ) -> float:
         """Return the places that other requests need first.
 
         They wait elsewhere, or arrive until the news of this one's start are
@@ -168,7 +174,8 @@
         else:
             waiting = self.others.count_more_urgent(waiter.priority)
             arrivals_per_s = self._rates.below(waiter.priority, now)
-        return waiting + NEWS_S * self.entries * arrivals_per_s
+        arrivals = NEWS_S * self.entries * arrivals_per_s
+        return waiting + min(arrivals, MAX_RESERVE_SHARE * room.bound)
 
     def _places_per_s(self, rates: Rates, now: float) -> float:
         return self.drain.requests_per_s(rates.own_calls, now)
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -52,14 +52,16 @@
     timeout. Next come upstreams that have refused lately, since their few calls
     do not show that. Load is the number of calls relative to the slots. Among
     equals the same data centre is preferred, then the choice is random: entries
-    that all picked the first one would overload it.
+    that all picked the first one would overload it. So would entries that all
+    picked the one of which the fewest calls are known, while few are free: then
+    ``sample_size`` upstreams are compared.
     """
-    ranked = [
-        (_sort_key(view, rng), view.upstream)
-        for view in view_candidates(candidates, requirements, now)
-    ]
-    if not ranked:
+    views = view_candidates(candidates, requirements, now)
+    if not views:
         return None
+    if 0 < requirements.sample_size < len(views):
+        views = _sample(views, requirements.sample_size, rng)
+    ranked = [(_sort_key(view, rng), view.upstream) for view in views]
     return min(ranked, key=lambda pair: pair[0])[1]
 
 
@@ -79,6 +81,21 @@
     return min(ends, default=None)
 
 
+def _sample(
+    views: list[UpstreamView], size: int, rng: Random
+) -> list[UpstreamView]:
+    """Return some of the views that nothing but their load speaks against."""
+    good = [
+        view
+        for view in views
+        if not (view.is_down or view.is_too_slow)
+        and not (view.is_avoided or view.is_slow)
+    ]
+    if len(good) > size:
+        return rng.sample(good, size)
+    return good or views
+
+
 def _sort_key(view: UpstreamView, rng: Random) -> _SortKey:
     return _SortKey(
         view.is_down,
