--- a/src/snipebend/edge/admission_log.py
+++ b/src/snipebend/edge/admission_log.py
@@ -33,7 +33,7 @@
         admitted.facts.request_id,
         admitted.service,
         waiter.workspace,
-        waiter.priority,
+        admitted.priority,
         'refused' if is_refused else 'called',
         _MS * (now - waiter.asked_at),
         now > waiter.start_by,
--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -35,9 +35,14 @@
 #: entry: until all know who waits and which places are taken.
 NEWS_S = 0.1
 
-#: Share of the bound that is left so at most: one entry's rate says little of
-#: that of all while there are few requests.
+#: Share of the bound that is left so at most, by punctual and by late requests:
+#: one entry's rate says little of that of all while there are few.
 MAX_RESERVE_SHARE = 0.1
+MAX_LATE_RESERVE_SHARE = 0.2
+
+#: Factor by which expected waits are too short at times: refused early, a caller
+#: loses less than if it waits in vain.
+WAIT_MARGIN = 1.5
 
 
 class Keep(NamedTuple):
@@ -168,14 +173,16 @@
         """
         if now > waiter.start_by:
             waiting = self.others.total
+            most = MAX_LATE_RESERVE_SHARE * room.bound
             arrivals_per_s = self._rates.total(now)
         elif self.waiting.shares.is_neglected(waiter.priority):
             return 0
         else:
             waiting = self.others.count_more_urgent(waiter.priority)
+            most = MAX_RESERVE_SHARE * room.bound
             arrivals_per_s = self._rates.below(waiter.priority, now)
         arrivals = NEWS_S * self.entries * arrivals_per_s
-        return waiting + min(arrivals, MAX_RESERVE_SHARE * room.bound)
+        return waiting + min(arrivals, most)
 
     def _places_per_s(self, rates: Rates, now: float) -> float:
         return self.drain.requests_per_s(rates.own_calls, now)
@@ -214,7 +221,8 @@
         if total > places_per_s:
             floor *= places_per_s / total
         rate = max(floor, places_per_s - self._rates.below(priority, now))
-        return self.waiting.count_ahead(priority) / rate if rate else inf
+        ahead = self.waiting.count_ahead(waiter)
+        return WAIT_MARGIN * ahead / rate if rate else inf
 
     def _expected_late_wait_s(self, places_per_s: float, now: float) -> float:
         """Return seconds until the turn of a request that is late."""
--- a/src/snipebend/relay/return_times.py
+++ b/src/snipebend/relay/return_times.py
@@ -35,9 +35,9 @@
         longest_s = _longest_wait_s(time_left_s)
         if spare_per_s <= 0:
             return longest_s
-        wait_s = max(MIN_WAIT_S, self._next_at - now)
+        wait_s = min(longest_s, max(MIN_WAIT_S, self._next_at - now))
         self._next_at = now + wait_s + 1 / spare_per_s
-        return min(wait_s, longest_s)
+        return wait_s
 
     def refuse_in_outage(self, left_s: float, time_left_s: float) -> float:
         """Return seconds until a caller comes back; the outage ends then."""
--- a/src/snipebend/relay/waiter.py
+++ b/src/snipebend/relay/waiter.py
@@ -16,7 +16,7 @@
 
     #: Increases with each request of the entry.
     number: int
-    #: 0 is the most urgent.
+    #: 0 is the most urgent. Requests of one priority go by their routes'.
     priority: int
     workspace: str
     #: Tokens of the prompt and the answer.
--- a/src/snipebend/relay/waiter_times.py
+++ b/src/snipebend/relay/waiter_times.py
@@ -28,6 +28,10 @@
 NEW_CALLER_SHARE = 0.8
 
 
+#: Priorities of routes that are told apart.
+ROUTE_PRIORITIES = 16
+
+
 class ServiceTimes:
     """Moving averages of what the calls of one service take, in seconds."""
 
@@ -79,7 +83,7 @@
     facts = admitted.facts
     return Waiter(
         number,
-        admitted.priority,
+        _urgency(admitted),
         admitted.workspace,
         facts.prompt_tokens + facts.answer_tokens or DEFAULT_WORK,
         now,
@@ -91,6 +95,12 @@
     )
 
 
+def _urgency(admitted: Admitted) -> int:
+    """Return a workspace's requests in the order of their routes' urgency."""
+    route_priority = min(admitted.route.priority, ROUTE_PRIORITIES - 1)
+    return admitted.priority * ROUTE_PRIORITIES + route_priority
+
+
 def _average(former: float, seconds: float) -> float:
     if not former:
         return seconds
--- a/src/snipebend/relay/waiting_requests.py
+++ b/src/snipebend/relay/waiting_requests.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from snipebend.relay.served_shares import ServedShares
 from snipebend.routing.fair_queue import FairScheduler
@@ -18,6 +18,8 @@
 
     from snipebend.relay.waiter import Waiter
 
+Flow = TypeVar('Flow')
+
 #: All workspaces of a priority get equal parts of the work.
 _WORKSPACE_WEIGHT = 1.0
 
@@ -56,6 +58,8 @@
         self._waiters: dict[int, Waiter] = {}
         self._lanes: dict[_LaneKey, _Lane] = {}
         self._counts: Counter[int] = Counter()
+        #: By priority and workspace.
+        self._flow_counts: Counter[tuple[int, str]] = Counter()
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -83,27 +87,35 @@
             )
         )
 
-    def count_ahead(self, priority: int) -> int:
-        """Return how many wait that are as urgent or more urgent."""
-        return sum(
-            number
-            for other, number in self._counts.items()
-            if other <= priority
-        )
+    def count_ahead(self, waiter: Waiter) -> int:
+        """Return how many go before a request that was queued last.
+
+        These are the more urgent ones and, of its own priority, as many of
+        each workspace as wait of its own.
+        """
+        own = self._flow_counts[(waiter.priority, waiter.workspace)]
+        ahead = 0
+        for (priority, _), number in self._flow_counts.items():
+            if priority < waiter.priority:
+                ahead += number
+            elif priority == waiter.priority:
+                ahead += min(number, own)
+        return ahead
 
     def push(self, waiter: Waiter, now: float) -> None:
         """Add a request."""
         self._waiters[waiter.number] = waiter
         self._counts[waiter.priority] += 1
+        self._flow_counts[(waiter.priority, waiter.workspace)] += 1
         self._push_to_lane(waiter, now)
 
     def remove(self, number: int) -> Waiter | None:
         """Remove a request; its place in a lane is dropped when it is met."""
         waiter = self._waiters.pop(number, None)
         if waiter is not None:
-            self._counts[waiter.priority] -= 1
-            if not self._counts[waiter.priority]:
-                self._counts.pop(waiter.priority)
+            flow = (waiter.priority, waiter.workspace)
+            _decrement(self._counts, waiter.priority)
+            _decrement(self._flow_counts, flow)
         return waiter
 
     def next(self, now: float) -> Waiter | None:
@@ -174,3 +186,9 @@
                 return True
         self._lanes.pop(key)
         return False
+
+
+def _decrement(counts: Counter[Flow], flow: Flow) -> None:
+    counts[flow] -= 1
+    if not counts[flow]:
+        counts.pop(flow)
