--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -60,9 +60,7 @@
         self._limits.log_diverted_call(
             admitted.facts.request_id, admitted.service, selected
         )
-        return self._select(
-            admitted.service, requirements, within_limits=True
-        )
+        return self._select(admitted.service, requirements, within_limits=True)
 
     def can_hand_on(
         self, upstream: Upstream, admitted: Admitted, tried: Sequence[str]
@@ -100,9 +98,7 @@
                 'all upstreams asked for a rest', backoff_ends_at - now
             )
         wait_s = self._limits.seconds_until_room(
-            self._select(
-                admitted.service, self._requirements(admitted, tried)
-            )
+            self._select(admitted.service, self._requirements(admitted, tried))
         )
         if wait_s:
             return NoCapacity('limits leave no room', wait_s)
--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -15,6 +15,7 @@
 from snipebend.relay.return_times import ReturnTimes
 from snipebend.relay.served_shares import MIN_SHARE
 from snipebend.relay.upstream_selection import NoCapacity
+from snipebend.relay.upstreams import LEFT_PLACE_S
 from snipebend.relay.waiting_requests import WaitingRequests
 from snipebend.routing.rates import DrainRate
 
@@ -133,7 +134,10 @@
             return self._judge_in_outage(waiter, rates, now)
         places_per_s = self._places_per_s(rates, now)
         until = waiter.start_by
-        wait_s = self._expected_wait_s(waiter, places_per_s, now)
+        wait_s = min(
+            self._expected_wait_s(waiter, places_per_s, now),
+            self._expected_shared_wait_s(waiter, rates.room, now),
+        )
         if now + wait_s > until:
             until = _late_until(waiter)
             wait_s = self._expected_late_wait_s(places_per_s, now)
@@ -156,9 +160,7 @@
             'served_shares': self.waiting.shares.dump(),
         }
 
-    def _has_place(
-        self, waiter: Waiter, room: ServiceRoom, now: float
-    ) -> bool:
+    def _has_place(self, waiter: Waiter, room: ServiceRoom, now: float) -> bool:
         if now > waiter.latest_start:
             return False
         return room.free >= 1 + self._count_reserved(waiter, room, now)
@@ -224,6 +226,25 @@
         ahead = self.waiting.count_ahead(waiter)
         return WAIT_MARGIN * ahead / rate if rate else inf
 
+    def _expected_shared_wait_s(
+        self, waiter: Waiter, room: ServiceRoom, now: float
+    ) -> float:
+        """Return seconds until a place that any entry's call leaves is free.
+
+        It comes to the more urgent requests of all entries, a little later
+        than to those of the entry that left it.
+        """
+        if not self.drain.hold_s:
+            return inf
+        priority = waiter.priority
+        below = self.entries * self._rates.below(priority, now)
+        rate = room.calls / self.drain.hold_s - below
+        if rate <= 0:
+            return inf
+        ahead = self.waiting.count_ahead(waiter) + self.others.count(priority)
+        ahead += self.others.count_more_urgent(priority)
+        return LEFT_PLACE_S + WAIT_MARGIN * ahead / rate
+
     def _expected_late_wait_s(self, places_per_s: float, now: float) -> float:
         """Return seconds until the turn of a request that is late."""
         spare_per_s = self._spare_per_s(places_per_s, now)
--- a/tests/edge/admission_load.py
+++ b/tests/edge/admission_load.py
@@ -85,9 +85,7 @@
             for rank in range(RANKS)
         )
         ranks = tuple(map(str, range(RANKS)))
-        self.status = UpstreamGroupStatus(
-            'g', 's', GroupPhase.OPEN, ranks
-        )
+        self.status = UpstreamGroupStatus('g', 's', GroupPhase.OPEN, ranks)
         self.table.apply_group_statuses([self.status])
         limits = SimpleNamespace(
             seconds_until_room=lambda upstream: 0,
--- a/tests/relay/test_waiter_times.py
+++ b/tests/relay/test_waiter_times.py
@@ -92,9 +92,9 @@
             waiter_of(admit(priority=priority)._replace()).priority
             for priority in (0, 1)
         ]
-        notes = waiter_of(admit(priority=0)._replace(
-            route=admit().route._replace(priority=2)
-        ))
+        notes = waiter_of(
+            admit(priority=0)._replace(route=admit().route._replace(priority=2))
+        )
         self.assertLess(ranks[0], notes.priority)
         self.assertLess(notes.priority, ranks[1])
 
--- a/tests/relay/test_waiting_requests.py
+++ b/tests/relay/test_waiting_requests.py
@@ -55,9 +55,7 @@
         self.assertEqual(drain(queue), [2, 3, 1])
 
     def test_punctual_ones_before_late_ones_of_any_priority(self):
-        queue = queue_of(
-            make_waiter(1, 0, start_by=NOW - 1), make_waiter(2, 2)
-        )
+        queue = queue_of(make_waiter(1, 0, start_by=NOW - 1), make_waiter(2, 2))
         self.assertEqual(drain(queue), [2, 1])
 
     def test_waiting_ones_become_late(self):
