--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -6,16 +6,20 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
+from snipebend.relay.expected_waits import (
+    Demand,
+    Supply,
+    expect_late_wait_s,
+    expect_wait_s,
+    find_spare_per_s,
+)
 from snipebend.relay.other_entries import OtherEntries
 from snipebend.relay.outage_estimate import OutageEstimate
 from snipebend.relay.request_rates import RequestRates
 from snipebend.relay.return_times import ReturnTimes
-from snipebend.relay.served_shares import MIN_SHARE
 from snipebend.relay.upstream_selection import NoCapacity
-from snipebend.relay.upstreams import LEFT_PLACE_S
 from snipebend.relay.waiting_requests import WaitingRequests
 from snipebend.routing.rates import DrainRate
 
@@ -27,24 +31,15 @@
 #: without an answer after 2 s.
 LATE_WAIT_S = 1.0
 
-#: Share of the rate at which places come free that counts as spare for late
-#: requests; with less, they would wait for nothing.
-MIN_SPARE_SHARE = 0.05
-
-
 #: Seconds for which requests leave room to more urgent ones that arrive at any
 #: entry: until all know who waits and which places are taken.
 NEWS_S = 0.1
 
-#: Share of the bound that is left so at most, by punctual and by late requests:
-#: one entry's rate says little of that of all while there are few.
+#: Share of the bound that is left so at most, by punctual and by late
+#: requests: one entry's rate says little of that of all while there are few.
 MAX_RESERVE_SHARE = 0.1
 MAX_LATE_RESERVE_SHARE = 0.2
 
-#: Factor by which expected waits are too short at times: refused early, a caller
-#: loses less than if it waits in vain.
-WAIT_MARGIN = 1.5
-
 
 class Keep(NamedTuple):
     """The request waits, until this time at the latest."""
@@ -132,15 +127,13 @@
             return self._refuse(waiter, rates, now, 'too many requests wait')
         if rates.room.is_down:
             return self._judge_in_outage(waiter, rates, now)
-        places_per_s = self._places_per_s(rates, now)
+        demand = self._demand()
+        supply = self._supply(rates, now)
         until = waiter.start_by
-        wait_s = min(
-            self._expected_wait_s(waiter, places_per_s, now),
-            self._expected_shared_wait_s(waiter, rates.room, now),
-        )
+        wait_s = expect_wait_s(waiter, demand, supply, now)
         if now + wait_s > until:
             until = _late_until(waiter)
-            wait_s = self._expected_late_wait_s(places_per_s, now)
+            wait_s = expect_late_wait_s(demand, supply, now)
         if now + wait_s <= until:
             return Keep(until)
         if self._has_place(waiter, rates.room, now):
@@ -186,14 +179,19 @@
         arrivals = NEWS_S * self.entries * arrivals_per_s
         return waiting + min(arrivals, most)
 
-    def _places_per_s(self, rates: Rates, now: float) -> float:
-        return self.drain.requests_per_s(rates.own_calls, now)
+    def _demand(self) -> Demand:
+        return Demand(self.waiting, self.others, self._rates, self.entries)
+
+    def _supply(self, rates: Rates, now: float) -> Supply:
+        own_per_s = self.drain.requests_per_s(rates.own_calls, now)
+        hold_s = self.drain.hold_s
+        return Supply(own_per_s, rates.room.calls / hold_s if hold_s else 0)
 
     def _refuse(
         self, waiter: Waiter, rates: Rates, now: float, detail: str
     ) -> NoCapacity:
-        places_per_s = self._places_per_s(rates, now)
-        spare_per_s = self._spare_per_s(places_per_s, now)
+        supply = self._supply(rates, now)
+        spare_per_s = find_spare_per_s(self._demand(), supply, now)
         retry_after_s = self._returns.refuse(
             now, waiter.deadline - now, spare_per_s
         )
@@ -211,52 +209,6 @@
         )
         return NoCapacity('the upstreams have stopped', retry_after_s)
 
-    def _expected_wait_s(
-        self, waiter: Waiter, places_per_s: float, now: float
-    ) -> float:
-        """Return seconds until the turn of a request that can be on time."""
-        if not places_per_s:
-            return 0
-        priority = waiter.priority
-        total = self._rates.total(now)
-        floor = MIN_SHARE * self._rates.of(priority, now)
-        if total > places_per_s:
-            floor *= places_per_s / total
-        rate = max(floor, places_per_s - self._rates.below(priority, now))
-        ahead = self.waiting.count_ahead(waiter)
-        return WAIT_MARGIN * ahead / rate if rate else inf
-
-    def _expected_shared_wait_s(
-        self, waiter: Waiter, room: ServiceRoom, now: float
-    ) -> float:
-        """Return seconds until a place that any entry's call leaves is free.
-
-        It comes to the more urgent requests of all entries, a little later
-        than to those of the entry that left it.
-        """
-        if not self.drain.hold_s:
-            return inf
-        priority = waiter.priority
-        below = self.entries * self._rates.below(priority, now)
-        rate = room.calls / self.drain.hold_s - below
-        if rate <= 0:
-            return inf
-        ahead = self.waiting.count_ahead(waiter) + self.others.count(priority)
-        ahead += self.others.count_more_urgent(priority)
-        return LEFT_PLACE_S + WAIT_MARGIN * ahead / rate
-
-    def _expected_late_wait_s(self, places_per_s: float, now: float) -> float:
-        """Return seconds until the turn of a request that is late."""
-        spare_per_s = self._spare_per_s(places_per_s, now)
-        return len(self.waiting) / spare_per_s if spare_per_s else inf
-
-    def _spare_per_s(self, places_per_s: float, now: float) -> float:
-        """Return the rate of places that no punctual request needs."""
-        spare_per_s = places_per_s - self._rates.total(now)
-        if spare_per_s < MIN_SPARE_SHARE * places_per_s:
-            return 0
-        return spare_per_s
-
 
 def _late_until(waiter: Waiter) -> float:
     return min(waiter.asked_at + LATE_WAIT_S, waiter.latest_start)
