--- a/src/snipebend/relay/entry_admission.py
+++ b/src/snipebend/relay/entry_admission.py
@@ -99,7 +99,8 @@
         first = self.waiting.next(now)
         if first is None:
             return False
-        left = room.free - self._count_reserved(first, room, now)
+        free = room.free_places if handed_on else room.free
+        left = free - self._count_reserved(first, room, now)
         if left < 1:
             return False
         if now > first.start_by:
--- a/src/snipebend/relay/expected_waits.py
+++ b/src/snipebend/relay/expected_waits.py
@@ -91,14 +91,12 @@
 ) -> float:
     """Return seconds until a place that another entry has left is free.
 
-    It comes to the more urgent requests of all entries, a little later than to
+    It comes to the most urgent requests of all entries, a little later than to
     those of the entry that left it.
     """
     priority = waiter.priority
     others = demand.others
-    below = demand.entries * demand.rates.below(priority, now)
-    if places_per_s <= below:
+    if not places_per_s or demand.rates.below(priority, now):
         return inf
     ahead = demand.waiting.count_ahead(waiter) + others.count(priority)
-    ahead += others.count_more_urgent(priority)
-    return LEFT_PLACE_S + WAIT_MARGIN * ahead / (places_per_s - below)
+    return LEFT_PLACE_S + WAIT_MARGIN * ahead / places_per_s
--- a/src/snipebend/relay/served_shares.py
+++ b/src/snipebend/relay/served_shares.py
@@ -12,7 +12,7 @@
 
 #: Share of the rate at which all are served that each priority gets at least:
 #: well over the half below which callers of a kind count as shut out.
-MIN_SHARE = 0.7
+MIN_SHARE = 0.6
 
 #: Requests after which an earlier one counts half: some seconds of one entry.
 HALF_COUNT = 40
--- a/src/snipebend/relay/service_room.py
+++ b/src/snipebend/relay/service_room.py
@@ -26,6 +26,9 @@
     #: Calls in progress of all entries, and how many may run at once.
     calls: int = 0
     bound: int = 0
+    #: Calls that may begin in the places of others that have ended: calls that
+    #: wait at full upstreams don't count against these.
+    free_places: int = 0
     #: Whether upstreams are open, but all of them in groups that have stopped.
     is_down: bool = False
 
@@ -38,19 +41,22 @@
     ranks: int = 0
     slots: int = 0
     calls: int = 0
+    #: Those of them that run; the others wait at their upstreams.
+    running: int = 0
     free: int = 0
 
     def add(self, upstream: Upstream, now: float) -> None:
         self.ranks += 1
         self.slots += upstream.record.slots
         self.calls += upstream.calls
+        self.running += min(upstream.record.slots, upstream.calls)
         self.free += max(0, upstream.free_slots(now))
 
     def room(
         self, allowed_pause_s: float, engine: EngineProfile | None, now: float
     ) -> ServiceRoom:
         if self.group is None:
-            return ServiceRoom(self.free, self.calls, self.slots)
+            return ServiceRoom(self.free, self.calls, self.slots, self.free)
         load = GroupLoad(
             self.ranks,
             self.slots,
@@ -60,7 +66,8 @@
         )
         bound = bound_calls(load, engine)
         free = max(0, min(self.free, bound - self.calls))
-        return ServiceRoom(free, self.calls, bound)
+        free_places = max(0, min(self.free, bound - self.running))
+        return ServiceRoom(free, self.calls, bound, free_places)
 
 
 def measure_room(
@@ -95,5 +102,6 @@
         sum(room.free for room in rooms),
         sum(room.calls for room in rooms) + stopped_calls,
         sum(room.bound for room in rooms),
+        sum(room.free_places for room in rooms),
         has_stopped and not rooms,
     )
