--- a/src/snipebend/edge/admission_desk.py
+++ b/src/snipebend/edge/admission_desk.py
@@ -12,7 +12,7 @@
 from itertools import count
 from typing import TYPE_CHECKING, NamedTuple
 
-from snipebend.edge.admission_log import log_decision
+from snipebend.edge.admission_log import record_decision
 from snipebend.relay.entry_admission import (
     EntryAdmission,
     Keep,
@@ -27,6 +27,7 @@
     from collections.abc import Callable, Sequence
     from random import Random
 
+    from snipebend.edge.relay_meters import RelayMeters
     from snipebend.edge.upstream_chooser import UpstreamChooser
     from snipebend.hosts.lookup import HostIndex
     from snipebend.hosts.model import EngineProfile
@@ -98,6 +99,7 @@
         count_entries: Callable[[], int],
         now: Callable[[], float],
         rng: Random,
+        meters: RelayMeters,
     ) -> None:
         """Keep the settings and the parts that decide."""
         self._cfg = cfg
@@ -107,6 +109,7 @@
         self._count_entries = count_entries
         self._now = now
         self._rng = rng
+        self._meters = meters
         self._numbers = count()
         self._bytes = 0
         self._counters: dict[str, _Counter] = {}
@@ -273,7 +276,7 @@
             if counter.ticks is None:
                 self._schedule_tick(counter)
             return
-        log_decision(pending, room, verdict, now)
+        record_decision(self._meters, pending, room, verdict, now)
         counter.admission.waiting.remove(pending.waiter.number)
         pending.outcome.set_result(verdict)
 
@@ -299,7 +302,9 @@
             upstream.own_calls += 1
             if pending.waiter.number in counter.until:
                 room = self._measure(counter, pending)
-                log_decision(pending, room, upstream, self._now())
+                record_decision(
+                    self._meters, pending, room, upstream, self._now()
+                )
         pending.outcome.set_result(upstream)
 
     def _measure(self, counter: _Counter, pending: Pending) -> ServiceRoom:
--- a/src/snipebend/edge/relay_meters.py
+++ b/src/snipebend/edge/relay_meters.py
@@ -103,6 +103,16 @@
             'snipebend_relay_upstreams_declined',
             description='answers by which an upstream asked for no more work',
         )
+        self._admissions = meter.create_counter(
+            'snipebend_relay_admissions',
+            description='requests that had to wait, or were refused for room',
+        )
+        self._admission_waits = meter.create_histogram(
+            'snipebend_relay_admission_wait_seconds',
+            unit='s',
+            description='from a request to its upstream or its refusal',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
         self._make_gauges(meter)
 
     def _make_gauges(self, meter: Meter) -> None:
@@ -143,6 +153,15 @@
         """Count the end of an upstream under a request."""
         self._crashes.add(1)
 
+    def record_admission(
+        self, admitted: Admitted, outcome: str, waited_s: float
+    ) -> None:
+        """Count a request that waited for room or was refused for it."""
+        labels = {'priority': str(admitted.priority), 'outcome': outcome}
+        self._admission_waits.record(waited_s, labels)
+        workspace = {'workspace': admitted.workspace}
+        self._admissions.add(1, labels | workspace)
+
     def record_pause(self, seconds: float) -> None:
         """Record the time between two pieces of a stream."""
         self._pauses.record(seconds)
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -279,6 +279,7 @@
             self._count_entries,
             self.now,
             self._rng,
+            self.meters,
         )
 
     def _retries_left(self) -> dict[str, float]:
--- a/tests/edge/admission_load.py
+++ b/tests/edge/admission_load.py
@@ -76,6 +76,11 @@
     refused_after_s: float = -1
 
 
+METERS = SimpleNamespace(
+    record_admission=lambda admitted, outcome, waited_s: None
+)
+
+
 class Entry:
     """The desk of one entry and what it knows of the upstreams."""
 
@@ -106,6 +111,7 @@
                 lambda: entries,
                 now,
                 rng,
+                METERS,
             )
 
     def own_calls(self):
--- a/tests/edge/test_gossip.py
+++ b/tests/edge/test_gossip.py
@@ -48,6 +48,18 @@
     def setUp(self):
         self.states = {}
 
+    async def test_waiting_requests_reach_other_entries(self):
+        _, sender, _ = await self.start('a', {})
+        _, receiver, received = await self.start('b', {})
+        self.states['a'].waiting = {'s': {0: 2, 17: 1}}
+        sender.entries = frozenset((receiver.gossip_address,))
+        await asyncio.wait_for(received.get(), 10)
+        heard = self.states['b'].waiting_received
+        self.assertEqual(heard['a'], {'s': {0: 2, 17: 1}})
+        self.states['a'].waiting = {}
+        while heard['a']:
+            await asyncio.wait_for(received.get(), 10)
+
     async def test_calls_reach_other_entries(self):
         calls = {'i-1': 2}
         _, sender, _ = await self.start('a', calls)
