--- a/tests/edge/test_open_desk.py
+++ b/tests/edge/test_open_desk.py
@@ -65,7 +65,7 @@
     """Replays a recorded sequence of decisions."""
 
     def test_decisions_are_those_of_before(self):
-        table, chooser = make_chooser(1.0, 3)
+        table, chooser = make_chooser(1, 3)
         desk = OpenDesk(chooser)
 
         def choose(admitted):
