Merge the admission of requests by the room that upstreams have

Calls count against an upstream's limits as soon as it is chosen, room leaves out what is evacuated, tried, spared or without an allowance, and a place is handed on only after a call that was answered.

--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -8,9 +8,11 @@
 
 from loguru import logger
 
+from snipebend.edge.admission_desk import AdmissionDesk
 from snipebend.edge.cold_tracker import ColdTracker
 from snipebend.edge.crash_tracker import CrashTracker
 from snipebend.edge.host_follower import HostFollower
+from snipebend.edge.open_desk import OpenDesk
 from snipebend.edge.outage_wait import OutageWait
 from snipebend.edge.rate_limit_tracker import RateLimitTracker
 from snipebend.edge.refusal_writer import RefusalWriter
@@ -95,7 +97,7 @@
         self.refusal_writer = RefusalWriter(
             self.dialect, self._follower, self.meters
         )
-        self.limits = RateLimitTracker(self.now, self.meters)
+        self._limits = RateLimitTracker(self.now, self.meters)
         self.cold = ColdTracker(
             self._cfg.relay,
             self._upstreams,
@@ -106,7 +108,7 @@
         self._follower.evacuations.on_end = self.cold.forget_data_center
         self.chooser = UpstreamChooser(
             self._upstreams,
-            self.limits,
+            self._limits,
             self.cold,
             self._cfg.process.data_center,
             # Looked up at each use, as a test may stop this service's clock.
@@ -115,6 +117,7 @@
             self._follower.evacuations,
             self._cfg.relay.remote_weight,
         )
+        self.desk = self._make_desk()
         self.crashes = CrashTracker(
             self._cfg.relay,
             self.now,
@@ -124,7 +127,7 @@
             self._rng,
         )
         self.notices = UpstreamNotices(
-            self.now, self.meters, self.limits, self.cold, self.crashes
+            self.now, self.meters, self._limits, self.cold, self.crashes
         )
         self._tasks.start('sweep', self._sweep_forever)
 
@@ -143,9 +146,10 @@
             'idle_to_upstreams': self.pool.count_idle(),
             'held_bytes': self.buffers.by_workspace if self.buffers else {},
             'upstreams': self._upstreams.dump(),
-            'limits': self.limits.table.dump(),
+            'limits': self._limits.table.dump(),
             'cold': self.cold.table.dump(),
             'crashes': self.crashes.dump(),
+            'admission': self.desk.dump(),
         }
 
     @property
@@ -263,19 +267,29 @@
             if upstream.own_calls
         }
 
+    def own_waiting(self) -> dict[str, dict[int, int]]:
+        """Return the requests that wait here, by service and priority."""
+        return self.desk.waiting()
+
+    def apply_waiting(
+        self, entry: str, waiting: dict[str, dict[int, int]]
+    ) -> None:
+        """Apply the requests that wait at another entry."""
+        self.desk.apply_waiting(entry, waiting)
+
     def make_limit_reports(self) -> dict[str, LimitReport]:
         """Return the rate limit reports for others, by upstream identity."""
-        return self.limits.table.make_report(self.now())
+        return self._limits.table.make_report(self.now())
 
     def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Apply the calls that another entry has in progress."""
-        self._upstreams.apply_calls(entry, calls)
+        self._upstreams.apply_calls(entry, calls, self.now())
 
     def apply_limits(
         self, entry: str, started_at: float, limits: dict[str, LimitReport]
     ) -> None:
         """Apply another entry's rate limit reports."""
-        self.limits.apply_report(entry, started_at, limits)
+        self._limits.apply_report(entry, started_at, limits)
 
     def make_refusal_reports(self) -> dict[str, RefusalReport]:
         """Return the refusal reports for others, by upstream identity."""
@@ -312,7 +326,7 @@
 
     def record_reachable_share(self, share: float) -> None:
         """Record the share of entries whose messages are received here."""
-        self.limits.table.share = share
+        self._limits.table.share = share
 
     def finish_in_background(self, call: Call, deadline: float) -> None:
         """Let a call finish that must not be aborted; discard its response."""
@@ -320,6 +334,20 @@
             timeout_s = deadline - self.now()
             self._tasks.once('finish-behind', lambda: call.drain(timeout_s))
 
+    def _make_desk(self) -> AdmissionDesk | OpenDesk:
+        cfg = self._cfg.relay.admission
+        if cfg is None:
+            return OpenDesk(self.chooser)
+        return AdmissionDesk(
+            cfg,
+            self.chooser,
+            lambda: self.index,
+            self._count_entries,
+            self.now,
+            self._rng,
+            self.meters,
+        )
+
     def _retries_left(self) -> dict[str, float]:
         return {name: one.left for name, one in self._budgets.items()}
 
@@ -378,7 +406,7 @@
                 ended.record.address, 'control knows of its end'
             )
             self.pool.close_idle(ended.record.identity)
-            self.limits.table.remove(ended.record.identity, self.now())
+            self._limits.table.remove(ended.record.identity, self.now())
             self.cold.table.remove(ended.record.identity)
 
     async def _probe(self, upstream: Upstream) -> ProbeOutcome:
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -9,7 +9,11 @@
     earliest_backoff_end,
     select_upstream,
 )
-from snipebend.relay.upstream_views import CallRequirements
+from snipebend.relay.upstream_views import (
+    CallRequirements,
+    list_candidates,
+    view_candidates,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -54,11 +58,22 @@
         self._remote_weight = remote_weight
 
     def select(
-        self, admitted: Admitted, tried: Sequence[str]
+        self,
+        admitted: Admitted,
+        tried: Sequence[str],
+        *,
+        needs_slot: bool = False,
+        sample_size: int = 0,
     ) -> Upstream | None:
-        """Return an upstream for a call, or None if none has capacity."""
-        selected = self._select(admitted, tried)
-        if self._cold.find_limits(admitted.service) is not None:
+        """Return an upstream for a call, or None if none has capacity.
+
+        ``needs_slot`` and ``sample_size`` are as in `CallRequirements`.
+        """
+        requirements = self._requirements(admitted, tried)._replace(
+            needs_slot=needs_slot, sample_size=sample_size
+        )
+        selected = self._select(admitted.service, requirements)
+        if requirements.cold is not None:
             self._cold.log_diverted_call(
                 admitted.facts.request_id, admitted.service, selected
             )
@@ -68,11 +83,58 @@
         self._limits.log_diverted_call(
             admitted.facts.request_id, admitted.service, selected
         )
-        return self._select(admitted, tried, within_limits=True)
+        return self._select(admitted.service, requirements, within_limits=True)
+
+    def can_hand_on(
+        self, upstream: Upstream, admitted: Admitted, tried: Sequence[str]
+    ) -> bool:
+        """Return whether nothing speaks against another call of it."""
+        requirements = self._requirements(admitted, tried)._replace(
+            needs_slot=True
+        )
+        if self._limits.seconds_until_room(upstream):
+            return False
+        return any(
+            not (view.is_down or view.is_too_slow)
+            and not (view.is_avoided or view.is_slow)
+            for view in view_candidates([upstream], requirements, self._now())
+        )
 
     def has_alternative(self, admitted: Admitted, tried: Sequence[str]) -> bool:
         """Return whether another upstream can accept a call now."""
-        return self._select(admitted, tried, within_limits=True) is not None
+        selected = self._select(
+            admitted.service,
+            self._requirements(admitted, tried),
+            within_limits=True,
+        )
+        return selected is not None
+
+    def list_candidates(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> list[Upstream]:
+        """Return the upstreams that a call may go to once they have room."""
+        return list_candidates(
+            self._upstreams.list_service(admitted.service),
+            self._requirements(admitted, tried),
+            self._now(),
+        )
+
+    def is_within_limits(self, upstream: Upstream) -> bool:
+        """Return whether the upstream's limits allow a call now."""
+        if self._limits.seconds_until_room(upstream):
+            return False
+        cold = self._cold.find_limits(upstream.record.service)
+        now = self._now()
+        return (
+            cold is None
+            or not cold.is_cold(upstream, now)
+            or cold.has_room(upstream, now)
+        )
+
+    def record_call(self, upstream: Upstream) -> None:
+        """Deduct a call from the upstream's limits as soon as it is chosen."""
+        self._limits.record_call(upstream)
+        self._cold.record_call(upstream)
 
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Return whether an upstream must not get anything."""
@@ -95,7 +157,9 @@
             return NoCapacity(
                 'all upstreams asked for a rest', backoff_ends_at - now
             )
-        selected = self._select(admitted, tried)
+        selected = self._select(
+            admitted.service, self._requirements(admitted, tried)
+        )
         wait_s = self._limits.seconds_until_room(selected)
         if wait_s:
             return NoCapacity('limits leave no room', wait_s)
@@ -106,14 +170,10 @@
             return None
         return NoCapacity('cold upstreams accept no more yet', cold_wait_s)
 
-    def _select(
-        self,
-        admitted: Admitted,
-        tried: Sequence[str],
-        *,
-        within_limits: bool = False,
-    ) -> Upstream | None:
-        requirements = CallRequirements(
+    def _requirements(
+        self, admitted: Admitted, tried: Sequence[str]
+    ) -> CallRequirements:
+        return CallRequirements(
             self._data_center,
             admitted.route.gap_s,
             tried,
@@ -121,9 +181,15 @@
             cold=self._cold.find_limits(admitted.service),
             remote_weight=self._remote_weight,
         )
-        candidates: Sequence[Upstream] = self._upstreams.list_service(
-            admitted.service
-        )
+
+    def _select(
+        self,
+        service: str,
+        requirements: CallRequirements,
+        *,
+        within_limits: bool = False,
+    ) -> Upstream | None:
+        candidates: Sequence[Upstream] = self._upstreams.list_service(service)
         if within_limits:
             candidates = self._limits.filter_with_room(candidates)
         return select_upstream(candidates, requirements, self._now(), self._rng)
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -61,13 +61,15 @@
     preferred, then the choice is random: entries that all picked the first one
     would overload it. Where distance has a weight, an upstream of the same data
     centre is preferred until it has so many calls more, or no free slot.
+    Entries would also meet at the one of which the fewest calls are known,
+    while few are free: then ``sample_size`` upstreams are compared.
     """
-    ranked = [
-        (_sort_key(view, rng), view.upstream)
-        for view in view_candidates(candidates, requirements, now)
-    ]
-    if not ranked:
+    views = view_candidates(candidates, requirements, now)
+    if not views:
         return None
+    if 0 < requirements.sample_size < len(views):
+        views = _sample(views, requirements.sample_size, rng)
+    ranked = [(_sort_key(view, rng), view.upstream) for view in views]
     return min(ranked, key=lambda pair: pair[0])[1]
 
 
@@ -87,6 +89,21 @@
     return min(ends, default=None)
 
 
+def _sample(
+    views: list[UpstreamView], size: int, rng: Random
+) -> list[UpstreamView]:
+    """Return some of the views that nothing but their load speaks against."""
+    good = [
+        view
+        for view in views
+        if not (view.is_down or view.is_too_slow)
+        and not (view.is_avoided or view.is_slow)
+    ]
+    if len(good) > size:
+        return rng.sample(good, size)
+    return good or views
+
+
 def _sort_key(view: UpstreamView, rng: Random) -> _SortKey:
     return _SortKey(
         view.is_down,
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -34,6 +34,11 @@
     #: Calls that one to another data centre counts for in addition; 0: data
     #: centres matter among equals only.
     remote_weight: float = 0
+    #: Whether only a free slot counts as room, as with admission by room.
+    needs_slot: bool = False
+    #: Upstreams of which the least loaded one is chosen, drawn at random; 0:
+    #: all.
+    sample_size: int = 0
 
 
 class UpstreamView(NamedTuple):
@@ -70,6 +75,8 @@
     record = upstream.record
     calls = upstream.calls
     free_calls = record.slots * (1 + QUEUE_SHARE) - calls
+    if requirements.needs_slot:
+        free_calls = upstream.free_slots(now)
     cold = requirements.cold
     is_cold = cold is not None and cold.is_cold(upstream, now)
     if cold is not None and is_cold and not cold.has_room(upstream, now):
@@ -91,13 +98,14 @@
     )
 
 
-def view_candidates(
+def list_candidates(
     upstreams: Iterable[Upstream], requirements: CallRequirements, now: float
-) -> list[UpstreamView]:
-    """Return the views of those upstreams that a call may go to now.
+) -> list[Upstream]:
+    """Return those upstreams that a call may go to once they have room.
 
-    Slow ranks that delay the passes of their group are left out while it has
-    others, also if these are full.
+    Slow ranks that delay the passes of their group are left out while the group
+    has others, also if these are full: with a call there, the streams of all
+    ranks are late.
     """
     candidates = [
         upstream
@@ -106,9 +114,26 @@
         and upstream.record.identity not in requirements.tried
         and upstream.record.data_center not in requirements.evacuated
     ]
-    preferred = [one for one in candidates if not one.is_spared]
+    groups = {
+        one.group.name
+        for one in candidates
+        if one.group is not None and not one.is_spared
+    }
+    return [
+        one
+        for one in candidates
+        if one.group is None
+        or not one.is_spared
+        or one.group.name not in groups
+    ]
+
+
+def view_candidates(
+    upstreams: Iterable[Upstream], requirements: CallRequirements, now: float
+) -> list[UpstreamView]:
+    """Return the views of those upstreams that a call may go to now."""
     return [
         view
-        for upstream in preferred or candidates
+        for upstream in list_candidates(upstreams, requirements, now)
         if (view := view_upstream(upstream, requirements, now)).free_calls > 0
     ]
--- a/src/snipebend/settings/relay.py
+++ b/src/snipebend/settings/relay.py
@@ -33,6 +33,14 @@
         return int(cold_per_s * self.rate_factor + self.extra_requests)
 
 
+class AdmissionSection(Section, frozen=True, kw_only=True):
+    """How an entry decides who waits and who is refused under hard load."""
+
+    #: Requests that may wait at the entry, and the bytes of their bodies.
+    max_waiting: Annotated[int, Meta(ge=1)] = 512
+    max_waiting_bytes: Annotated[int, Meta(ge=1)] = 16_777_216
+
+
 class RelaySection(Section, frozen=True, kw_only=True):
     """How an entry calls upstreams without an agent."""
 
@@ -58,6 +66,9 @@
     #: Calls that one to another data centre counts for in addition when
     #: upstreams are compared; 0: data centres matter among equals only.
     remote_weight: Annotated[float, Meta(ge=0)] = 0
+    #: Admits by the room that upstreams have; without it, requests are sent on
+    #: until the upstreams' queues are full.
+    admission: AdmissionSection | None = None
 
 
 class RelaySettings(DaemonSettings, frozen=True, kw_only=True):
--- a/tests/edge/test_rebirth.py
+++ b/tests/edge/test_rebirth.py
@@ -57,7 +57,7 @@
             self.proceed.set()
             got = [await former]
             current = relay.service._upstreams.find('i-0')
-            self.assertFalse(relay.service.limits.table)
+            self.assertFalse(relay.service._limits.table)
             self.assertEqual(current.backoff_until, 0)
             self.assertEqual(current.own_calls, 0)
             got.append(await send_request(relay, request('/unsafe/')))
