--- a/src/snipebend/relay/other_entries.py
+++ b/src/snipebend/relay/other_entries.py
@@ -22,13 +22,10 @@
 
     def apply(self, entry: str, counts: Mapping[int, int]) -> None:
         """Replace the report of an entry; without counts, forget it."""
+        self._totals.subtract(self._reports.pop(entry, {}))
         if counts:
             self._reports[entry] = counts
-        elif self._reports.pop(entry, None) is None:
-            return
-        self._totals = Counter()
-        for report in self._reports.values():
-            self._totals.update(report)
+            self._totals.update(counts)
 
     def count(self, priority: int) -> int:
         """Return how many of a priority wait elsewhere."""
@@ -47,4 +44,4 @@
 
     def totals(self) -> dict[int, int]:
         """Return the requests that wait elsewhere, by priority."""
-        return dict(self._totals)
+        return dict(+self._totals)
--- a/tests/edge/test_open_desk.py
+++ b/tests/edge/test_open_desk.py
@@ -19,6 +19,8 @@
 
 UPSTREAMS = 5
 SLOTS = 2
+#: Share of requests before which a call ends.
+END_SHARE = 0.25
 #: Upstreams chosen for 40 requests with ends of calls between them; twice the
 #: slots of each are taken, then none is given.
 RECORDED = '042310323043402312430110421--3---2------'
@@ -48,7 +50,7 @@
     running = []
     choices = ''
     for step in range(40):
-        if running and rng.random() < 0.25:
+        if running and rng.random() < END_SHARE:
             running.pop(rng.randrange(len(running))).own_calls -= 1
         if step % 8 == 5:
             table.apply_calls('e2', {str(rng.randrange(UPSTREAMS)): 2})
