--- a/src/snipebend/hosts/model.py
+++ b/src/snipebend/hosts/model.py
@@ -33,8 +33,8 @@
     kind: RequestKind
     timeout_s: float
     #: Target latency of a response, or of a stream's first event. The platform
-    #: rates a response within it at its full value. Kept from the document;
-    #: not read here.
+    #: rates a response within it at its full value. Admission by room calls
+    #: requests by it.
     target_s: float
     #: 0 is the most urgent.
     priority: int
