Compare few upstreams only where nearly all places are taken

At two thirds of the places, draws of three put more calls on the fullest rank, which sets the pace of all.

--- a/src/snipebend/edge/admission_desk.py
+++ b/src/snipebend/edge/admission_desk.py
@@ -46,7 +46,7 @@
 
 #: Share of free places below which entries choose among few upstreams each:
 #: they all know of the same places, and would meet at them.
-TIGHT_SHARE = 0.4
+TIGHT_SHARE = 0.15
 SAMPLE_SIZE = 3
 
 
