--- a/src/snipebend/edge/admission_desk.py
+++ b/src/snipebend/edge/admission_desk.py
@@ -44,10 +44,10 @@
 PROBE_INTERVAL_S = 0.5
 
 
-#: Share of free places below which entries choose among few upstreams each:
+#: Share of free places below which entries choose among some upstreams each:
 #: they all know of the same places, and would meet at them.
-TIGHT_SHARE = 0.15
-SAMPLE_SIZE = 3
+TIGHT_SHARE = 0.4
+SAMPLE_SHARE = 0.25
 
 
 class Inquiry(NamedTuple):
@@ -258,7 +258,7 @@
             admitted,
             tried,
             needs_slot=True,
-            sample_size=SAMPLE_SIZE if is_tight else 0,
+            sample_share=SAMPLE_SHARE if is_tight else 0,
         )
 
     def _review(self, counter: _Counter, pending: Pending) -> None:
--- a/src/snipebend/edge/upstream_chooser.py
+++ b/src/snipebend/edge/upstream_chooser.py
@@ -44,14 +44,14 @@
         tried: Sequence[str],
         *,
         needs_slot: bool = False,
-        sample_size: int = 0,
+        sample_share: float = 0,
     ) -> Upstream | None:
         """Return an upstream for a call, or None if none has capacity.
 
-        ``needs_slot`` and ``sample_size`` are as in `CallRequirements`.
+        ``needs_slot`` and ``sample_share`` are as in `CallRequirements`.
         """
         requirements = self._requirements(admitted, tried)._replace(
-            needs_slot=needs_slot, sample_size=sample_size
+            needs_slot=needs_slot, sample_share=sample_share
         )
         selected = self._select(admitted.service, requirements)
         if not self._limits.seconds_until_room(selected):
--- a/src/snipebend/relay/upstream_selection.py
+++ b/src/snipebend/relay/upstream_selection.py
@@ -17,6 +17,10 @@
     from snipebend.relay.upstreams import Upstream
 
 
+#: Upstreams that a sample has at least.
+MIN_SAMPLE = 3
+
+
 class NoCapacity(NamedTuple):
     """Why no upstream accepts a call, when the end of it is known."""
 
@@ -54,13 +58,14 @@
     equals the same data centre is preferred, then the choice is random: entries
     that all picked the first one would overload it. So would entries that all
     picked the one of which the fewest calls are known, while few are free: then
-    ``sample_size`` upstreams are compared.
+    ``sample_share`` of them are compared.
     """
     views = view_candidates(candidates, requirements, now)
     if not views:
         return None
-    if 0 < requirements.sample_size < len(views):
-        views = _sample(views, requirements.sample_size, rng)
+    if requirements.sample_share:
+        size = max(MIN_SAMPLE, round(requirements.sample_share * len(views)))
+        views = _sample(views, size, rng)
     ranked = [(_sort_key(view, rng), view.upstream) for view in views]
     return min(ranked, key=lambda pair: pair[0])[1]
 
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -28,9 +28,9 @@
     tried: Collection[str] = ()
     #: Whether only a free slot counts as room, as with admission by room.
     needs_slot: bool = False
-    #: Upstreams of which the least loaded one is chosen, drawn at random; 0:
-    #: all.
-    sample_size: int = 0
+    #: Share of the upstreams with room of which the least loaded one is chosen,
+    #: drawn at random; 0: all.
+    sample_share: float = 0
 
 
 class UpstreamView(NamedTuple):
--- a/tests/relay/test_shared_room.py
+++ b/tests/relay/test_shared_room.py
@@ -87,10 +87,10 @@
         for number, upstream in enumerate(upstreams):
             upstream.own_calls = 5 if number < 10 else 4
         upstreams[15].own_calls = 1
-        picked = self.pick(upstreams, sample_size=3)
+        picked = self.pick(upstreams, sample_share=0.25)
         self.assertGreaterEqual(len(picked), 8)
         self.assertTrue(all(int(identity) >= 10 for identity in picked))
-        self.assertEqual(self.pick(upstreams, sample_size=0), {'15'})
+        self.assertEqual(self.pick(upstreams, sample_share=0), {'15'})
 
     def test_spoken_against_only_if_there_is_no_other(self):
         slow, good = (
@@ -99,14 +99,14 @@
         )
         slow.slow = True
         good.own_calls = 4
-        self.assertEqual(self.pick([slow, good], sample_size=1), {'good'})
+        self.assertEqual(self.pick([slow, good], sample_share=0.5), {'good'})
         good.own_calls = 5
-        self.assertEqual(self.pick([slow, good], sample_size=1), {'slow'})
+        self.assertEqual(self.pick([slow, good], sample_share=0.5), {'slow'})
 
-    def pick(self, upstreams, sample_size):
+    def pick(self, upstreams, sample_share):
         rng = random.Random(4)
         requirements = CallRequirements(
-            'dc', needs_slot=True, sample_size=sample_size
+            'dc', needs_slot=True, sample_share=sample_share
         )
         return {
             select_upstream(upstreams, requirements, NOW, rng).record.identity
