--- a/tests/edge/test_open_desk.py
+++ b/tests/edge/test_open_desk.py
@@ -18,7 +18,7 @@
 
 UPSTREAMS = 5
 SLOTS = 2
-#: Share of the steps before which a call ends.
+#: Share of requests before which a call ends.
 END_SHARE = 0.25
 #: Upstreams chosen for 40 requests with ends of calls between them; twice the
 #: slots of each are taken, then none is given.
