--- a/tests/edge/test_evacuations.py
+++ b/tests/edge/test_evacuations.py
@@ -187,7 +187,7 @@
     async def test_from_the_first_update_before_any_document(self):
         deployment = Deployment(2)
         daemon = deployment.daemons[0]
-        async with deployment:
+        async with deployment, asyncio.timeout(TIMEOUT_S):
             self.execute(daemon, evacuate=True, after=0)
             known = deployment.follower.evacuations
             await deployment.wait_until(lambda: known.data_centers)
