Know the data centres of upstreams, and take errors for no departure

A zone that only upstreams are in was refused as unknown, and a name that this project's settings wouldn't allow kept control from starting. An error of the server while a caller was watched counted as a departure, so that its order was refused, and was never reported.

--- a/src/snipebend/settings/model.py
+++ b/src/snipebend/settings/model.py
@@ -146,8 +146,10 @@
     members: list[MemberSection] = []
     #: HTTP listen address for upstreams and operators without gRPC.
     outer: Address = '127.0.0.1:0'
-    #: Data centres that operators may evacuate; empty: any.
-    data_centers: list[Name] = []
+    #: Data centres that operators may evacuate beside those of announced
+    #: upstreams; empty: any. A name that this project wouldn't choose must not
+    #: keep control from starting.
+    data_centers: list[str] = []
     #: Instead of ``members``: create the group from seeds, admit any daemon.
     seeds: SeedsSection | None = None
 
--- a/src/snipebend/transport/caller_watch.py
+++ b/src/snipebend/transport/caller_watch.py
@@ -11,6 +11,8 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+from loguru import logger
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Any]]
 Application = Callable[[Scope, Receive, Any], Awaitable[None]]
@@ -36,17 +38,21 @@
 async def watch_caller(scope: Scope) -> AsyncIterator[Callable[[], bool]]:
     """Return a function that tells whether the caller has disconnected.
 
-    The body must have been read.
+    The body must have been read. An error of the server isn't a departure.
     """
     departure = asyncio.create_task(_wait_for_departure(scope[RECEIVE_KEY]))
     try:
-        yield departure.done
+        yield lambda: departure.done() and departure.result()
     finally:
         departure.cancel()
 
 
-async def _wait_for_departure(receive: Receive) -> None:
+async def _wait_for_departure(receive: Receive) -> bool:
     while True:
-        event = await receive()
+        try:
+            event = await receive()
+        except Exception as exc:
+            logger.warning('event=caller_watch_failed error={!r}', exc)
+            return False
         if event['type'] == 'http.disconnect':
-            return
+            return True
--- a/src/snipebend/transport/evacuation_service.py
+++ b/src/snipebend/transport/evacuation_service.py
@@ -14,7 +14,6 @@
 from snipebend.errors.hierarchy import UnavailableError
 from snipebend.kernel.service import Service
 from snipebend.kernel.stalls import TICK_S, StallDetector
-from snipebend.settings.base import Name
 from snipebend.settings.model import ControlSettings
 from snipebend.state.commands import ChangeEvacuation
 from snipebend.state.evacuations import (
@@ -39,6 +38,9 @@
 #: connection that was held up with an order arrives a round trip after it.
 REST_S = 0.02
 
+#: Characters of a name that no settings list; it is kept in the state.
+MAX_NAME_LENGTH = 255
+
 
 class EvacuationService(Service):
     """Commits orders that their operators still wait for."""
@@ -148,17 +150,18 @@
         """Return whether orders may name a data centre.
 
         One with an earlier order stays known when it leaves the settings, so
-        that its evacuation can be ended.
+        that its evacuation can be ended. Upstreams can be in data centres that
+        the settings of an earlier time don't name.
         """
-        if data_center in self._evacuations.records:
+        state = self._store.machine.state
+        if data_center in state.evacuations.records:
             return True
-        if self._data_centers:
-            return data_center in self._data_centers
-        try:
-            msgspec.convert(data_center, Name)
-        except msgspec.ValidationError:
-            return False
-        return True
+        if not self._data_centers:
+            return 0 < len(data_center) <= MAX_NAME_LENGTH
+        return data_center in self._data_centers or any(
+            upstream.data_center == data_center
+            for upstream in state.roster.upstreams.values()
+        )
 
     async def _tick_forever(self) -> None:
         while True:
