Move the answers to orders out of the platform's adapter

The check of the boundary knows the new path, and the check of the templates fills the zones and reads them back; it could not parse the template without that.

--- a/platform/snipebend_platform/answers.py
+++ b/src/snipebend/transport/outer_answers.py
@@ -1,4 +1,4 @@
-"""Answers of a control daemon's HTTP endpoints."""
+"""Answers of a control daemon's HTTP endpoints for callers without gRPC."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -22,7 +22,8 @@
 
 #: Headers, paths and field names that belong to the platform only.
 PLATFORM_NAMES = re.compile(
-    r'Snipebend-(?:[A-Z][a-z]+-?)+|/-/(?:replicas|config|order|picked|report)'
+    r'Snipebend-(?:[A-Z][a-z]+-?)+'
+    + r'|/-/(?:replicas|config|order|picked|report|evacuate)'
     + r'|\b(?:traffic_split|target_latency_ms|gap_aim_ms|api_keys'
     + r'|allow_anonymous|resume_streams|kv_tokens|expert_mb|heartbeat_addr'
     + r'|cold_remaining_ms|retry_budget_ratio|stability_window_ms)\b'
@@ -48,6 +49,7 @@
     }
 )
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
+ZONES = '"zone-a","zone-b"'
 
 
 class TestBoundary(unittest.TestCase):
@@ -75,6 +77,7 @@
     def fill(self, name):
         text = (ROOT / 'deploy' / f'{name}.template').read_text('utf-8')
         text = re.sub(r'{{#seeds}}.*?{{/seeds}}', SEEDS, text)
+        text = re.sub(r'{{#zones}}.*?{{/zones}}', ZONES, text)
         text = re.sub(
             r'{{#([\w.]+)}}(.*?){{\.}}{{/\1}}',
             lambda match: match[2] + TEMPLATE_VALUES[match[1]],
@@ -98,4 +101,5 @@
         cfg = ControlSettings.from_table(tomllib.loads(text))
         self.assertEqual(cfg.outer, '10.1.0.42:8229')
         self.assertTrue(cfg.seeds.bootstrap)
+        self.assertEqual(cfg.data_centers, ['zone-a', 'zone-b'])
         self.assertEqual(cfg.member_name, '10.1.0.40')
