--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -22,7 +22,8 @@
 
 #: Headers, paths and field names that belong to the platform only.
 PLATFORM_NAMES = re.compile(
-    r'Snipebend-(?:[A-Z][a-z]+-?)+|/-/(?:replicas|config|order|picked|report)'
+    r'Snipebend-(?:[A-Z][a-z]+-?)+'
+    + r'|/-/(?:replicas|config|order|picked|report|evacuate)'
     + r'|\b(?:traffic_split|target_latency_ms|gap_aim_ms|api_keys'
     + r'|allow_anonymous|resume_streams|kv_tokens|expert_mb|heartbeat_addr'
     + r'|cold_remaining_ms|retry_budget_ratio|stability_window_ms)\b'
@@ -107,5 +108,6 @@
         cfg = ControlSettings.from_table(tomllib.loads(text))
         self.assertEqual(cfg.outer, '10.1.0.42:8229')
         self.assertTrue(cfg.seeds.bootstrap)
+        self.assertEqual(cfg.data_centers, ['zone-a', 'zone-b'])
         self.assertEqual(cfg.member_name, '10.1.0.40')
         self.assertEqual(cfg.data_centers, ['zone-a', 'zone-b'])
