Close gaps in what entries hear of cold upstreams

- Without start times, a restarted upstream heard cold (number 1) by one daemon lost to its former lifetime's last number at another.
Between daemons cold wins there.
- A daemon that heard an upstream cold, then not, then cold again reported no change, while another still reported it warm by a number in between: a gap in the numbers of a cold upstream is reported.
- A call that ended after its upstream left an entry in the table of doubts for good.
- A diversion was counted whenever any cold upstream was at its limit; now only if that one was less busy than the one chosen.
- A daemon that has left the group no longer counts for the number of entries (not tested by itself).

Ruled out: to keep upstreams warm while no daemon is heard; the limit has to hold without news.

--- a/src/snipebend/edge/cold_tracker.py
+++ b/src/snipebend/edge/cold_tracker.py
@@ -128,11 +128,20 @@
     def log_diverted_call(
         self, request: str, service: str, selected: Upstream | None
     ) -> None:
-        """Log that limits of cold upstreams have diverted a call, if so."""
+        """Log that the limit of a less busy cold upstream diverted a call."""
         now = self._now()
-        limited = next(iter(self._list_limited(service, now)), None)
+        limited = min(
+            self._list_limited(service, now),
+            key=lambda one: one.calls / max(1, one.record.slots),
+            default=None,
+        )
         if limited is None:
             return
+        if selected is not None and (
+            limited.calls / max(1, limited.record.slots)
+            >= selected.calls / max(1, selected.record.slots)
+        ):
+            return
         self._meters.count_cold_diversion(service)
         logger.debug(
             'event=call_diverted_cold request={} service={} upstream={} to={}',
@@ -143,7 +152,11 @@
         )
 
     def _doubt(self, upstream: Upstream) -> None:
-        if upstream.record.service not in self.table.limits:
+        record = upstream.record
+        if record.service not in self.table.limits:
+            return
+        if self._upstreams.find(record.identity) is not upstream:
+            # It ended while the call was in progress.
             return
         now = self._now()
         was_cold = self.table.is_cold(upstream, now)
--- a/src/snipebend/edge/host_follower.py
+++ b/src/snipebend/edge/host_follower.py
@@ -206,6 +206,7 @@
             )
         for address in self._watched.keys() - wanted:
             self._watched.pop(address).cancel()
+            self._known_entries.pop(address, None)
             self.on_warmth(address, None)
             self._clients.retire(address)
 
--- a/src/snipebend/relay/reported_warmth.py
+++ b/src/snipebend/relay/reported_warmth.py
@@ -19,6 +19,9 @@
     """A report with the order of its arrival."""
 
     born: int
+    #: Whether it says cold, without a start time: numbers may have begun anew,
+    #: so that they don't tell which of two daemons heard the later lifetime.
+    is_cold_unborn: bool
     number: int
     arrival: int
     report: WarmthReport
@@ -83,7 +86,13 @@
             self._withdraw(daemon, report.upstream)
         else:
             self._arrivals += 1
-            ranked = _Ranked(report.born, report.number, self._arrivals, report)
+            ranked = _Ranked(
+                report.born,
+                not report.born and report.warmth is Warmth.COLD,
+                report.number,
+                self._arrivals,
+                report,
+            )
             self._by_upstream.setdefault(report.upstream, {})[daemon] = ranked
             self._update_latest(report.upstream)
         latest = self._latest.get(report.upstream)
@@ -110,5 +119,5 @@
 
     def _update_latest(self, upstream: str) -> None:
         by_daemon = self._by_upstream[upstream]
-        latest = max(by_daemon.values(), key=lambda ranked: ranked[:3])
+        latest = max(by_daemon.values(), key=lambda ranked: ranked[:4])
         self._latest[upstream] = latest.report
--- a/src/snipebend/state/warmth.py
+++ b/src/snipebend/state/warmth.py
@@ -123,13 +123,18 @@
         _, known = self._reports.get(upstream, (0, None))
         if known is not None and self._is_outdated(hearing, known):
             return None
+        heard = self._heard.get(upstream)
+        is_skipping = heard is not None and hearing.number > heard.number + 1
         self._heard[upstream] = _LastHeard(now, hearing.number)
         self._heard.move_to_end(upstream)
         if len(self._heard) > MAX_HEARD:
             self.remove(next(iter(self._heard)))
         warmth = _warmth_of(hearing.cold_s)
+        # Other daemons may have heard what was skipped, and report it warm.
+        is_news = is_skipping and warmth is Warmth.COLD
         if known is not None and _is_same(known, warmth, hearing.born):
-            return None
+            if not is_news:
+                return None
         report = WarmthReport(upstream, warmth, hearing.born, hearing.number)
         self._put(report)
         return WarmthChange(report, hearing.cold_s)
--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -8,10 +8,14 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+from snipebend.edge.call_result import CallResult
 from snipebend.hosts.model import HostService
+from snipebend.relay.call_outcomes import CallOutcome
 from snipebend.settings.relay import ColdSection, RelaySection
 from snipebend.state.host_updates import GroupPhase, UpstreamGroupStatus
+from snipebend.state.roster import RosterPhase
 from snipebend.state.warmth import Warmth, WarmthReport
 from tests.edge.relay_fixture import (
     TABLE,
@@ -110,6 +114,38 @@
             self.assertEqual(sent.counts[1], 1)
             self.assertEqual(sent.statuses.count(200), 1)
 
+    async def test_an_upstream_that_ended_is_not_kept_in_doubt(self):
+        async with running(
+            respond_ok, table=COLD_TABLE, clock=SteppedClock(), section=COLD
+        ) as relay:
+            know_fleet(relay)
+            cold = relay.service.cold
+            ended = relay.service._upstreams.find('i-0')
+            relay.announce('i-0', '', phase=RosterPhase.ENDED)
+            broken = CallResult(CallOutcome.UNKNOWN, 'closed', faulty=True)
+            cold.record_result(ended, broken)
+            self.assertEqual(cold.table._doubted_until, {})
+
+    async def test_only_calls_that_a_less_busy_one_would_get_are_diverted(self):
+        async with running(
+            respond_ok,
+            respond_ok,
+            table=COLD_TABLE,
+            clock=SteppedClock(),
+            section=COLD,
+        ) as relay:
+            know_fleet(relay)
+            await self.send(relay, 2)
+            report(relay, 'i-0')
+            with mock.patch.object(
+                relay.service.meters, 'count_cold_diversion'
+            ) as count:
+                await self.send(relay, 1)
+                count.assert_not_called()
+                relay.service._upstreams.find('i-0').own_calls = 1
+                await self.send(relay, 1)
+                count.assert_called_once_with('s')
+
     async def test_a_wait_is_named_only_if_no_other_upstream_is_open(self):
         """Else a refusal for another reason would name a wait that is none."""
         async with running(
--- a/tests/state/test_warmth.py
+++ b/tests/state/test_warmth.py
@@ -60,6 +60,14 @@
         self.assertEqual(self.log.revision, 2)
         self.assertEqual(self.reported(), [('i', Warmth.WARM, 5)])
 
+    def test_cold_again_after_heartbeats_that_others_may_have_heard(self):
+        """One of them may report it warm, by a number in between."""
+        self.hear(2, 10)
+        self.assertIsNone(self.hear(1, 11))
+        change = self.hear(2, 21)
+        self.assertEqual(change.report.number, 21)
+        self.assertEqual(self.log.revision, 2)
+
     def test_overtaken_heartbeats(self):
         self.hear(2, 5)
         self.hear(1, 7)
