Keep streams without event IDs in place, and space failed plans for paces

A stream whose events have no IDs can't be resumed after the last one; moved off a slow rank, its caller received events twice (the new test fails without the change). And while the map in force can't be read, a changed pace was planned for again at each check, every 0.05 s, with new reports each time; the attempt counts now, and the next one follows after 0.5 s.

--- a/src/snipebend/balancing/demand_follower.py
+++ b/src/snipebend/balancing/demand_follower.py
@@ -87,6 +87,7 @@
             return False
         if not monitor.paces.is_plan_due(self._clock.now()):
             return False
+        monitor.paces.note_attempt(self._clock.now())
         self.log_paces('changed', monitor)
         return True
 
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -303,7 +303,9 @@
             if self._stream.feed(event.data):
                 self._crashes.record_activity()
                 await self._response.drain()
-                moved = self._mover.move_from(call.upstream)
+                moved = self._mover.move_from(
+                    call.upstream, self._stream.resume_after
+                )
                 if moved is not None:
                     return moved
             event = await call.receive()
--- a/src/snipebend/edge/stream_mover.py
+++ b/src/snipebend/edge/stream_mover.py
@@ -35,13 +35,17 @@
         self._acquire_retry = acquire_retry
         self._is_refused = False
 
-    def move_from(self, upstream: Upstream) -> CallResult | None:
+    def move_from(
+        self, upstream: Upstream, resume_after: int | None
+    ) -> CallResult | None:
         """Return the result of a call to end now; None to go on with it.
 
-        A retry is spent before the call is ended. If the budget refuses it, the
-        stream stays where it is.
+        ``resume_after`` is the ID of the last event that the caller has;
+        without one the stream stays, as its events would come again. A retry is
+        spent before the call is ended. If the budget refuses it, the stream
+        stays where it is, too.
         """
-        if self._is_refused or not upstream.is_spared:
+        if self._is_refused or not upstream.is_spared or resume_after is None:
             return None
         action = decide_next_action(
             CallOutcome.UNKNOWN, self._retry_conditions()
--- a/src/snipebend/experts/rank_paces.py
+++ b/src/snipebend/experts/rank_paces.py
@@ -92,10 +92,14 @@
             return False
         return _differ(self.reported, self._planned)
 
+    def note_attempt(self, now: float) -> None:
+        """Record that a plan was attempted; the next one keeps a distance."""
+        self._planned_at = now
+
     def note_planned(self, now: float) -> None:
         """Record that a map was planned for the reported paces."""
         self._planned = self.reported
-        self._planned_at = now
+        self.note_attempt(now)
 
     def are_denied(self, expected_growth: float) -> bool:
         """Return whether passes are too short for the reported paces.
--- a/tests/edge/test_stream_mover.py
+++ b/tests/edge/test_stream_mover.py
@@ -28,30 +28,38 @@
 class SlowRank:
     """Pauses its stream until the group's status is known."""
 
-    def __init__(self):
+    def __init__(self, event=make_event):
+        self.event = event
         self.is_first_sent = asyncio.Event()
         self.is_status_known = asyncio.Event()
 
     async def script(self, req, writer):
         """Write the first event, and the others once the status is known."""
-        writer.write(stream_head(req) + encode_chunk(make_event(1)))
+        writer.write(stream_head(req) + encode_chunk(self.event(1)))
         self.is_first_sent.set()
         await self.is_status_known.wait()
-        writer.write(encode_chunk(make_event(2)))
+        writer.write(encode_chunk(self.event(2)))
         await writer.drain()
         await asyncio.sleep(0)
-        writer.write(encode_chunk(make_event(3)) + LAST_CHUNK)
+        writer.write(encode_chunk(self.event(3)) + LAST_CHUNK)
         await writer.drain()
         return True
 
 
-async def call_with_a_slow_rank(path, *, slow_ranks=1, prepare=None):
+def make_event_without_id(number):
+    """Return one event after which no stream can be resumed."""
+    return b'data: piece %d\n\n' % number
+
+
+async def call_with_a_slow_rank(
+    path, *, slow_ranks=1, prepare=None, event=make_event
+):
     """Slow down the rank that runs a request; return its response.
 
     Also returns the number of calls, and the event after which the last one was
     to resume.
     """
-    rank = SlowRank()
+    rank = SlowRank(event)
     script = once(rank.script, events(1, 2, 3))
     async with running(script, script, script) as relay:
         if prepare is not None:
@@ -104,6 +112,17 @@
         self.assertTrue(got.complete)
         self.assertEqual((got.body, calls), (WHOLE, 1))
 
+    async def test_a_stream_without_event_ids_stays(self):
+        """Its caller would receive events twice."""
+        got, calls, _ = await call_with_a_slow_rank(
+            '/stream/', event=make_event_without_id
+        )
+        self.assertTrue(got.complete)
+        self.assertEqual(
+            (got.body, calls),
+            (b''.join(map(make_event_without_id, (1, 2, 3))), 1),
+        )
+
     async def test_a_stream_stays_without_a_retry(self):
         def refuse_retries(service):
             service.acquire_retry = lambda _: False
--- a/tests/experts/test_rank_paces.py
+++ b/tests/experts/test_rank_paces.py
@@ -57,6 +57,13 @@
         self.assertFalse(paces.is_plan_due(1.1))
         self.assertTrue(paces.is_plan_due(1.0 + PLAN_INTERVAL_S))
 
+    def test_a_failed_attempt_is_repeated_after_the_interval(self):
+        """The map in force can't be read while ranks have different ones."""
+        paces = observe(SLOW)
+        paces.note_attempt(1.0)
+        self.assertFalse(paces.is_plan_due(1.05))
+        self.assertTrue(paces.is_plan_due(1.0 + PLAN_INTERVAL_S))
+
 
 class TestPasses(unittest.TestCase):
     """Passes confirm or deny what reports state."""
