Leave slow ranks out by group, not by service

A slow rank got no requests if any rank of its service was open, also if its own group had none: with two groups, a full one could refuse requests that the other's last open rank had room for. The new test fails without the change.

--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -83,8 +83,8 @@
 ) -> list[UpstreamView]:
     """Return the views of those upstreams that a call may go to now.
 
-    Slow ranks that delay the passes of their group are left out while it has
-    others, also if these are full.
+    A slow rank that delays the passes of its group is left out while the group
+    has others, also if these are full.
     """
     candidates = [
         upstream
@@ -92,9 +92,23 @@
         if upstream.is_open(now)
         and upstream.record.identity not in requirements.tried
     ]
-    preferred = [one for one in candidates if not one.is_spared]
+    groups = {
+        upstream.group.name
+        for upstream in candidates
+        if upstream.group is not None and not upstream.is_spared
+    }
     return [
         view
-        for upstream in preferred or candidates
-        if (view := view_upstream(upstream, requirements, now)).free_calls > 0
+        for upstream in candidates
+        if not _is_left_out(upstream, groups)
+        and (view := view_upstream(upstream, requirements, now)).free_calls > 0
     ]
+
+
+def _is_left_out(upstream: Upstream, groups: Collection[str]) -> bool:
+    """Return whether other ranks of its group, among these, do without it."""
+    return (
+        upstream.is_spared
+        and upstream.group is not None
+        and upstream.group.name in groups
+    )
--- a/tests/relay/test_upstream_selection.py
+++ b/tests/relay/test_upstream_selection.py
@@ -85,6 +85,12 @@
         paused = make_upstream('paused', group=group, paused_until=11.0)
         self.assertEqual(self.select(slow, paused), 'slow')
 
+    def test_slow_ranks_serve_if_only_another_group_has_others(self):
+        group = UpstreamGroup('g', has_slow_rank=True, spares_slow_ranks=True)
+        slow = make_upstream('slow', slow=True, group=group)
+        full = make_upstream('full', own_calls=100, group=UpstreamGroup('h'))
+        self.assertEqual(self.select(slow, full), 'slow')
+
     def test_only_a_few_slow_ranks_are_spared(self):
         members = ('a', 'b', 'c')
         for slow, is_spared in ((), False), (('a',), True), (('a', 'b'), False):
