Keep half of the retries for broken calls when streams are moved

Moves could drain the budget that broken calls need, and a stream whose end had arrived already was moved for nothing. A move now leaves half of the retries that can be saved, and is not made while more of the response is at hand. Two new tests fail without the change.

--- a/src/snipebend/edge/call.py
+++ b/src/snipebend/edge/call.py
@@ -76,6 +76,11 @@
         data = encode_head(line, headers) + req.body
         self._channel = self._conn.send(data, request_id)
 
+    @property
+    def has_pending_events(self) -> bool:
+        """Return whether more of the response has arrived, such as its end."""
+        return self._channel is not None and self._channel.pending > 0
+
     def release(self) -> None:
         """Return the connection to the pool; nothing was sent on it."""
         self.finished = True
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -189,6 +189,16 @@
         )
         return acquired
 
+    def acquire_move(self, admitted: Admitted) -> bool:
+        """Spend one retry on moving a stream, unless few are left.
+
+        Half of the retries that can be saved are kept for broken calls.
+        """
+        budget = self._budget(admitted.service)
+        if budget.left - 1 < budget.balance_cap / 2:
+            return False
+        return self.acquire_retry(admitted)
+
     def own_calls(self) -> dict[str, int]:
         """Return this entry's calls in progress, by upstream identity."""
         return {
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -77,7 +77,7 @@
         )
         self._stream = StreamRelay(response, relay.now, self._record_pause)
         self._mover = StreamMover(
-            self._retry_conditions, lambda: relay.acquire_retry(admitted)
+            self._retry_conditions, lambda: relay.acquire_move(admitted)
         )
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
@@ -303,9 +303,7 @@
             if self._stream.feed(event.data):
                 self._crashes.record_activity()
                 await self._response.drain()
-                moved = self._mover.move_from(
-                    call.upstream, self._stream.resume_after
-                )
+                moved = self._mover.move_from(call, self._stream.resume_after)
                 if moved is not None:
                     return moved
             event = await call.receive()
--- a/src/snipebend/edge/stream_mover.py
+++ b/src/snipebend/edge/stream_mover.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from snipebend.edge.call import Call
     from snipebend.relay.call_outcomes import RetryConditions
-    from snipebend.relay.upstreams import Upstream
 
 
 class StreamMover:
@@ -36,16 +36,20 @@
         self._is_refused = False
 
     def move_from(
-        self, upstream: Upstream, resume_after: int | None
+        self, call: Call, resume_after: int | None
     ) -> CallResult | None:
         """Return the result of a call to end now; None to go on with it.
 
+        A call of which more has arrived goes on: that may be its end.
+
         ``resume_after`` is the ID of the last event that the caller has;
         without one the stream stays, as its events would come again. A retry is
         spent before the call is ended. If the budget refuses it, the stream
         stays where it is, too.
         """
-        if self._is_refused or not upstream.is_spared or resume_after is None:
+        if not call.upstream.is_spared or call.has_pending_events:
+            return None
+        if self._is_refused or resume_after is None:
             return None
         action = decide_next_action(
             CallOutcome.UNKNOWN, self._retry_conditions()
--- a/tests/edge/test_stream_mover.py
+++ b/tests/edge/test_stream_mover.py
@@ -22,6 +22,8 @@
 )
 from tests.edge.test_relay import events
 
+#: Turns of the event loop in which the entry reads what was written.
+LOOP_TURNS = 50
 WHOLE = b''.join(make_event(number) for number in (1, 2, 3))
 
 
@@ -40,28 +42,43 @@
         await self.is_status_known.wait()
         writer.write(encode_chunk(self.event(2)))
         await writer.drain()
-        await asyncio.sleep(0)
+        # The entry has to read the second event before the end arrives.
+        for _ in range(LOOP_TURNS):
+            await asyncio.sleep(0)
         writer.write(encode_chunk(self.event(3)) + LAST_CHUNK)
         await writer.drain()
         return True
 
 
+class EndingRank(SlowRank):
+    """Ends its stream with the next write."""
+
+    async def script(self, req, writer):
+        """Write the first event, and the rest at once."""
+        self.is_first_sent.set()
+        await self.is_status_known.wait()
+        body = b''.join(encode_chunk(self.event(one)) for one in (1, 2, 3))
+        writer.write(stream_head(req) + body + LAST_CHUNK)
+        await writer.drain()
+        return True
+
+
 def make_event_without_id(number):
     """Return one event after which no stream can be resumed."""
     return b'data: piece %d\n\n' % number
 
 
-async def call_with_a_slow_rank(
-    path, *, slow_ranks=1, prepare=None, event=make_event
-):
+async def call_with_a_slow_rank(path, *, slow_ranks=1, prepare=None, rank=None):
     """Slow down the rank that runs a request; return its response.
 
     Also returns the number of calls, and the event after which the last one was
     to resume.
     """
-    rank = SlowRank(event)
+    rank = rank or SlowRank()
     script = once(rank.script, events(1, 2, 3))
     async with running(script, script, script) as relay:
+        budget = relay.service._budget('s')
+        budget._balance = budget.balance_cap
         if prepare is not None:
             prepare(relay.service)
         response = asyncio.ensure_future(send_request(relay, request(path)))
@@ -115,7 +132,7 @@
     async def test_a_stream_without_event_ids_stays(self):
         """Its caller would receive events twice."""
         got, calls, _ = await call_with_a_slow_rank(
-            '/stream/', event=make_event_without_id
+            '/stream/', rank=SlowRank(make_event_without_id)
         )
         self.assertTrue(got.complete)
         self.assertEqual(
@@ -123,9 +140,27 @@
             (b''.join(map(make_event_without_id, (1, 2, 3))), 1),
         )
 
+    async def test_a_stream_whose_end_has_arrived_stays(self):
+        got, calls, _ = await call_with_a_slow_rank(
+            '/stream/', rank=EndingRank()
+        )
+        self.assertTrue(got.complete)
+        self.assertEqual((got.body, calls), (WHOLE, 1))
+
+    async def test_half_of_the_retries_are_kept_for_broken_calls(self):
+        def spend_most(service):
+            budget = service._budget('s')
+            budget._balance = budget.balance_cap / 2
+
+        got, calls, _ = await call_with_a_slow_rank(
+            '/stream/', prepare=spend_most
+        )
+        self.assertTrue(got.complete)
+        self.assertEqual((got.body, calls), (WHOLE, 1))
+
     async def test_a_stream_stays_without_a_retry(self):
         def refuse_retries(service):
-            service.acquire_retry = lambda _: False
+            service.acquire_move = lambda _: False
 
         got, calls, _ = await call_with_a_slow_rank(
             '/stream/', prepare=refuse_retries
