--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -89,7 +89,7 @@
         )
         self._stream = StreamRelay(response, relay.now, self._record_pause)
         self._mover = StreamMover(
-            self._retry_conditions, lambda: relay.acquire_retry(admitted)
+            self._retry_conditions, lambda: relay.acquire_move(admitted)
         )
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
@@ -389,7 +389,7 @@
                 is_first = False
                 self._crashes.record_activity()
                 await self._response.drain()
-                moved = self._mover.move_from(call.upstream)
+                moved = self._mover.move_from(call, self._stream.resume_after)
                 if moved is not None:
                     return moved
             event = await call.receive()
--- a/src/snipebend/relay/upstream_views.py
+++ b/src/snipebend/relay/upstream_views.py
@@ -119,13 +119,7 @@
         for one in candidates
         if one.group is not None and not one.is_spared
     }
-    return [
-        one
-        for one in candidates
-        if one.group is None
-        or not one.is_spared
-        or one.group.name not in groups
-    ]
+    return [one for one in candidates if not _is_left_out(one, groups)]
 
 
 def view_candidates(
@@ -137,3 +131,12 @@
         for upstream in list_candidates(upstreams, requirements, now)
         if (view := view_upstream(upstream, requirements, now)).free_calls > 0
     ]
+
+
+def _is_left_out(upstream: Upstream, groups: Collection[str]) -> bool:
+    """Return whether other ranks of its group, among these, do without it."""
+    return (
+        upstream.is_spared
+        and upstream.group is not None
+        and upstream.group.name in groups
+    )
