--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -200,10 +200,14 @@
         self,
         admitted: Admitted,
         refusal: Refusal,
+        calls: int,
         last_call: CallOutcome | None,
     ) -> None:
-        """Count a refusal that came too late for its caller."""
-        late = find_late_refusal(admitted, last_call, self.now())
+        """Count a refusal that came too late for its caller.
+
+        ``calls`` had begun, the last of them with this outcome.
+        """
+        late = find_late_refusal(admitted, calls, last_call, self.now())
         if late is None:
             return
         self.meters.count_late_refusal(refusal.status.value, late.cause)
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -77,7 +77,7 @@
         self._runs = 0
         #: The upstream called last.
         self._upstream: Upstream | None = None
-        #: Of the last call; None if it has completed, or there was none.
+        #: Of the last call; None if there was none, or it has not failed.
         self._last_outcome: CallOutcome | None = None
         #: Of the response to the last call; None if there was none.
         self._framing: BodyFraming | None = None
@@ -111,7 +111,10 @@
         self._buffer.release()
         if self._final.refusal is not None:
             self._relay.record_refusal(
-                self._admitted, self._final.refusal, self._last_outcome
+                self._admitted,
+                self._final.refusal,
+                len(self._tried),
+                self._last_outcome,
             )
         self._log.end_request(self._response, self.body_end)
 
@@ -158,6 +161,7 @@
         self._tried.append(upstream.record.identity)
         self._upstream = upstream
         self._framing = None
+        self._last_outcome = None
         call_started_at = self._relay.now()
         self._log.begin_call(
             upstream, len(self._tried), self._stream.resume_after
--- a/tests/relay/test_late_refusals.py
+++ b/tests/relay/test_late_refusals.py
@@ -24,18 +24,22 @@
 
     def test_bound(self):
         admitted = admit(0.8)
-        self.assertIsNone(find_late_refusal(admitted, None, BEGAN_AT + 0.09))
-        late = find_late_refusal(admitted, None, BEGAN_AT + 0.11)
+        self.assertIsNone(find_late_refusal(admitted, 0, None, BEGAN_AT + 0.09))
+        late = find_late_refusal(admitted, 0, None, BEGAN_AT + 0.11)
         self.assertEqual(late.cause, 'waited')
         self.assertAlmostEqual(late.waited_s, 0.11)
 
     def test_cause_is_the_last_call(self):
         for outcome in CallOutcome:
-            late = find_late_refusal(admit(0.8), outcome, BEGAN_AT + 1)
+            late = find_late_refusal(admit(0.8), 2, outcome, BEGAN_AT + 1)
             self.assertEqual(late.cause, outcome.value)
 
+    def test_call_without_an_outcome_yet(self):
+        late = find_late_refusal(admit(0.8), 1, None, BEGAN_AT + 1)
+        self.assertEqual(late.cause, 'unanswered')
+
     def test_route_without_a_target(self):
-        self.assertIsNone(find_late_refusal(admit(0), None, BEGAN_AT + 1))
+        self.assertIsNone(find_late_refusal(admit(0), 0, None, BEGAN_AT + 1))
 
 
 if __name__ == '__main__':
