Let callers that read steadily read to the end, and date reports by start time

A response that is read ahead ends early, so a connection that closes afterwards, or becomes idle, was reset by a timer while its caller still read; the watch of the reader decides instead until all is read. A whole response without room was cut off at the deadline; the deadline is now one of its beginning, and its upstream may be silent for 5 s in between. A failure without room is forwarded where no retry is allowed, and no longer counts as a broken call. A body's memory was kept for ever if its caller left before the first step of its request.

A limit of the next incarnation that others met before an entry knew of it was ignored there: reports of limits and refusals name the start time. Those of earlier versions are told apart by time, as before.

--- a/src/snipebend/edge/caller_connection.py
+++ b/src/snipebend/edge/caller_connection.py
@@ -126,6 +126,8 @@
         self._timer.stop()
         self._reader.stop()
         self._parser.close()
+        # A task that is cancelled before its first step ends no response.
+        self._release_body()
         if self._reset_timer is not None:
             self._reset_timer.cancel()
         if self._task is not None:
@@ -191,9 +193,7 @@
 
     def _handle_response_end(self, keep: bool) -> None:
         self._task = None
-        if self._body_hold is not None:
-            self._body_hold.release()
-            self._body_hold = None
+        self._release_body()
         if not keep:
             self._close()
         elif not self._closing:
@@ -240,6 +240,11 @@
         self._transport.write_eof()
         self._reset_timer = self._loop.call_later(CLOSE_TIMEOUT_S, self._reset)
 
+    def _release_body(self) -> None:
+        if self._body_hold is not None:
+            self._body_hold.release()
+            self._body_hold = None
+
     def _let_go(self, stalled_s: float, size: int) -> None:
         self._server.let_go(stalled_s, size, self._reader.workspace)
         self._reset()
@@ -254,6 +259,8 @@
         self._closing = True
         self._timer.stop()
         self._transport.close()
+        if self._transport.get_write_buffer_size() and self._reader.watch():
+            return
         self._reset_timer = self._loop.call_later(CLOSE_TIMEOUT_S, self._reset)
 
     def _reset(self) -> None:
@@ -262,7 +269,7 @@
         self._transport.abort()
 
     def _awaited_input(self) -> AwaitedInput:
-        if self._task is not None:
+        if self._task is not None or self._reader.is_watching:
             return AwaitedInput.NOTHING
         if not self._parser.incomplete:
             return AwaitedInput.REQUEST
--- a/src/snipebend/edge/reader_watch.py
+++ b/src/snipebend/edge/reader_watch.py
@@ -43,7 +43,6 @@
 MAX_SENT_AHEAD_BYTES = 65_536
 
 _INT = Struct('i')
-_LOW_BYTES = UNCOUNTED_BYTES // 4
 
 
 class ReaderWatch:
@@ -73,12 +72,17 @@
         self._progress_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_watching(self) -> bool:
+        """Return whether the caller still has bytes to read."""
+        return self._hold is not None
+
     def connect(self, transport: asyncio.Transport) -> None:
         """Bound the bytes that are written ahead of the caller."""
         self._transport = transport
         if self._budget is None:
             return
-        transport.set_write_buffer_limits(UNCOUNTED_BYTES, _LOW_BYTES)
+        transport.set_write_buffer_limits(UNCOUNTED_BYTES, 0)
         sock = transport.get_extra_info('socket')
         try:
             sock.setsockopt(SOL_SOCKET, SO_SNDBUF, MAX_SENT_AHEAD_BYTES)
@@ -89,13 +93,21 @@
     def pause(self) -> None:
         """Start to watch: the caller reads too slowly."""
         self.writable.clear()
-        if self._budget is None:
-            return
+        self.watch()
+
+    def watch(self) -> bool:
+        """Watch a caller that has bytes to read; return whether it is watched.
+
+        It is, until it has read all or is let go.
+        """
+        if self._budget is None or self._hold is not None:
+            return self._budget is not None
         size = self._transport.get_write_buffer_size()
         self._hold = self._budget.hold(self.workspace, size)
         self._unread = self._count_unread()
         self._progress_at = self._loop.time()
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
+        return True
 
     def resume(self) -> None:
         """Stop watching: the caller has caught up."""
--- a/src/snipebend/edge/relay_service.py
+++ b/src/snipebend/edge/relay_service.py
@@ -24,6 +24,7 @@
 from snipebend.relay.admission import DEFAULT_TIMEOUT_S, Admitted, admit
 from snipebend.relay.buffer_budget import make_budget
 from snipebend.relay.facts import CallerFacts
+from snipebend.relay.incarnations import add_start_times, select_concerned
 from snipebend.relay.late_refusals import find_late_refusal
 from snipebend.relay.retry_after import document_wait_deadline
 from snipebend.relay.pass_times import PassTimeMeter
@@ -263,7 +264,8 @@
 
     def make_limit_reports(self) -> dict[str, LimitReport]:
         """Return the rate limit reports for others, by upstream identity."""
-        return self.limits.table.make_report(self.now())
+        reports = self.limits.table.make_report(self.now())
+        return add_start_times(self._upstreams, reports)
 
     def apply_calls(self, entry: str, calls: dict[str, int]) -> None:
         """Apply the calls that another entry has in progress."""
@@ -273,7 +275,8 @@
         self, entry: str, started_at: float, limits: dict[str, LimitReport]
     ) -> None:
         """Apply another entry's rate limit reports."""
-        self.limits.apply_report(entry, started_at, limits)
+        concerned = select_concerned(self._upstreams, limits)
+        self.limits.apply_report(entry, started_at, concerned)
 
     def make_refusal_reports(self) -> dict[str, RefusalReport]:
         """Return the refusal reports for others, by upstream identity."""
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -93,7 +93,8 @@
     async def run(self) -> None:
         """Work until the response has ended or the deadline has expired."""
         try:
-            async with asyncio.timeout(self._time_left_s()):
+            async with asyncio.timeout(self._time_left_s()) as timeout:
+                self._timeout = timeout
                 await self._call_until_done()
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
@@ -298,6 +299,10 @@
     ) -> CallResult:
         response = await self._receive_complete(call, started)
         reason = f'failed with {started.head.status}'
+        if isinstance(response, PartialResponse) and (
+            started.facts.authenticated
+        ):
+            return await self._forward_failure(call, response, reason)
         if (
             not isinstance(response, CompleteResponse)
             or not started.facts.authenticated
@@ -305,6 +310,26 @@
             return self._unknown_outcome(reason)
         return CallResult(CallOutcome.FAILED, reason, response, faulty=True)
 
+    async def _forward_failure(
+        self, call: Call, partial: PartialResponse, reason: str
+    ) -> CallResult:
+        """Forward a failure for which there is no memory, if it is the last."""
+        conditions = self._retry_conditions()
+        action = decide_next_action(CallOutcome.FAILED, conditions)
+        if action is not NextAction.RETRY and not self._response.started:
+            await self._forward_rest(call, partial)
+        return CallResult(CallOutcome.FAILED, reason, faulty=True)
+
+    async def _forward_rest(self, call: Call, partial: PartialResponse) -> str:
+        """Forward a response as it is read; return why it broke, if it did.
+
+        The deadline is one of its beginning. How long the rest may take is up
+        to the caller, as long as it reads.
+        """
+        self._partial = True
+        self._timeout.reschedule(None)
+        return await forward_rest(call, partial, self._response)
+
     async def _forward_complete(
         self, call: Call, started: ResponseStarted
     ) -> CallResult | None:
@@ -313,8 +338,7 @@
             case CompleteResponse():
                 self._final.forward(response)
             case PartialResponse():
-                self._partial = True
-                reason = await forward_rest(call, response, self._response)
+                reason = await self._forward_rest(call, response)
                 if reason:
                     return self._unknown_outcome(reason)
             case ResponseAborted(reason):
--- a/src/snipebend/edge/response_buffer.py
+++ b/src/snipebend/edge/response_buffer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
 from snipebend.edge.http_headers import CONTENT_LENGTH, end_to_end, find_all
@@ -11,11 +12,16 @@
 
 if TYPE_CHECKING:
     from snipebend.edge.call import Call
-    from snipebend.edge.response_channel import ResponseStarted
+    from snipebend.edge.response_channel import ResponseEvent, ResponseStarted
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.buffer_budget import BufferBudget, BufferHold
 
 
+#: Seconds for which an upstream may send nothing in the middle of a response
+#: that has begun to be forwarded.
+PIECE_TIMEOUT_S = 5.0
+
+
 class PartialResponse(NamedTuple):
     """The beginning of a response for whose rest there is no memory."""
 
@@ -76,12 +82,21 @@
     )
     response.write(partial.body)
     await response.drain()
-    event = await call.receive()
+    event = await _receive_piece(call)
     while isinstance(event, BodyChunk):
         response.write(event.data)
         await response.drain()
-        event = await call.receive()
+        event = await _receive_piece(call)
     if isinstance(event, ResponseCompleted):
         response.end()
         return ''
     return 'the response broke off while it was forwarded'
+
+
+async def _receive_piece(call: Call) -> ResponseEvent | None:
+    """Return the next event, or None if there is none in time."""
+    try:
+        async with asyncio.timeout(PIECE_TIMEOUT_S):
+            return await call.receive()
+    except TimeoutError:
+        return None
--- a/src/snipebend/relay/rate_limit_table.py
+++ b/src/snipebend/relay/rate_limit_table.py
@@ -35,6 +35,8 @@
     age_s: float | None = None
     #: The limit in that response; None if there was none.
     per_s: float | None = None
+    #: Start time of the upstream's incarnation; 0 from earlier versions.
+    born: int = 0
 
 
 class LimitChange(NamedTuple):
@@ -106,7 +108,9 @@
         """Apply another entry's notices and call counts."""
         changes: list[LimitChange] = []
         for upstream, reported in reports.items():
-            known_from = self._ended_at.get(upstream, -math.inf)
+            known_from = -math.inf
+            if not reported.born:
+                known_from = self._ended_at.get(upstream, -math.inf)
             if reported.age_s is not None and now - reported.age_s > known_from:
                 notice = LimitNotice(reported.per_s, now - reported.age_s)
                 change = self._apply_notice(upstream, notice, entry, now)
--- a/src/snipebend/relay/refusals.py
+++ b/src/snipebend/relay/refusals.py
@@ -32,6 +32,8 @@
     consecutive: int
     #: Seconds since this entry last received a refusal.
     age_s: float
+    #: Start time of the upstream's incarnation; 0 from earlier versions.
+    born: int = 0
 
 
 @dataclass(slots=True)
@@ -68,7 +70,9 @@
         A report may also be of a former incarnation of the upstream.
         """
         refused_at = now - report.age_s
-        if refused_at <= max(self.accepted_call_at, self.begun_at):
+        if refused_at <= self.accepted_call_at:
+            return
+        if not report.born and refused_at <= self.begun_at:
             return
         self.consecutive = max(self.consecutive, report.consecutive)
         self.received_at = max(self.received_at, refused_at)
--- a/src/snipebend/relay/upstreams.py
+++ b/src/snipebend/relay/upstreams.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from snipebend.relay.refusals import RefusalHistory
 from snipebend.relay.upstream_groups import UpstreamGroup
 from snipebend.state.roster import RosterPhase
@@ -62,6 +64,10 @@
             return False
         return self.record.phase is RosterPhase.READY
 
+    def is_same_life(self, born: int) -> bool:
+        """Return whether a report with this start time may concern it."""
+        return not born or not self.record.born or born == self.record.born
+
     def is_open(self, now: float) -> bool:
         """Return whether it may be given work."""
         return self._is_available and now >= max(
@@ -186,7 +192,7 @@
     def report_refusals(self, now: float) -> dict[str, RefusalReport]:
         """Return the refusal reports for other entries, by identity."""
         return {
-            identity: report
+            identity: replace(report, born=upstream.record.born)
             for identity, upstream in self._by_identity.items()
             if (report := upstream.refusals.make_report(now)) is not None
         }
@@ -198,7 +204,7 @@
         avoided: list[Upstream] = []
         for identity, report in reports.items():
             upstream = self._by_identity.get(identity)
-            if upstream is None:
+            if upstream is None or not upstream.is_same_life(report.born):
                 continue
             was_avoided = upstream.refusals.is_avoided(now)
             upstream.refusals.apply_report(report, now)
--- a/tests/edge/test_rebirth.py
+++ b/tests/edge/test_rebirth.py
@@ -11,6 +11,8 @@
 
 from msgspec import structs
 
+from snipebend.relay.facts import AnnouncedLimit, ResponseFacts
+from snipebend.relay.rate_limit_table import LimitReport
 from tests.edge.relay_fixture import (
     encode_response,
     request,
@@ -66,6 +68,28 @@
         # The connection of the former incarnation isn't used for the next one.
         self.assertEqual(counts, [1, 1])
 
+    async def test_limit_that_others_heard_before_the_rebirth_is_known(self):
+        async with running(respond_ok) as relay:
+            service = relay.service
+            self.reborn(relay, 10, 0)
+            service.apply_limits('e2', 0.0, {'i-0': LimitReport(0, 0.1, 1, 20)})
+            self.assertFalse(service.limits.table)
+            self.reborn(relay, 20, 0)
+            late = {'i-0': LimitReport(0, 0.1, 1, 10)}
+            service.apply_limits('e2', 0.0, late)
+            self.assertFalse(service.limits.table)
+            early = {'i-0': LimitReport(0, 60.0, 1, 20)}
+            service.apply_limits('e2', 0.0, early)
+            self.assertTrue(service.limits.table)
+            # Passed on with the start time.
+            service.limits.table.record_response(
+                'i-0',
+                ResponseFacts(limit=AnnouncedLimit(1)),
+                service.now(),
+                service.now(),
+            )
+            self.assertEqual(service.make_limit_reports()['i-0'].born, 20)
+
     async def test_idle_connections_of_the_former_incarnation(self):
         async with running(respond_ok, respond_ok) as relay:
             self.reborn(relay, 10, 0)
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -10,9 +10,10 @@
 import socket
 import unittest
 from types import SimpleNamespace
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
-from snipebend.edge import reader_watch
+from snipebend.edge import caller_connection, reader_watch
+from snipebend.edge.caller_connection import CallerConnection
 from snipebend.edge.upstream_connection import (
     MAX_PENDING_BYTES,
     MAX_PENDING_EVENTS,
@@ -297,6 +298,74 @@
 UNREAD = 1_000_000
 
 
+class TestSteadyReaders(unittest.IsolatedAsyncioTestCase):
+    """Who reads steadily gets all of it, however long that takes."""
+
+    async def _read_steadily(self, relay, **headers):
+        """Return the end and the size of a response that is read slowly."""
+        sock = await connect_slow(relay)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, request('/safe/', **headers))
+        size, tail = 0, b''
+        try:
+            while size < FITTING_STREAM:
+                got = await loop.sock_recv(sock, 16_000)
+                if not got:
+                    break
+                tail = got[-len(LAST_CHUNK) :]
+                size += len(got)
+                if tail == LAST_CHUNK:
+                    break
+                await asyncio.sleep(0.02)
+        except ConnectionError:
+            size = -1
+        sock.close()
+        return tail, size
+
+    async def _check(self, script, **headers):
+        short = LARGE.limits._replace(input_timeout_s=0.2)
+        with patch.object(caller_connection, 'CLOSE_TIMEOUT_S', 0.2):
+            async with running(
+                script, table=LARGE._replace(limits=short), memory_mb=100
+            ) as relay:
+                tail, size = await self._read_steadily(relay, **headers)
+                if tail != LAST_CHUNK:
+                    self.assertGreaterEqual(size, FITTING_STREAM)
+
+    async def test_connection_that_closes_afterwards(self):
+        await self._check(respond_with_size(FITTING_STREAM), connection='close')
+
+    async def test_connection_that_would_be_idle(self):
+        await self._check(respond_with_size(FITTING_STREAM))
+
+    async def test_stream_that_was_read_ahead(self):
+        await self._check(stream_that_fits, connection='close')
+
+    async def test_whole_response_without_room_after_the_deadline(self):
+        routes = tuple(route._replace(timeout_s=0.3) for route in LARGE.routes)
+        async with running(
+            respond_with_size(FITTING_STREAM),
+            table=LARGE._replace(routes=routes),
+            memory_mb=MEMORY_MB,
+        ) as relay:
+            _, size = await self._read_steadily(relay)
+        self.assertGreaterEqual(size, FITTING_STREAM)
+
+    async def test_failure_without_room_is_forwarded(self):
+        async def fail(req, writer):
+            body = b'a' * FITTING_STREAM
+            writer.write(encode_response(req, body, '500 Failed'))
+            await writer.drain()
+            return True
+
+        async with running(fail, table=LARGE, memory_mb=MEMORY_MB) as relay:
+            got = await send_request(relay, request('/unsafe/'))
+            upstream = relay.service._upstreams.find('i-0')
+            self.assertEqual(upstream.refusals.consecutive, 0)
+        self.assertEqual((got.status, got.complete), (500, True))
+        self.assertEqual(len(got.body), FITTING_STREAM)
+
+
 class TestBodies(unittest.IsolatedAsyncioTestCase):
     """A body for which there is no room is refused before it is read."""
 
@@ -348,6 +417,19 @@
             writer.close()
             await until(lambda: not relay.service.buffers.held)
 
+    async def test_disconnect_before_the_request_begins(self):
+        async with running(
+            respond_with_size(1), table=LARGE, memory_mb=MEMORY_MB
+        ) as relay:
+            conn = CallerConnection(relay.server)
+            conn.connection_made(Mock(asyncio.Transport))
+            conn.data_received(request('/safe/', body=b'a' * 50_000))
+            self.assertEqual(relay.service.buffers.held, 50_000)
+            conn.connection_lost(None)
+            self.assertEqual(relay.service.buffers.held, 0)
+            await asyncio.sleep(0)
+            self.assertEqual(relay.service.buffers.held, 0)
+
     async def test_disconnect_frees_the_room(self):
         async with running(
             respond_with_size(1), table=LARGE, memory_mb=MEMORY_MB
--- a/tests/relay/test_upstreams.py
+++ b/tests/relay/test_upstreams.py
@@ -54,6 +54,21 @@
         new = {'a': RefusalReport(5, 0.5)}
         self.assertEqual(table.apply_refusals(new, now), [current])
 
+    def test_reports_name_the_incarnation(self):
+        table = UpstreamTable()
+        first = UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4, born=10)
+        table.apply_records([first], 1.0)
+        table.apply_records([structs.replace(first, born=20)], LEARNED_AT)
+        now = LEARNED_AT + 1
+        for born in (10, 30):
+            other = {'a': RefusalReport(5, 0.5, born)}
+            self.assertEqual(table.apply_refusals(other, now), [])
+        # Received before this entry learned of the next incarnation.
+        early = {'a': RefusalReport(8, 1.5, 20)}
+        self.assertEqual(len(table.apply_refusals(early, now)), 1)
+        table.find('a').refusals.record_refusal(now, now)
+        self.assertEqual(table.report_refusals(now)['a'].born, 20)
+
     def test_late_heartbeat_of_the_former_incarnation(self):
         table = UpstreamTable()
         first = UpstreamRecord('a', 's', '10.0.0.1:80', 'dc-a', 4, born=10)
