--- a/src/snipebend/edge/call_result.py
+++ b/src/snipebend/edge/call_result.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from snipebend.relay.call_outcomes import CallOutcome
+
 if TYPE_CHECKING:
     from snipebend.edge.call import CompleteResponse
-    from snipebend.relay.call_outcomes import CallOutcome
     from snipebend.transport.body_framing import BodyFraming
 
 
@@ -30,6 +31,11 @@
         return 'moved' if self.moved else self.outcome.value
 
 
+def unknown_outcome(reason: str) -> CallResult:
+    """Return the result of a call that may have run, for this reason."""
+    return CallResult(CallOutcome.UNKNOWN, reason, faulty=True)
+
+
 class BodyEnd(NamedTuple):
     """How the responses of a request's calls ended."""
 
--- a/src/snipebend/edge/relayed_request.py
+++ b/src/snipebend/edge/relayed_request.py
@@ -3,26 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from snipebend.edge.admission_desk import Inquiry
-from snipebend.edge.call import Call, CompleteResponse
+from snipebend.edge.call import Call
 from snipebend.edge.call_log import CallLog
-from snipebend.edge.call_result import BodyEnd, CallResult
+from snipebend.edge.call_result import BodyEnd, CallResult, unknown_outcome
 from snipebend.edge.final_response import FinalResponse
 from snipebend.edge.request_crashes import RequestCrashes
-from snipebend.edge.response_buffer import (
-    PartialResponse,
-    ResponseBuffer,
-    forward_rest,
-)
-from snipebend.edge.response_channel import (
-    BodyChunk,
-    ResponseAborted,
-    ResponseCompleted,
-    ResponseStarted,
-)
+from snipebend.edge.response_channel import ResponseAborted, ResponseStarted
+from snipebend.edge.response_forwarder import ResponseForwarder
 from snipebend.edge.stream_mover import StreamMover
 from snipebend.edge.stream_relay import StreamRelay
 from snipebend.edge.upstream_pool import RefusedConnectionError
@@ -35,25 +25,21 @@
     decide_next_action,
     final_action,
 )
-from snipebend.relay.facts import CallContext, header_values
+from snipebend.relay.facts import CallContext
 from snipebend.relay.upstream_selection import NoCapacity
 from snipebend.relay.upstreams import Upstream
-from snipebend.transport.events import MEDIA_EVENTS
 
 if TYPE_CHECKING:
     from snipebend.edge.caller_parser import CompleteRequest
     from snipebend.edge.relay_service import RelayService
     from snipebend.edge.response_writer import ResponseWriter
     from snipebend.relay.admission import Admitted
-    from snipebend.relay.facts import ResponseFacts, ResponseHead
     from snipebend.transport.body_framing import BodyFraming
 
 #: Upstreams that one request is sent to at most while each proves that it did
 #: not run it: bounds the time spent, unlike the limit of the route.
 MAX_CALLS = 4
 
-_STATUS_FAILED = 500
-
 
 class RelayedRequest:
     """Calls upstreams until the caller has a response."""
@@ -72,9 +58,6 @@
         self._admitted = admitted
         self._route = admitted.route
         response.reader.workspace = admitted.workspace
-        self._buffer = ResponseBuffer(relay.buffers, admitted.workspace)
-        #: Whether the caller has got the beginning of a whole response.
-        self._partial = False
         self._tried: list[str] = []
         self._runs = 0
         #: The upstream called last.
@@ -88,18 +71,27 @@
             admitted, relay.now, relay.refusal_writer.describe_host_state
         )
         self._stream = StreamRelay(response, relay.now, self._record_pause)
-        self._mover = StreamMover(
-            self._retry_conditions, lambda: relay.acquire_move(admitted)
-        )
         self._final = FinalResponse(
             response, relay.refusal_writer, admitted.facts, self._time_left_s
         )
+        self._forwarder = ResponseForwarder(
+            relay,
+            admitted,
+            response,
+            self._stream,
+            self._final,
+            self._crashes,
+            self._retry_conditions,
+            StreamMover(
+                self._retry_conditions, lambda: relay.acquire_move(admitted)
+            ),
+        )
 
     async def run(self) -> None:
         """Work until the response has ended or the deadline has expired."""
         try:
             async with asyncio.timeout(self._time_left_s()) as timeout:
-                self._timeout = timeout
+                self._forwarder.limit(lambda: timeout.reschedule(None))
                 await self._call_until_done()
         except TimeoutError:
             self._final.time_out(may_have_run=self._may_have_run)
@@ -114,7 +106,7 @@
         )
 
     def _end(self) -> None:
-        self._buffer.release()
+        self._forwarder.release()
         if self._final.refusal is not None:
             self._relay.record_refusal(
                 self._admitted,
@@ -274,11 +266,14 @@
         match event:
             case ResponseStarted(framing=framing):
                 self._framing = framing
-                return await self._read_response(call, event)
+                result = await self._forwarder.forward(call, event)
+                if result and result.outcome is CallOutcome.NOT_RUN:
+                    self._runs -= 1
+                return result
             case ResponseAborted(reason):
-                return self._unknown_outcome(reason)
+                return unknown_outcome(reason)
             case _:
-                return self._unknown_outcome('an answer without a head')
+                return unknown_outcome('an answer without a head')
 
     def _send(self, call: Call) -> None:
         admitted = self._admitted
@@ -299,153 +294,10 @@
         )
         self._runs += 1
 
-    async def _read_response(
-        self, call: Call, started: ResponseStarted
-    ) -> CallResult | None:
-        head, facts, _ = started
-        if facts.not_run or facts.identity_mismatch:
-            self._runs -= 1
-            self._record_refusal(call, facts)
-            reason = f'refused with {head.status} for {facts.faulty_address}'
-            return CallResult(CallOutcome.NOT_RUN, reason)
-        if head.status >= _STATUS_FAILED or not facts.authenticated:
-            return await self._read_failure(call, started)
-        if (
-            self._route.kind is RequestKind.STREAM
-            and head.status == HTTPStatus.OK
-            and _has_events(head)
-        ):
-            return await self._forward_stream(call, started)
-        if self._response.started:
-            return self._unknown_outcome(
-                f'{head.status} in place of the rest of a stream'
-            )
-        return await self._forward_complete(call, started)
-
-    def _record_refusal(self, call: Call, facts: ResponseFacts) -> None:
-        """Avoid an upstream that refuses, or a group that waits for a rank.
-
-        An upstream that is full names itself as the cause, which says nothing
-        of the rest of its group.
-        """
-        now = self._relay.now()
-        upstream = call.upstream
-        if facts.faulty_address in {'', upstream.record.address}:
-            upstream.refusals.record_refusal(call.started_at, now)
-            return
-        self._relay.crashes.record_successor(
-            facts.faulty_address, 'another rank named it as lost'
-        )
-        if upstream.group is not None:
-            upstream.group.record_lost_rank(now)
-
-    async def _read_failure(
-        self, call: Call, started: ResponseStarted
-    ) -> CallResult:
-        response = await self._receive_complete(call, started)
-        reason = f'failed with {started.head.status}'
-        if isinstance(response, PartialResponse) and (
-            started.facts.authenticated
-        ):
-            return await self._forward_failure(call, response, reason)
-        if (
-            not isinstance(response, CompleteResponse)
-            or not started.facts.authenticated
-        ):
-            return self._unknown_outcome(reason)
-        return CallResult(CallOutcome.FAILED, reason, response, faulty=True)
-
-    async def _forward_failure(
-        self, call: Call, partial: PartialResponse, reason: str
-    ) -> CallResult:
-        """Forward a failure for which there is no memory, if it is the last."""
-        conditions = self._retry_conditions()
-        action = decide_next_action(CallOutcome.FAILED, conditions)
-        if action is not NextAction.RETRY and not self._response.started:
-            await self._forward_rest(call, partial)
-        return CallResult(CallOutcome.FAILED, reason, faulty=True)
-
-    async def _forward_rest(self, call: Call, partial: PartialResponse) -> str:
-        """Forward a response as it is read; return why it broke, if it did.
-
-        The deadline is one of its beginning. How long the rest may take is up
-        to the caller, as long as it reads.
-        """
-        self._partial = True
-        self._timeout.reschedule(None)
-        return await forward_rest(call, partial, self._response)
-
-    async def _forward_complete(
-        self, call: Call, started: ResponseStarted
-    ) -> CallResult | None:
-        response = await self._receive_complete(call, started)
-        match response:
-            case CompleteResponse():
-                self._final.forward(response)
-            case PartialResponse():
-                reason = await self._forward_rest(call, response)
-                if reason:
-                    return self._unknown_outcome(reason)
-            case ResponseAborted(reason):
-                return self._unknown_outcome(reason)
-        if started.head.status < HTTPStatus.MULTIPLE_CHOICES:
-            self._crashes.record_complete_response()
-        return None
-
-    async def _receive_complete(
-        self, call: Call, started: ResponseStarted
-    ) -> CompleteResponse | PartialResponse | ResponseAborted:
-        """Read a response; what its caller has yet to read is counted then."""
-        self._buffer.release()
-        self._buffer = ResponseBuffer(
-            self._relay.buffers, self._admitted.workspace
-        )
-        response = await call.receive_complete(started, self._buffer)
-        self._buffer.release()
-        return response
-
-    async def _forward_stream(
-        self, call: Call, started: ResponseStarted
-    ) -> CallResult | None:
-        self._stream.begin(started.head)
-        event = await call.receive()
-        is_first = True
-        while isinstance(event, BodyChunk):
-            if self._stream.feed(event.data):
-                if is_first:
-                    self._record_first_event(call)
-                is_first = False
-                self._crashes.record_activity()
-                await self._response.drain()
-                moved = self._mover.move_from(call, self._stream.resume_after)
-                if moved is not None:
-                    return moved
-            event = await call.receive()
-        if isinstance(event, ResponseCompleted):
-            return self._end_stream(started.framing)
-        if isinstance(event, ResponseAborted):
-            return self._unknown_outcome(event.reason)
-        return self._unknown_outcome('a second head')
-
-    def _record_first_event(self, call: Call) -> None:
-        seconds = self._relay.now() - call.started_at
-        self._relay.desk.record_first_event(self._admitted, seconds)
-
-    def _end_stream(self, framing: BodyFraming) -> CallResult | None:
-        reason = self._stream.find_break(framing)
-        if reason:
-            return self._unknown_outcome(reason)
-        self._stream.end()
-        self._crashes.record_complete_response()
-        return None
-
     def _record_pause(self, events: int, seconds: float) -> None:
         if self._upstream is not None:
             self._relay.record_pause(self._upstream, events, seconds)
 
-    def _unknown_outcome(self, reason: str) -> CallResult:
-        return CallResult(CallOutcome.UNKNOWN, reason, faulty=True)
-
     def _record_result(
         self,
         upstream: Upstream,
@@ -479,7 +331,7 @@
         action = decide_next_action(result.outcome, self._retry_conditions())
         if (
             action is NextAction.RETRY
-            and not self._partial
+            and not self._forwarder.is_partial
             and self._relay.acquire_retry(self._admitted)
         ):
             return True
@@ -511,8 +363,3 @@
             call.abort()
         else:
             self._relay.finish_in_background(call, self._admitted.deadline)
-
-
-def _has_events(head: ResponseHead) -> bool:
-    media_types = header_values(head.headers, b'Content-Type')
-    return not media_types or media_types[0].lower().startswith(MEDIA_EVENTS)
