Admit by room only where operators may take upstreams away

The template switched admission on for all deployments, and nothing tells those with hard load from the others but this: a time within which an evacuation must be in force. The test of the templates fills a section that a platform doesn't name with nothing, and checks that cold limits and admission are off then.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -15,7 +15,11 @@
 from types import MappingProxyType
 
 from snipebend.settings.model import ControlSettings
-from snipebend.settings.relay import ColdSection, RelaySettings
+from snipebend.settings.relay import (
+    AdmissionSection,
+    ColdSection,
+    RelaySettings,
+)
 
 ROOT = Path(__file__).parent.parent.parent
 ADAPTER_FOLDER = ROOT / 'platform' / 'snipebend_platform'
@@ -49,8 +53,13 @@
         'limits.memory_mb': '152',
         'bounds.cold_over': '1.5',
         'bounds.cold_slack': '5',
+        'bounds.evacuate_ms': '5000',
     }
 )
+#: Those that only some deployments have.
+PLACES_VALUES = frozenset(
+    ('bounds.cold_over', 'bounds.cold_slack', 'bounds.evacuate_ms')
+)
 SEEDS = '"10.1.0.42:8229","10.2.0.31:8229"'
 ZONES = '"zone-a","zone-b"'
 
@@ -77,18 +86,32 @@
 class TestTemplates(unittest.TestCase):
     """A filled template is a valid settings file."""
 
-    def fill(self, name):
+    def fill(self, name, filled=TEMPLATE_VALUES):
         text = (ROOT / 'deploy' / f'{name}.template').read_text('utf-8')
         text = re.sub(r'{{#seeds}}.*?{{/seeds}}', SEEDS, text)
         text = re.sub(r'{{#zones}}.*?{{/zones}}', ZONES, text)
         text = re.sub(
-            r'{{#([\w.]+)}}(.*?){{\.}}{{/\1}}',
-            lambda match: match[2] + TEMPLATE_VALUES[match[1]],
+            r'{{#([\w.]+)}}(.*?){{/\1}}',
+            lambda match: (
+                match[2].replace('{{.}}', filled[match[1]])
+                if match[1] in filled
+                else ''
+            ),
             text,
+            flags=re.DOTALL,
         )
-        return re.sub(
-            r'{{([\w.]+)}}', lambda match: TEMPLATE_VALUES[match[1]], text
-        )
+        return re.sub(r'{{([\w.]+)}}', lambda match: filled[match[1]], text)
+
+    def test_what_a_platform_does_not_name_is_off(self):
+        filled = {
+            name: text
+            for name, text in TEMPLATE_VALUES.items()
+            if name not in PLACES_VALUES
+        }
+        table = tomllib.loads(self.fill('entry', filled))
+        cfg = RelaySettings.from_table(table)
+        self.assertIsNone(cfg.relay.cold)
+        self.assertIsNone(cfg.relay.admission)
 
     def test_entry(self):
         cfg = RelaySettings.from_table(tomllib.loads(self.fill('entry')))
@@ -99,6 +122,7 @@
         self.assertEqual(
             cfg.relay.cold, ColdSection(rate_factor=1.5, extra_requests=5)
         )
+        self.assertEqual(cfg.relay.admission, AdmissionSection())
         self.assertEqual(
             cfg.control.grpc_addresses, ('10.1.0.42:7340', '10.2.0.31:7340')
         )
