--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -80,9 +80,14 @@
     """Control daemons, one entry and the upstreams of a test."""
 
     def __init__(
-        self, folder: Path, stack: AsyncExitStack, data_centers=()
+        self,
+        folder: Path,
+        stack: AsyncExitStack,
+        data_centers=(),
+        entry_settings='',
     ) -> None:
         self.folder = folder
+        self.entry_settings = entry_settings
         self.data_centers = list(data_centers)
         self.stack = stack
         ports = free_ports(5)
@@ -122,6 +127,7 @@
             f'[listen]\nhost = "{ENTRY_HOST}"\nadmin_port = {self.admin_port}\n'
             f'[control]\naddresses = {json.encode(self.seeds).decode()}\n'
             f'grpc_port = {self.grpc_port}\n'
+            f'{self.entry_settings}'
         )
         self.entry = await self._start('entry', 'entry', text)
         return self.entry
@@ -237,10 +243,10 @@
 
 
 @asynccontextmanager
-async def deployment(folder, data_centers=()):
+async def deployment(folder, data_centers=(), entry_settings=''):
     """Run three control daemons and one entry."""
     async with AsyncExitStack() as stack:
-        cluster = Deployment(Path(folder), stack, data_centers)
+        cluster = Deployment(Path(folder), stack, data_centers, entry_settings)
         stack.push_async_callback(cluster.session.close)
         await asyncio.gather(
             *(
