Review: slow readers bring an entry over its memory

Cause: a response for which the budget has no room is forwarded as its caller reads, but what was read of it before, and a piece in the caller's write buffer, are not counted; the budget assumes 16 KB a connection.

The case has 200 requesters of one tenant read answers of 1 MB at 1 kB a second from one entry with 152 MB, and ten requesters of another tenant use kept channels. The platform's stand-in kills the entry when it exceeds its memory.

--- a/review/standin/platform_bed.py
+++ b/review/standin/platform_bed.py
@@ -148,6 +148,17 @@
             process.send_signal(signum)
         return True
 
+    def memory_mb(self) -> int:
+        """Return what the process holds in memory; 0 if there is none."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return 0
+        with contextlib.suppress(OSError):
+            status = Path(f'/proc/{process.pid}/status').read_text()
+            found = re.search(r'VmRSS:\s+(\d+) kB', status)
+            return int(found[1]) // 1024 if found else 0
+        return 0
+
     async def stop(self) -> None:
         """End the process for good."""
         self._stopping = True
@@ -193,10 +204,16 @@
     """All machines of a small deployment, and the record of a run."""
 
     def __init__(
-        self, folder: Path, record: Path, fronts: int = 5, cores: int = 3
+        self,
+        folder: Path,
+        record: Path,
+        fronts: int = 5,
+        cores: int = 3,
+        memory_mb: int = 300,
     ) -> None:
         """Choose free addresses."""
         self.folder = folder
+        self._memory_mb = memory_mb
         self.deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text()
         )
@@ -243,7 +260,7 @@
             'seeds': [f'{one.ip}:{CONTROL_PORT}' for one in self.cores[:3]],
             'bootstrap': True,
             'data_dir': str(self.folder / f'data-{machine.name}'),
-            'limits': {'memory_mb': 300},
+            'limits': {'memory_mb': self._memory_mb},
             'bounds': {'retry_budget_ratio': 0.2, 'budget_slack': 92},
         }
 
