--- a/review/build.sh
+++ b/review/build.sh
@@ -7,8 +7,9 @@
 import ast
 import pathlib
 
+import expert_group
 import http_parts
-import later_routes
+import outcomes
 import parties
 import platform_bed
 
