Review: pinned weights come back as case 2, case 1 keeps to its doses

In case 1 the demand shifted wholly where the site shifts .8 at most; it now shifts .75, a go for another pass gets 409, and the pause before the measurement covers the last late order and the stability window.

Case 2 shows that an entry marks a replica that answers 421 as displaced for good, now with two of five replicas released.

--- a/review/build.sh
+++ b/review/build.sh
@@ -9,6 +9,7 @@
 
 import expert_group
 import http_parts
+import later_routes
 import outcomes
 import parties
 import platform_bed
--- a/review/standin/expert_group.py
+++ b/review/standin/expert_group.py
@@ -28,6 +28,11 @@
 BASE_PASS_S = 0.03
 EXPERT_SHARE = 0.85
 PICKS = 160
+#: Experts that requests choose, how many of them a shift keeps, and the step
+#: from one topic to the next.
+LIKED_EXPERTS = 8
+KEPT_EXPERTS = 2
+SHIFT = 3
 #: The bounds of the time after which an unanswered order is carried out.
 LATE_S = (2.0, 12.0)
 
@@ -188,7 +193,12 @@
 
     def _loaded(self) -> list[int]:
         """Return the experts that the current topic chooses."""
-        ranks = (2 * self.topic % RANKS, (2 * self.topic + 1) % RANKS)
+        current = self._list_experts(self.topic)[:KEPT_EXPERTS]
+        changed = self._list_experts(self.topic + SHIFT)
+        return current + changed[: LIKED_EXPERTS - KEPT_EXPERTS]
+
+    def _list_experts(self, topic: int) -> list[int]:
+        ranks = (2 * topic % RANKS, (2 * topic + 1) % RANKS)
         return [one for one in range(EXPERTS) if one % RANKS in ranks]
 
     def _pass_s(self) -> float:
@@ -387,8 +397,10 @@
         return 202
 
     def _go(self, rank: Rank, order: dict[str, Any]) -> int:
-        if rank.held != order['step']:
+        if rank.held is None:
             return 200
+        if rank.held != order['step']:
+            return 409
         rank.held = None
         return 202
 
--- a/review/standin/parties.py
+++ b/review/standin/parties.py
@@ -54,6 +54,7 @@
         self._on_arrival = on_arrival
         self._zone = ('zone-a', 'zone-b', 'zone-c')[place % 3]
         self._seq = 0
+        self._state = 'ready'
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -88,6 +89,21 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             writer.transport.abort()
 
+    async def leave(self) -> None:
+        """Drain, deregister and exit, as at planned work."""
+        self._state = 'draining'
+        await self._beat()
+        await asyncio.sleep(2.5)
+        self._beats.cancel()
+        await self._tell('deregister', {})
+        while self.running:
+            await asyncio.sleep(0.05)
+        self.is_up = False
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+        self._bed.note(f'replica {self.identity} of {self.service} has left')
+
     async def _announce(self) -> None:
         while True:
             await self._beat()
@@ -104,7 +120,7 @@
                 'zone': self._zone,
                 'version': f'v{self.weights}',
                 'slots': self._slots,
-                'state': 'ready',
+                'state': self._state,
                 'cold_remaining_ms': 0,
                 'stage': 'both',
                 'models': [
