Log a switch whose pass has not started, with the hold and the armed ranks

The logs show that the ranks of a switch were armed and that its Go was accepted, and nothing after it until the pass starts. A group that never starts the pass looks like an idle one: a hold executed late, a rank that isn't armed and a lost report can't be told apart. The controller now logs, once for each state, the pass of the switch, the last pass, the hold and the number of armed ranks that the reports show.

--- a/src/snipebend/balancing/group_controller.py
+++ b/src/snipebend/balancing/group_controller.py
@@ -137,6 +137,7 @@
         plan = state.plans.latest(self.key.group)
         if self._last_switch.is_unfinished(plan, snapshot):
             if self._last_switch.is_pending(plan, snapshot):
+                self._last_switch.log_pending(snapshot)
                 self._observer.invalidate(self.key)
                 return (
                     INCOMPLETE_RETRY_S
--- a/src/snipebend/balancing/group_observer.py
+++ b/src/snipebend/balancing/group_observer.py
@@ -113,15 +113,31 @@
         )
 
     @property
-    def is_held(self) -> bool:
-        """Return whether a rank holds the group before a pass.
+    def last_step(self) -> int:
+        """Return the last pass that a rank has started."""
+        return max(report.step for report in self.reports.values())
+
+    @property
+    def held_step(self) -> int | None:
+        """Return the pass before which a rank holds the group, if any.
 
         All ranks run each pass, but the reports of a slow rank are older, so
         the hold in such a report may have ended.
         """
-        reports = self.reports.values()
-        latest_step = max(report.step for report in reports)
-        return any((report.held or 0) > latest_step for report in reports)
+        steps = (report.held or 0 for report in self.reports.values())
+        held = max(steps)
+        return held if held > self.last_step else None
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether a rank holds the group before a pass."""
+        return self.held_step is not None
+
+    def count_armed(self, version: int, step: int) -> int:
+        """Return how many ranks activate a map version at the given pass."""
+        return sum(
+            report.armed == (version, step) for report in self.reports.values()
+        )
 
     def is_current(self, members: Mapping[str, UpstreamRecord]) -> bool:
         """Return whether all ranks are still in the roster."""
--- a/src/snipebend/balancing/last_switch.py
+++ b/src/snipebend/balancing/last_switch.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from snipebend.experts.direct_switch import Phase
 
 if TYPE_CHECKING:
@@ -30,6 +32,9 @@
         self._refused = 0
         #: The version whose ``Go`` was accepted, and its first pass.
         self._go_accepted = (0, 0)
+        #: The version of the last pending switch that was logged, and the pass
+        #: before which reports showed its group on hold.
+        self._logged: tuple[int, int | None] = (0, None)
 
     def record_outcome(
         self, version: int, phase: Phase, step: int | None, visible_at: float
@@ -71,3 +76,22 @@
             for one in snapshot.reports.values()
             if one.map_version != version
         )
+
+    def log_pending(self, snapshot: GroupSnapshot) -> None:
+        """Log what reports show of a pending switch, once for each hold."""
+        version, step = self._go_accepted
+        state = (version, snapshot.held_step)
+        if state == self._logged:
+            return
+        self._logged = state
+        logger.info(
+            'event=switch_pending group={} version={} first_pass={} '
+            + 'last_pass={} held_at_step={} armed_ranks={} ranks={}',
+            snapshot.any_report.group,
+            version,
+            step,
+            snapshot.last_step,
+            snapshot.held_step,
+            snapshot.count_armed(version, step),
+            len(snapshot.reports),
+        )
