Keep the pass that ranks are armed for, whatever is on hold

What callers see: after a leader change a group can begin a pass with two maps, or stand still for good. A switch that takes over a group adopted the hold that rank 0 reports, even if the ranks were armed for another pass of the same version: a Hold of an earlier attempt that is executed late is before such a pass. It then armed the ranks once more. An Arm for the first pass that is executed late arms one rank for a pass of its own.

Change: the pass that ranks report as armed goes before a hold. Once all ranks are armed, the Go names the hold that rank 0 reports if it is before an earlier pass: until their pass all ranks run with the previous map. A refused Go ends the switch like an accepted one, since the rank can't hold before that pass any more; it was repeated for ever. Reports are read in the order of ranks.

Why it works: no order changes an armed pass, so a late Arm finds its rank armed as it says or the pass begun, and both change nothing.

--- a/src/snipebend/balancing/switch_driver.py
+++ b/src/snipebend/balancing/switch_driver.py
@@ -64,7 +64,7 @@
             self._switch.aim = HoldPlanner(
                 pass_timing.step, pass_timing.at, pass_timing.pass_s
             )
-        for report in snapshot.reports.values():
+        for _, report in sorted(snapshot.reports.items()):
             self._switch.note_report(report)
 
     @property
--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -11,6 +11,12 @@
   again.
 - ``Go`` is sent only when every rank is known to be armed for that pass.
   Nothing disarms a rank, so this knowledge cannot become outdated.
+- The pass that a rank is armed for is never changed, whatever is on hold: an
+  ``Arm`` for the previous pass could be executed late and would arm one rank
+  for a pass of its own.
+- Once every rank is armed, a hold before their pass or an earlier one can be
+  released: until then, all ranks run with the previous map. A ``Hold`` that is
+  executed late can set such a hold after ``Go``.
 - One coordinator sends orders at a time, under a lease. Its successor first
   waits until reports show the effect of the earlier orders, and then continues
   with the existing hold.
@@ -85,6 +91,8 @@
     hold_step: int | None = None
     phase: Phase = Phase.PREPARING
     _go_retry_at: float = -1
+    #: The pass that rank 0 last reported to be on hold.
+    _reported_hold: int | None = None
     ranks: RankStates = field(init=False)
 
     def __post_init__(self) -> None:
@@ -111,8 +119,8 @@
             rank.expected_ready_at = 0
             rank.in_force = True
         self._drop_expired_hold(report)
-        self._note_held(report)
         self._note_armed(report, rank)
+        self._note_held(report)
         self._advance()
 
     def needs_step_reading(self, now: float) -> bool:
@@ -163,10 +171,14 @@
                 self.phase is Phase.RELEASING
             ):
                 self.hold_step = None
+            case Go(), Reply.ACCEPTED | Reply.REFUSED if (
+                self.phase is Phase.GOING
+            ):
+                # A refusal means that the rank holds before another pass, so
+                # this one was released; reports will show what is on hold.
+                self.phase = Phase.GO_ACCEPTED
             case Go(), Reply.ACCEPTED:
                 self._go_retry_at = now + GO_RETRY_S
-                if order.step == self.hold_step and not self.ranks.unarmed:
-                    self.phase = Phase.GO_ACCEPTED
             case Arm(), Reply.REFUSED:
                 rank.arm_refusals += 1
             case Arm(), Reply.ACCEPTED if order.step == self.hold_step:
@@ -177,9 +189,12 @@
 
     def _note_held(self, report: RankReport) -> None:
         """Adopt a hold of this coordinator, its reply lost, or of another."""
+        if report.rank != 0:
+            return
+        self._reported_hold = report.held
         if report.held is None or report.held <= self.aim.step:
             return
-        if self.hold_step is None and report.rank == 0:
+        if self.hold_step is None:
             self.hold_step = report.held
 
     def _note_armed(self, report: RankReport, rank: RankProgress) -> None:
@@ -187,6 +202,7 @@
         armed = report.armed
         if armed is None or armed.version != self.version:
             return
+        rank.expected_ready_at = 0
         if self.hold_step is None and armed.step > self.aim.step:
             self.hold_step = armed.step
         rank.armed = armed.step == self.hold_step
@@ -245,7 +261,11 @@
         if now < self._go_retry_at or self.hold_step is None:
             return []
         self._go_retry_at = now + RETRY_S
-        return [Go(0, self.epoch, self.hold_step)]
+        step = self.hold_step
+        if self.aim.step < (self._reported_hold or 0) < step:
+            # A hold before an earlier pass, from an order executed late.
+            step = self._reported_hold or step
+        return [Go(0, self.epoch, step)]
 
 
 def ranks_to_poll(switch: DirectSwitch) -> list[int]:
