Release a late hold before the pass of an armed switch

Cause: a Hold without a reply is sent again and then accepted. The ranks are armed, Go is accepted, and the group is idle, so that the pass doesn't start. The first Hold is executed late and puts the group on hold again. The controller only compared the steps of the reports with that pass, took the switch as pending and returned before any order.

Change: a switch isn't pending if all ranks report that they are armed and one reports a hold up to their pass. It is resumed, and its Go ends the hold. Reports in which not all ranks are armed are older than Go and start nothing, as before.

Why it works: all ranks are armed for the same pass and nothing changes that, so Go is safe however often it is sent, and each later hold is found by the next check.

--- a/src/snipebend/balancing/group_controller.py
+++ b/src/snipebend/balancing/group_controller.py
@@ -156,6 +156,14 @@
     async def _finish_switch(
         self, sizes: ExpertSizes, snapshot: GroupSnapshot, plan: GroupPlan
     ) -> None:
+        logger.info(
+            'event=switch_resumed group={} version={} last_pass={} '
+            + 'held_at_step={}',
+            plan.group,
+            plan.version,
+            snapshot.last_step,
+            snapshot.held_step,
+        )
         driver = SwitchDriver(
             self._context.link,
             self._clock,
--- a/src/snipebend/balancing/group_observer.py
+++ b/src/snipebend/balancing/group_observer.py
@@ -139,6 +139,15 @@
             report.armed == (version, step) for report in self.reports.values()
         )
 
+    def is_stopped_before(self, version: int, step: int) -> bool:
+        """Return whether a hold keeps fully armed ranks from reaching a pass.
+
+        Reports that show only some ranks as armed are older than ``Go``.
+        """
+        if self.held_step is None or self.held_step > step:
+            return False
+        return self.count_armed(version, step) == len(self.reports)
+
     def is_current(self, members: Mapping[str, UpstreamRecord]) -> bool:
         """Return whether all ranks are still in the roster."""
         return all(one.identity in members for one in self.upstreams.values())
--- a/src/snipebend/balancing/last_switch.py
+++ b/src/snipebend/balancing/last_switch.py
@@ -63,14 +63,16 @@
     def is_pending(self, plan: GroupPlan, snapshot: GroupSnapshot) -> bool:
         """Return whether outdated reports precede the released pass.
 
-        The ranks are armed for that pass, so no further action is required.
-        Reports of a slow rank are older than those of the other ranks. When the
-        switch was run again because of them, the group was held a second time
-        and stopped for 0.6 s.
+        The ranks are armed for that pass, so no further action is required
+        unless a late ``Hold`` stops the group again. Reports of a slow rank are
+        older than those of the other ranks. When the switch was run again
+        because of them, the group was held a second time and stopped for 0.6 s.
         """
         version, step = self._go_accepted
         if version != plan.version or plan.epoch != snapshot.any_report.epoch:
             return False
+        if snapshot.is_stopped_before(version, step):
+            return False
         return all(
             one.step < step
             for one in snapshot.reports.values()
--- a/tests/balancing/test_last_switch.py
+++ b/tests/balancing/test_last_switch.py
@@ -9,7 +9,7 @@
 
 import unittest
 
-from snipebend.experts.direct_orders import RankReport
+from snipebend.experts.direct_orders import Armed, RankReport
 from snipebend.experts.direct_switch import Phase
 from snipebend.state.group_plans import GroupPlan
 from snipebend.state.roster import UpstreamRecord
@@ -19,11 +19,20 @@
 PLAN = GroupPlan('g', 1, 7, (((0,), (1,)),))
 
 
-def snapshot(*ranks):
+def snapshot(*ranks, armed=None):
     """Return a snapshot from the step, version and hold of each rank."""
     reports = {
         rank: RankReport(
-            str(rank), 'g', 1, rank, len(ranks), True, step, version, held=held
+            str(rank),
+            'g',
+            1,
+            rank,
+            len(ranks),
+            True,
+            step,
+            version,
+            armed=armed,
+            held=held,
         )
         for rank, (step, version, held) in enumerate(ranks)
     }
@@ -43,6 +52,14 @@
         self.assertTrue(self.last.is_unfinished(PLAN, old))
         self.assertTrue(self.last.is_pending(PLAN, old))
 
+    def test_hold_up_to_the_pass_of_armed_ranks(self):
+        """Guards against a group that nobody releases from a late hold."""
+        ranks = Armed(7, 303)
+        for held, is_pending in ((301, False), (303, False), (304, True)):
+            with self.subTest(held=held):
+                late = snapshot((300, 6, held), (300, 6, None), armed=ranks)
+                self.assertIs(self.last.is_pending(PLAN, late), is_pending)
+
     def test_report_of_a_slow_rank_is_older(self):
         mixed = snapshot((302, 6, 303), (310, 7, None))
         self.assertTrue(self.last.is_pending(PLAN, mixed))
--- a/tests/balancing/test_late_orders.py
+++ b/tests/balancing/test_late_orders.py
@@ -70,12 +70,27 @@
 class TestIdleGroup(unittest.TestCase):
     """The group is idle when a late hold is executed."""
 
+    def test_hold_before_the_pass_of_the_switch(self):
+        """Guards against a group that nobody released from a late hold.
+
+        All ranks were armed and ``Go`` had been accepted.
+        """
+
+        async def scenario():
+            group = await make_group(DelayedOnce(Hold, 3))
+            version = group.plan_switch()
+            return await count_final_passes(group), group, version
+
+        self._check(*run_scenario(scenario()))
+
     def test_hold_before_an_earlier_pass(self):
         """Guards against ranks that are armed for a second pass.
 
         An ``Arm`` for the first one may still be executed late.
         """
-        self._check(*run_scenario(self._hold_earlier_pass(is_replaced=True)))
+        for is_replaced in (False, True):
+            with self.subTest(is_replaced=is_replaced):
+                self._check(*run_scenario(self._hold_earlier_pass(is_replaced)))
 
     def test_hold_before_a_later_pass_and_a_new_leader(self):
         """Guards against ranks that are armed for a second pass."""
