Abandon a refused plan although its group is on hold

What callers see: a group that a late hold stopped stays on hold for good, and all its requests time out.

Cause: a switch to the same map is to end such a hold. If a rank refuses its version, which it had in another group, the switch wasn't abandoned because something was on hold: it sent the same order every 20 ms and never ended.

Change: a plan that a rank refuses is abandoned if no rank is armed. Arms are only sent once every rank has accepted the plan, so none is on its way. The next plan has a higher version, and its switch adopts the hold.

--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -62,7 +62,7 @@
     DONE = 'done'
     #: The group was re-formed; its maps and holds are lost.
     DEAD = 'dead'
-    #: A rank refused to prepare before anything was held or armed.
+    #: A rank refused to prepare before any rank was armed.
     REFUSED = 'refused'
 
 
@@ -223,8 +223,9 @@
         if self.is_finished:
             return
         ranks = self.ranks
-        if self.hold_step is None and ranks.any_refused:
-            # Nothing is on hold yet, so the plan can safely be abandoned.
+        if ranks.any_refused and not ranks.any_armed:
+            # No rank can activate the map, so the plan can safely be abandoned.
+            # A hold that was found is ended by the next plan.
             self.phase = Phase.REFUSED
             return
         if ranks.all_in_force:
--- a/src/snipebend/experts/rank_states.py
+++ b/src/snipebend/experts/rank_states.py
@@ -98,6 +98,11 @@
             number for number, rank in self._ranks.items() if not rank.armed
         ]
 
+    @property
+    def any_armed(self) -> bool:
+        """Return whether a rank is armed."""
+        return any(rank.armed for rank in self._ranks.values())
+
     @property
     def all_in_force(self) -> bool:
         """Return whether every rank has activated the map."""
--- a/tests/balancing/test_late_orders.py
+++ b/tests/balancing/test_late_orders.py
@@ -108,6 +108,20 @@
         # A switch to the same map ended the hold.
         self.assertEqual(group.map_versions, {version + 1})
 
+    def test_hold_while_a_rank_refuses_the_plan(self):
+        """Guards against a switch that waits forever for a refused plan.
+
+        The switch was to end the hold.
+        """
+
+        async def scenario():
+            group = await make_group()
+            refused = group.refuse_next_plan()
+            self.assertTrue(group.execute(Hold(0, 1, 1)))
+            return await count_final_passes(group), group, refused + 1
+
+        self._check(*run_scenario(scenario()))
+
     async def _hold_earlier_pass(self, is_replaced):
         group, armed = await arm_idle_group()
         self.assertTrue(group.execute(Hold(0, 1, armed.step - 1)))
