Abort a prepared map although the engine's reply was lost

What callers see: a group with agents stands still after a switch that was aborted, until some later switch ends.

Cause: the agent recorded that its engine holds for a map only once the engine had confirmed the order. If the reply is lost and the switch is aborted before the order is sent again, the engine holds and the agent doesn't send the abort.

Evidence: found by reading the paths of orders without replies; the new test failed before (the engine got 'prepare' and nothing after it).

Change: the decision is recorded before its order is sent, and isn't aborted while it is still being prepared. An engine that never got the order takes an abort without effect.

--- a/src/snipebend/transport/rank_switch.py
+++ b/src/snipebend/transport/rank_switch.py
@@ -105,7 +105,9 @@
         life = int(self._maps.clock.wall() * _MS_PER_S)
         fence = self._maps.fence(self._group)
         self.guard = RankGuard(self._rank, life, fence, EngineSteps)
-        self._fetched_decision: SwitchDecision | None = None
+        #: The last decision that the engine was ordered to prepare. The engine
+        #: may hold for it even if it has not replied.
+        self._prepared_decision: SwitchDecision | None = None
         self._activated = MapStamp()
 
     async def _observe_engine(self) -> None:
@@ -142,8 +144,8 @@
         wait_s = order.fetch_at - self._maps.clock.wall()
         await asyncio.sleep(max(wait_s, 0))
         while self.guard is guard and guard.promise.fetching is order:
+            self._prepared_decision = order.decision
             if await self._send_order(order.decision, 'prepare'):
-                self._fetched_decision = order.decision
                 await self._observe_engine()
                 if self.guard is guard:
                     self.handle_event(WeightsFetched(order.decision.digest))
@@ -176,13 +178,16 @@
 
     async def _abort_if_released(self) -> None:
         """Order the engine to continue if its pending map was aborted."""
-        fetched = self._fetched_decision
-        if fetched is None or self.guard.promise.hold_step is not None:
+        prepared = self._prepared_decision
+        promise = self.guard.promise
+        if prepared is None or promise.hold_step is not None:
             return
-        if fetched.stamp != self.guard.promise.installed:
-            await self._send_actions(fetched, 'abort')
-        if self._fetched_decision is fetched:
-            self._fetched_decision = None
+        if promise.fetching and promise.fetching.decision == prepared:
+            return
+        if prepared.stamp != promise.installed:
+            await self._send_actions(prepared, 'abort')
+        if self._prepared_decision is prepared:
+            self._prepared_decision = None
 
     async def _send_actions(
         self,
