Search schedules of late orders on groups that pause, under the real controller

The search of direct switches ran its own coordinator on a group that never pauses, so that it couldn't find a group that is held while idle. This one runs the balancer itself with half of the orders late by 2 to 12 s, pauses of the work, leaders that are replaced at any time, ranks that crash and ranks that refuse a plan; then the group must run passes.

--- a/tests/balancing/test_late_orders.py
+++ b/tests/balancing/test_late_orders.py
@@ -14,6 +14,13 @@
 from tests.balancing.late_group import LateGroup
 from tests.balancing.test_demand_shifts import run_scenario
 
+SCHEDULES = 40
+BURSTS = 5
+LATE_SHARE = 0.5
+#: Share of the pauses in which the leader is replaced.
+REPLACED_SHARE = 0.4
+#: Share of the pauses in which a rank crashes, or refuses the next plan.
+CHANGED_SHARE = 0.2
 #: Bounds in seconds of the time by which orders are late.
 LATE_S = (2.0, 12.0)
 #: Seconds without work until a late order has been executed and handled.
@@ -136,5 +143,38 @@
         self.assertEqual(group.map_versions, {version})
 
 
+class TestSchedules(unittest.TestCase):
+    """Half of the orders are late, and leaders are replaced at any time."""
+
+    def test_groups_run_passes_after_all_faults(self):
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                passes = run_scenario(_run_schedule(seed))
+                self.assertGreater(passes, FINAL_PASSES)
+
+
+async def _run_schedule(seed):
+    rng = random.Random(seed)
+    group = await make_group(seed=seed)
+
+    def delay_of(order):
+        return rng.uniform(*LATE_S) if rng.random() < LATE_SHARE else None
+
+    for _ in range(BURSTS):
+        group.delay_of = delay_of
+        group.begin_work()
+        await asyncio.sleep(rng.uniform(0, 0.5))
+        group.plan_switch()
+        await asyncio.sleep(rng.uniform(0, 2))
+        group.end_work()
+        await asyncio.sleep(rng.uniform(0, 6))
+        if rng.random() < REPLACED_SHARE:
+            await group.replace_leader()
+        if rng.random() < CHANGED_SHARE:
+            rng.choice((group.crash, group.refuse_next_plan))()
+    group.delay_of = lambda order: None
+    return await count_final_passes(group)
+
+
 if __name__ == '__main__':
     unittest.main()
