End a switch whose rank was replaced while it didn't respond

What callers see: a group keeps an unsuitable map until the control leader changes, and one on hold for that switch isn't released before its ranks form again.

Cause: an order without a reply is due again after 15 to 20 ms, less than the wait for a reply, so that a switch with a rank that doesn't respond sends orders without a pause and reads no reports. Nor would the reports have told: while it holds or sends Go it reads rank 0 only. The epoch that the other ranks report after a replacement was never read.

Evidence: found while the waits of a switch were listed, by the new test, which failed before for a Hold to rank 0 and for an Arm to rank 1 (the new plan wasn't in force 8 s later); its log has step_unread without end and no other line.

Change: orders pause for reports that are due once one of them had no reply. If none of the ranks that matter responds, the other ranks are read. Switches without lost replies send the same orders at the same times.

--- a/src/snipebend/balancing/switch_driver.py
+++ b/src/snipebend/balancing/switch_driver.py
@@ -12,7 +12,7 @@
 from snipebend.experts.hold_planner import HoldPlanner
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from snipebend.experts.direct_orders import RankOrder
     from snipebend.experts.direct_switch import Phase
@@ -52,6 +52,7 @@
         self._snapshot = snapshot
         self._meters = meters
         self._fetch_s = fetch_s
+        self._reports_due_at: float = 0
         self._switch = DirectSwitch(
             plan.group,
             plan.epoch,
@@ -77,13 +78,13 @@
         self._can_order = can_order
         switch = self._switch
         began_at = self._clock.now()
-        report_at = began_at + self._fetch_s
+        self._reports_due_at = began_at + self._fetch_s
         while not switch.is_finished and can_order():
             await self._send_orders()
             await asyncio.sleep(STEP_INTERVAL_S)
-            if self._clock.now() >= report_at:
+            if self._are_reports_due():
                 await self._read_reports()
-                report_at = self._clock.now() + REPORT_INTERVAL_S
+                self._reports_due_at = self._clock.now() + REPORT_INTERVAL_S
         took_s = self._clock.now() - began_at
         self._meters.switch_ended(switch.group, switch.phase.value, took_s)
         logger.info(
@@ -98,19 +99,30 @@
         return switch.phase
 
     async def _send_orders(self) -> None:
-        """Send due orders until the switch has to wait."""
+        """Send due orders until the switch has to wait.
+
+        An order without a reply can be due again at once, for as long as its
+        rank does not respond. Only reports then show that the rank has changed.
+        """
         while True:
             if self._switch.needs_step_reading(self._clock.now()):
                 await self._read_step()
             orders = self._switch.next_orders(self._clock.now())
             if not orders or not self._can_order():
                 return
-            await asyncio.gather(*(self._send(order) for order in orders))
+            replies = await asyncio.gather(
+                *(self._send(order) for order in orders)
+            )
+            if Reply.LOST in replies and self._are_reports_due():
+                return
+
+    def _are_reports_due(self) -> bool:
+        return self._clock.now() >= self._reports_due_at
 
-    async def _send(self, order: RankOrder) -> None:
+    async def _send(self, order: RankOrder) -> Reply:
         upstream = self._snapshot.upstreams[order.rank]
         if not self._can_order():
-            return
+            return Reply.LOST
         reply = await self._link.send_order(upstream, order)
         kind = type(order).__name__.lower()
         self._meters.order_ended(kind, reply.value)
@@ -123,6 +135,7 @@
                 reply.value,
             )
         self._switch.note_reply(order, reply, self._clock.now())
+        return reply
 
     async def _read_step(self) -> None:
         """Read the current pass; reports are a few hundred ms old."""
@@ -133,13 +146,24 @@
         self._switch.note_step(counts.epoch, counts.step, self._clock.now())
 
     async def _read_reports(self) -> None:
+        """Read the reports that a switch needs.
+
+        If none of these ranks responds, they may have been replaced. Only the
+        other ranks then report the new epoch.
+        """
+        polled = ranks_to_poll(self._switch)
+        if not await self._read_ranks(polled):
+            await self._read_ranks(
+                self._snapshot.upstreams.keys() - set(polled)
+            )
+
+    async def _read_ranks(self, ranks: Iterable[int]) -> bool:
+        """Read the reports of some ranks; return whether one responded."""
         upstreams = self._snapshot.upstreams
         reports = await asyncio.gather(
-            *(
-                self._link.read_report(upstreams[rank])
-                for rank in ranks_to_poll(self._switch)
-            )
+            *(self._link.read_report(upstreams[rank]) for rank in ranks)
         )
-        for report in reports:
-            if report is not None:
-                self._switch.note_report(report)
+        known = [report for report in reports if report is not None]
+        for report in known:
+            self._switch.note_report(report)
+        return bool(known)
--- a/tests/balancing/late_group.py
+++ b/tests/balancing/late_group.py
@@ -14,6 +14,7 @@
 from snipebend.experts.group_pass_times import GroupPassTimes
 from snipebend.experts.sizes import ExpertSizes, initial_map
 from snipebend.state.group_plans import GroupPlan, PlanRequest
+from snipebend.state.roster import RecordRequest, UpstreamRecord
 from tests.balancing.group_model import GroupShape, Leader
 from tests.experts.direct_simulation import (
     GROUP,
@@ -56,7 +57,8 @@
         """
         self.engines = _Ranks(rng)
         self.delay_of = delay_of or (lambda order: None)
-        self.orders = []
+        #: Identities of the upstreams that were replaced.
+        self._lost = set()
         #: The leader that is running, if any.
         self.leader = None
         self._refused_version = 0
@@ -106,6 +108,15 @@
         """Form the group again, as after the loss of a rank."""
         self.engines.crash()
 
+    def replace_rank(self, rank):
+        """Form the group again with a rank at another address."""
+        self.crash()
+        self._lost.add(str(rank))
+        identity = str(RANKS + rank)
+        record = UpstreamRecord(identity, 's', f'10.0.1.{rank}:80', 'dc', 3)
+        roster = self.leader.store.local_machine.state.roster
+        roster.record(RecordRequest(record))
+
     def refuse_next_plan(self):
         """Let a rank refuse the next version, which it had in another group.
 
@@ -137,18 +148,25 @@
 
     async def read_report(self, upstream):
         await asyncio.sleep(ROUND_TRIP_S)
-        return self._history[0][1][int(upstream.identity)]
+        if upstream.identity in self._lost:
+            return None
+        report = self._history[0][1][_rank_of(upstream)]
+        return report._replace(identity=upstream.identity)
 
     async def read_counts(self, upstream):
         await asyncio.sleep(ROUND_TRIP_S)
+        if upstream.identity in self._lost:
+            return None
         counts = (0,) * (SHAPE.layers * SHAPE.experts)
         return RankCounts(self.engines.epoch, self.engines.step, counts)
 
     async def read_map(self, upstream):
-        return tuple(layer[int(upstream.identity)] for layer in LAYERS)
+        return tuple(layer[_rank_of(upstream)] for layer in LAYERS)
 
     async def send_order(self, upstream, order):
-        self.orders.append(order)
+        if upstream.identity in self._lost:
+            await asyncio.sleep(REPLY_TIMEOUT_S)
+            return Reply.LOST
         delay_s = self.delay_of(order)
         if delay_s is not None:
             asyncio.get_running_loop().call_later(delay_s, self.execute, order)
@@ -179,5 +197,9 @@
             await asyncio.sleep(RECORD_INTERVAL_S)
 
 
+def _rank_of(upstream):
+    return int(upstream.identity) % RANKS
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/tests/balancing/test_late_orders.py
+++ b/tests/balancing/test_late_orders.py
@@ -10,7 +10,7 @@
 import random
 import unittest
 
-from snipebend.experts.direct_orders import Hold, Prepare
+from snipebend.experts.direct_orders import Arm, Hold, Prepare
 from tests.balancing.late_group import LateGroup
 from tests.balancing.test_demand_shifts import run_scenario
 
@@ -143,6 +143,17 @@
         self.assertEqual(group.map_versions, {version})
 
 
+class TestReplacedRank(unittest.TestCase):
+    """A rank that does not respond to the orders of a switch is replaced."""
+
+    def test_switch_ends(self):
+        """Guards against a switch that waits forever for the previous rank."""
+        for kind, rank in ((Hold, 0), (Arm, 1)):
+            with self.subTest(kind=kind):
+                versions, version = run_scenario(_replace_rank(kind, rank))
+                self.assertEqual(versions, {version})
+
+
 class TestSchedules(unittest.TestCase):
     """Half of the orders are late, and leaders are replaced at any time."""
 
@@ -153,6 +164,22 @@
                 self.assertGreater(passes, FINAL_PASSES)
 
 
+async def _replace_rank(kind, rank):
+    group = await make_group(
+        lambda order: 60 if isinstance(order, kind) else None
+    )
+    group.begin_work()
+    group.plan_switch()
+    await asyncio.sleep(1)
+    group.replace_rank(rank)
+    group.delay_of = lambda order: None
+    await asyncio.sleep(3)
+    version = group.plan_switch()
+    await asyncio.sleep(5)
+    await group.stop()
+    return group.map_versions, version
+
+
 async def _run_schedule(seed):
     rng = random.Random(seed)
     group = await make_group(seed=seed)
