State what a late order does while a group is idle

They don't refuse one for a pass that an idle group hasn't started, which is how a group came to be held for good. Only the text changes.

--- a/src/snipebend/experts/direct_switch.py
+++ b/src/snipebend/experts/direct_switch.py
@@ -15,13 +15,13 @@
   ``Arm`` for the previous pass could be executed late and would arm one rank
   for a pass of its own.
 - Once every rank is armed, a hold before their pass or an earlier one can be
-  released: until then, all ranks run with the previous map. A ``Hold`` that is
-  executed late can set such a hold after ``Go``.
+  released, because all ranks run with the previous map until then.
 - One coordinator sends orders at a time, under a lease. Its successor first
   waits until reports show the effect of the earlier orders, and then continues
   with the existing hold.
-- An order that is executed late names a pass that has already started or a
-  version that has been superseded, and engines refuse both.
+- Engines refuse a late order whose pass has started or whose version has been
+  superseded. An idle group starts no pass: then a late ``Arm`` changes nothing,
+  and a late ``Hold`` stops the group again until a switch is resumed for it.
 
 A switch that has put its group on hold is therefore never cancelled: this
 coordinator or a later one completes it.
