--- a/tests/balancing/late_group.py
+++ b/tests/balancing/late_group.py
@@ -73,10 +73,6 @@
     def map_versions(self):
         return {rank.map_version for rank in self.engines.ranks}
 
-    @property
-    def held_step(self):
-        return self.engines.ranks[0].held
-
     @property
     def armed(self):
         """The map version and pass for which each rank is armed."""
