Let reports wait for orders of a switch that lost replies

Cause: since reports that are due are read between two orders once an order had no reply, also while the group is on hold.

Change: reports are read between orders only once they are a second overdue; a switch that waits for a replaced rank still ends. The tests of replaced ranks, of late orders and of large groups pass.

--- a/src/snipebend/balancing/switch_driver.py
+++ b/src/snipebend/balancing/switch_driver.py
@@ -28,6 +28,10 @@
 #: Seconds between two rounds of reports during a switch.
 REPORT_INTERVAL_S = 0.2
 
+#: Seconds by which orders without replies can delay reports. The ranks of a
+#: group on hold wait while reports are read.
+MAX_REPORT_DELAY_S = 1.0
+
 
 class SwitchDriver:
     """Runs one switch while this daemon leads."""
@@ -82,7 +86,7 @@
         while not switch.is_finished and can_order():
             await self._send_orders()
             await asyncio.sleep(STEP_INTERVAL_S)
-            if self._are_reports_due():
+            if self._clock.now() >= self._reports_due_at:
                 await self._read_reports()
                 self._reports_due_at = self._clock.now() + REPORT_INTERVAL_S
         took_s = self._clock.now() - began_at
@@ -113,12 +117,10 @@
             replies = await asyncio.gather(
                 *(self._send(order) for order in orders)
             )
-            if Reply.LOST in replies and self._are_reports_due():
+            overdue_s = self._clock.now() - self._reports_due_at
+            if Reply.LOST in replies and overdue_s > MAX_REPORT_DELAY_S:
                 return
 
-    def _are_reports_due(self) -> bool:
-        return self._clock.now() >= self._reports_due_at
-
     async def _send(self, order: RankOrder) -> Reply:
         upstream = self._snapshot.upstreams[order.rank]
         if not self._can_order():
