Review: crashed replicas take the place of sound ones

Cause: nothing ends the record of a replica whose status reports have stopped. Entries try each dead address again after a second at most, and the second try of a request is taken from the retry budget though nothing was sent.

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -298,3 +298,31 @@
         'resume_streams': False,
         'gap_aim_ms': 0,
     } | fields
+
+
+def send_request(cluster, entry, path, attempt, deadline_ms=1000):
+    """Send one request on a new channel; return status and seconds.
+
+    The status is 0 if the channel ended without an answer.
+    """
+    began_at = time.monotonic()
+    timeout_s = deadline_ms / 1000 + 0.5
+    conn = HTTPConnection(
+        entry.address, cluster.callers_port, timeout=timeout_s
+    )
+    headers = {
+        'Host': HOST,
+        'Snipebend-Attempt-Id': attempt,
+        'Snipebend-Deadline-Ms': str(deadline_ms),
+        'Snipebend-Credential': KEY,
+    }
+    try:
+        conn.request('GET', path, headers=headers)
+        resp = conn.getresponse()
+        resp.read()
+        status = resp.status
+    except (OSError, HTTPException):
+        status = 0
+    finally:
+        conn.close()
+    return status, time.monotonic() - began_at
