Review: a case that can't run says so

Cause: an error of a case's own, such as a port in use, ended its script with exit code 1, which stands for a broken rule; replicas had a fixed port. The common end of the scripts is in the stand-ins now and returns 2 then.

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -27,6 +27,8 @@
 KEY = 'n2ctnfzs989anu6wsjnb'
 #: Seconds in which a program must have started.
 START_TIMEOUT_S = 20.0
+#: Exit codes of a case: the rule held, was broken, or the case couldn't run.
+HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def free_port():
@@ -141,6 +143,7 @@
         self.callers_port = free_port()
         self.ready_port = free_port()
         self.admin_port = free_port()
+        self.replica_port = free_port()
         net = 10 + os.getpid() % 200
         self.controls = [
             Machine(self, f'core-{at}', 'control', f'127.{net}.1.{at}')
@@ -326,3 +329,19 @@
     finally:
         conn.close()
     return status, time.monotonic() - began_at
+
+
+def play(folder, run, *, trouble, **options):
+    """Run a case on a new cluster, and return its exit code."""
+    record = Record(folder)
+    record.line(f'TROUBLE={int(trouble)}')
+    cluster = Cluster(record, **options)
+    code = NOT_RUN
+    try:
+        code = run(cluster)
+    except Exception as exc:
+        record.line(f'could not run: {exc!r}')
+    finally:
+        cluster.stop()
+        record.line(f'exit {code}')
+    return code
--- a/review/standin-2/replica.py
+++ b/review/standin-2/replica.py
@@ -11,7 +11,6 @@
 import threading
 import time
 
-PORT = 8100
 BEAT_S = 1.2
 #: Makes a close send a reset.
 _RESET = struct.pack('ii', 1, 0)
@@ -23,7 +22,7 @@
     def __init__(self, cluster, identity, service, host, work_s=0.03):
         self.identity = identity
         self.service = service
-        self.address = f'{host}:{PORT}'
+        self.address = f'{host}:{cluster.replica_port}'
         self.runs = 0
         self.refused = 0
         self._cluster = cluster
@@ -33,7 +32,7 @@
         self._socks = set()
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, PORT))
+        self._listener.bind((host, cluster.replica_port))
         self._listener.listen(256)
         for work in (self._accept, self._beat):
             threading.Thread(target=work, daemon=True).start()
